--- a/crates/entry/src/clock/boot_clock.rs
+++ b/crates/clock/src/boot_clock.rs
@@ -4,19 +4,24 @@
 /// Milliseconds since this VM booted, time spent suspended included.
 ///
 /// Guards against a VM that is paused with a decision in hand: the monotonic clock may stand still
-/// meanwhile, so after the wake the deadline would look as far off as before, and the request would
-/// run although its caller has long been told otherwise. This clock has moved on.
+/// meanwhile, so after the wake a deadline or a lease would look as far off as before, and the
+/// request would run although its caller has long been told otherwise. This clock has moved on.
+///
+/// ```
+/// let clock = celeryhaven_clock::BootClock;
+/// assert!(clock.now() <= clock.now());
+/// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct BootClock;
+pub struct BootClock;
 
 impl BootClock {
     /// The time now.
-    pub(crate) fn now(self) -> TimeMs {
+    pub fn now(self) -> TimeMs {
         TimeMs::new(millis(ClockId::Boottime))
     }
 
     /// CPU time that the calling thread has used, in milliseconds.
-    pub(crate) fn thread_cpu_ms(self) -> u64 {
+    pub fn thread_cpu_ms(self) -> u64 {
         millis(ClockId::ThreadCPUTime)
     }
 }
--- a/crates/controller/src/clock/mod.rs
+++ b/crates/clock/src/lib.rs
@@ -1,5 +1,7 @@
 //! A clock that counts time spent suspended.
 
 mod boot_clock;
+mod unix;
 
-pub(crate) use boot_clock::{BootClock, unix_ms};
+pub use boot_clock::BootClock;
+pub use unix::unix_ms;
--- a/crates/controller/src/control/control_loop.rs
+++ b/crates/controller/src/control/control_loop.rs
@@ -11,8 +11,8 @@
 use celeryhaven_types::{OperatorName, OperatorReply, TimeMs};
 use slog::{Logger, debug, info};
 
-use crate::clock::{BootClock, unix_ms};
 use crate::control::{Carrier, Message, Question, Watch};
+use celeryhaven_clock::{BootClock, unix_ms};
 
 /// A tick that begins this much later than it was due counts as late, in milliseconds.
 const LATE_MS: u64 = 20;
--- a/crates/controller/src/control/watch.rs
+++ b/crates/controller/src/control/watch.rs
@@ -3,7 +3,7 @@
 
 use celeryhaven_types::TimeMs;
 
-use crate::clock::BootClock;
+use celeryhaven_clock::BootClock;
 
 /// A control thread that has not looked at the time for this long is not ready, in milliseconds.
 const STALLED_MS: u64 = 2_000;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,7 +4,6 @@
 //! |---|---|
 //! | [`args`] | the command line |
 //! | [`process`] | starting, leaving |
-//! | `clock` | a clock that counts time spent suspended |
 //! | `control` | the thread that drives the state machine |
 //! | `http` | health, readiness, metrics |
 //! | `members` | polls and orders to members, the VM list |
@@ -14,7 +13,6 @@
 //! Calls, polls, orders and operators' links are tasks on other threads.
 
 pub mod args;
-mod clock;
 mod control;
 mod http;
 mod members;
--- a/crates/controller/src/members/client.rs
+++ b/crates/controller/src/members/client.rs
@@ -8,8 +8,8 @@
 use smol::Timer;
 use trillium_client::{Client, Status};
 
-use crate::clock::BootClock;
 use crate::members::before;
+use celeryhaven_clock::BootClock;
 
 data! {
     /// The platform's VM list.
--- a/crates/controller/src/members/deadline.rs
+++ b/crates/controller/src/members/deadline.rs
@@ -6,7 +6,7 @@
 use celeryhaven_types::TimeMs;
 use smol::Timer;
 
-use crate::clock::BootClock;
+use celeryhaven_clock::BootClock;
 
 /// Runs `work` only while it is earlier than `end`; `None` once it is not.
 ///
--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -5,8 +5,8 @@
 use celeryhaven_telemetry::EntryMetrics;
 use celeryhaven_types::{ConfigNumber, TimeMs};
 
-use crate::clock::BootClock;
 use crate::control::{Carrier, ControlHandle, Message, Query, View};
+use celeryhaven_clock::BootClock;
 
 /// How late a tick may begin before it counts as late, in milliseconds.
 const LATE_MS: u64 = 20;
--- a/crates/entry/src/forward/conversation.rs
+++ b/crates/entry/src/forward/conversation.rs
@@ -9,7 +9,6 @@
 use smol::io::AsyncReadExt;
 use trillium_client::{Client, Conn};
 
-use crate::clock::BootClock;
 use crate::exchange::{AnswerHead, AnswerPart, Exchange, RequestKind};
 use crate::forward::attempt::Reporter;
 use crate::forward::connector::GatedConnector;
@@ -18,6 +17,7 @@
 use crate::forward::gate::Gate;
 use crate::forward::progress::Unreported;
 use crate::forward::refusals::is_engine_refusal;
+use celeryhaven_clock::BootClock;
 
 /// Answers up to this size, in bytes, go to the caller only when they are whole.
 ///
--- a/crates/entry/src/forward/forwarder.rs
+++ b/crates/entry/src/forward/forwarder.rs
@@ -7,11 +7,11 @@
 use celeryhaven_telemetry::EntryMetrics;
 use celeryhaven_types::{Generation, ReplicaName, TimeMs};
 
-use crate::clock::BootClock;
 use crate::control::ControlHandle;
 use crate::exchange::{Exchange, KeptAnswers};
 use crate::forward::attempt::run_attempt;
 use crate::forward::idle::IdleConnections;
+use celeryhaven_clock::BootClock;
 
 /// Where an attempt goes, and until when it may begin.
 #[derive(Clone, Debug)]
--- a/crates/entry/src/forward/gate.rs
+++ b/crates/entry/src/forward/gate.rs
@@ -10,10 +10,10 @@
 use smol::net::TcpStream;
 use trillium_server_common::Transport;
 
-use crate::clock::BootClock;
 use crate::forward::attempt::Reporter;
 use crate::forward::idle::IdleConnections;
 use crate::forward::on_sent::OnSent;
+use celeryhaven_clock::BootClock;
 
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/entry/src/forward/idle.rs
+++ b/crates/entry/src/forward/idle.rs
@@ -5,7 +5,7 @@
 use smol::future::poll_once;
 use smol::net::TcpStream;
 
-use crate::clock::BootClock;
+use celeryhaven_clock::BootClock;
 
 /// Idle connections kept to one target.
 const KEPT_EACH: usize = 32;
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -6,7 +6,6 @@
 };
 use trillium::Conn;
 
-use crate::clock::BootClock;
 use crate::exchange::{Exchange, ForwardRequest, RequestKind};
 use crate::http::HttpContext;
 use crate::http::asked::Asked;
@@ -16,6 +15,7 @@
 use crate::http::guard::GuardedTransport;
 use crate::http::rejection::Rejection;
 use crate::http::respond::{refuse_early, respond};
+use celeryhaven_clock::BootClock;
 
 /// Headers of a caller that go on to a plain service.
 const FORWARDED: [&str; 7] = [
@@ -178,6 +178,7 @@
             false => Idempotency::NonIdempotent,
         },
         deadline_in_ms: asked.deadline_ms,
+        start_within_ms: None,
         prompt_tokens: 0,
         output_tokens_max: 0,
         prefix_hashes: Vec::new(),
--- a/crates/entry/src/http/settle.rs
+++ b/crates/entry/src/http/settle.rs
@@ -3,11 +3,11 @@
 use celeryhaven_telemetry::{RequestLabels, RequestRecord};
 use celeryhaven_types::{OrganisationName, Refusal, RefusalCode, ReplicaName, Verdict};
 
-use crate::clock::BootClock;
 use crate::exchange::Exchange;
 use crate::http::HttpContext;
 use crate::http::refusal::code_text;
 use crate::http::respond::tell_gone;
+use celeryhaven_clock::BootClock;
 
 /// The end of one request as the caller saw it: counted and logged once, whatever happens.
 ///
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,6 @@
 //! |---|---|
 //! | [`args`] | the command line |
 //! | [`process`] | starting, leaving |
-//! | `clock` | a clock that counts time spent suspended |
 //! | `control` | the thread that drives the node's state machine |
 //! | `exchange` | one caller's request and its answer, between threads |
 //! | [`forward`] | attempts at targets |
@@ -16,7 +15,6 @@
 //! decides.
 
 pub mod args;
-mod clock;
 mod control;
 mod exchange;
 pub mod forward;
--- a/crates/entry/src/peer/answering.rs
+++ b/crates/entry/src/peer/answering.rs
@@ -1,10 +1,10 @@
 use celeryhaven_link::{FrameStream, LinkError};
 use celeryhaven_types::{Incarnation, Refusal, RefusalCode};
 
-use crate::clock::BootClock;
 use crate::exchange::{End, Exchange};
 use crate::http::{HttpContext, submit, tell_gone};
 use crate::peer::message::{AnswerFrame, PassedOn};
+use celeryhaven_clock::BootClock;
 
 /// Runs a request that another entry passed on, as if it had arrived here, and sends the answer
 /// back.
--- a/crates/entry/src/peer/passing.rs
+++ b/crates/entry/src/peer/passing.rs
@@ -6,10 +6,10 @@
 use celeryhaven_types::Incarnation;
 use slog::info;
 
-use crate::clock::BootClock;
 use crate::exchange::{AnswerPart, End, Exchange};
 use crate::peer::Peers;
 use crate::peer::message::{AnswerFrame, PassedOn};
+use celeryhaven_clock::BootClock;
 
 /// How much longer than its deadline a request may take at the other entry, in milliseconds.
 const GRACE_MS: u64 = 500;
--- a/crates/entry/src/peer/peers.rs
+++ b/crates/entry/src/peer/peers.rs
@@ -7,8 +7,8 @@
 use celeryhaven_types::Incarnation;
 use slog::{Logger, debug};
 
-use crate::clock::BootClock;
 use crate::control::ControlHandle;
+use celeryhaven_clock::BootClock;
 
 /// Sends to the other entries and takes what they send.
 #[derive(Clone)]
--- a/crates/entry/src/process/node_settings.rs
+++ b/crates/entry/src/process/node_settings.rs
@@ -4,8 +4,8 @@
 use celeryhaven_settings::EntrySettings;
 use celeryhaven_types::{Boot, Incarnation};
 
-use crate::clock::BootClock;
 use crate::process::ProcessError;
+use celeryhaven_clock::BootClock;
 
 /// Bits of a boot number that are random; the rest are milliseconds of the wall clock.
 const RANDOM_BITS: u32 = 20;
--- /dev/null
+++ b/crates/forming/src/domain/former.rs
@@ -0,0 +1,195 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use celeryhaven_fleet::ReplicaKey;
+use celeryhaven_types::{DomainName, ModelName, NodeName, ReplicaName, TimeMs, VmName};
+
+use crate::domain::formation::{Dissolving, Formation, PendingOrder};
+use crate::domain::loads::Loads;
+use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderCall};
+use crate::record::{DomainRecord, PlannedReplica};
+
+/// What this decider knows of the domain's record.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum RecordState {
+    /// Nothing; it must be read.
+    Unknown,
+    /// It is being read.
+    Reading,
+    /// As read or written last.
+    Known(DomainRecord),
+    /// It is being written with these plans new.
+    Writing(DomainRecord),
+}
+
+/// Decides for one fabric domain which targets form which replica.
+///
+/// Its owner calls [`step`](Self::step) when the list of targets has changed and a few times a
+/// second, and [`hear`](Self::hear) with what became of its actions.
+///
+/// ```
+/// use celeryhaven_forming::{DomainFormer, FormingSettings};
+/// use celeryhaven_types::{DomainName, NodeName, TimeMs};
+///
+/// let domain = DomainName::new("rack-1");
+/// let node = NodeName::new("entry-1");
+/// let former = DomainFormer::new(TimeMs::new(0), domain, node, FormingSettings::default());
+/// assert!(former.is_idle());
+/// ```
+#[derive(Clone, Debug)]
+pub struct DomainFormer {
+    pub(crate) domain: DomainName,
+    pub(crate) node: NodeName,
+    pub(crate) settings: FormingSettings,
+    pub(crate) record: RecordState,
+    pub(crate) formations: BTreeMap<ReplicaKey, Formation>,
+    pub(crate) dissolving: BTreeMap<ReplicaKey, Dissolving>,
+    /// Replicas whose head has left or is gone: their members are free.
+    pub(crate) released: BTreeSet<ReplicaKey>,
+    /// When another decider's unfinished replica was first seen.
+    pub(crate) unfinished: BTreeMap<ReplicaKey, TimeMs>,
+    /// Unreachable targets, and when each is probed next.
+    pub(crate) unreachable: BTreeMap<VmName, TimeMs>,
+    pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
+    /// Targets that have refused to stage, and until when they are not asked again.
+    pub(crate) unstageable: BTreeMap<VmName, TimeMs>,
+    pub(crate) pending: BTreeMap<OrderCall, PendingOrder>,
+    pub(crate) loads: Loads,
+    /// Plans of this decider whose write got no answer.
+    pub(crate) unconfirmed: BTreeSet<ReplicaName>,
+    /// Plans of others that no member names yet, and until when their members count as taken.
+    pub(crate) announced: BTreeMap<ReplicaName, (Vec<VmName>, TimeMs)>,
+    pub(crate) next_call: OrderCall,
+    pub(crate) next_name: u64,
+}
+
+impl DomainFormer {
+    /// A decider that knows nothing yet.
+    pub fn new(now: TimeMs, domain: DomainName, node: NodeName, settings: FormingSettings) -> Self {
+        let loads = Loads::new(now, settings.loads_per_s, settings.loads_saved_max);
+        Self {
+            domain,
+            node,
+            settings,
+            record: RecordState::Unknown,
+            formations: BTreeMap::new(),
+            dissolving: BTreeMap::new(),
+            released: BTreeSet::new(),
+            unfinished: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
+            staging: BTreeMap::new(),
+            unstageable: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            loads,
+            unconfirmed: BTreeSet::new(),
+            announced: BTreeMap::new(),
+            next_call: OrderCall::default(),
+            next_name: 0,
+        }
+    }
+
+    /// Takes over settings that follow the configuration.
+    pub fn set_settings(&mut self, settings: FormingSettings) {
+        self.loads.set_rate(settings.loads_per_s);
+        self.settings = settings;
+    }
+
+    /// Whether nothing is being formed or taken apart.
+    pub fn is_idle(&self) -> bool {
+        self.formations.is_empty() && self.dissolving.is_empty() && self.pending.is_empty()
+    }
+
+    /// Looks at the list of targets and appends what is to be done.
+    pub fn step(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+        if self.record == RecordState::Unknown {
+            self.record = RecordState::Reading;
+            out.push(FormingAction::ReadRecord);
+        }
+        self.forget_unlisted(now, view);
+        self.probe_unreachable(now, out);
+        self.send_again(now, out);
+        self.judge_replicas(now, view, out);
+        self.advance_dissolving(now, view, out);
+        if matches!(self.record, RecordState::Known(_)) {
+            self.plan(view, out);
+        }
+        self.stage_free(now, view, out);
+    }
+
+    /// Takes one event and appends what is to be done at once.
+    pub fn hear(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        event: FormingEvent,
+        out: &mut Vec<FormingAction>,
+    ) {
+        match event {
+            FormingEvent::RecordRead { record } => self.record_read(now, view, record, out),
+            FormingEvent::RecordWritten { generation } => {
+                if let RecordState::Writing(record) = &self.record {
+                    let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
+                    let new: Vec<PlannedReplica> = new.cloned().collect();
+                    self.record = RecordState::Known(record.clone().at(generation));
+                    new.iter().for_each(|plan| self.begin(now, view, plan, generation, out));
+                    self.unconfirmed.clear();
+                }
+            }
+            FormingEvent::RecordFailed => self.record = RecordState::Unknown,
+            FormingEvent::Ordered { call, outcome } => self.ordered(now, call, outcome, out),
+            FormingEvent::Probed { target, reachability } => {
+                self.probed(now, target, reachability);
+            }
+            FormingEvent::Suspected { replica } => self.suspected(view, &replica, out),
+            FormingEvent::Accused { target } => out.push(FormingAction::Probe { target }),
+        }
+    }
+
+    pub(crate) fn note(
+        &self,
+        replica: &ReplicaKey,
+        change: &'static str,
+        target: Option<&VmName>,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let (replica, target) = (replica.clone(), target.cloned());
+        out.push(FormingAction::Note { replica, change, target });
+    }
+
+    /// Takes over the record, and goes on with own plans whose write got no answer.
+    ///
+    /// Guards against two plans for the same targets: those of another decider show in the record
+    /// before any member names them, so their members count as taken for a while.
+    fn record_read(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        record: DomainRecord,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let until = now.after(self.settings.announced_ms);
+        let mut confirmed = Vec::new();
+        for plan in &record.replicas {
+            if self.unconfirmed.contains(&plan.replica) {
+                confirmed.push(plan.clone());
+            } else if !view.replicas.keys().any(|key| key.replica == plan.replica) {
+                self.announced.insert(plan.replica.clone(), (plan.members.clone(), until));
+            }
+        }
+        self.unconfirmed.clear();
+        self.record = RecordState::Known(record);
+        for plan in &confirmed {
+            let generation = plan.generation.unwrap_or_default();
+            self.begin(now, view, plan, generation, out);
+        }
+    }
+
+    /// Forgets what is remembered of targets and replicas that nobody lists any more.
+    fn forget_unlisted(&mut self, now: TimeMs, view: FormingView<'_>) {
+        self.announced.retain(|_, (_, until)| *until > now);
+        self.unreachable.retain(|name, _| view.fleet.target(name).is_some());
+        self.staging.retain(|name, _| view.fleet.target(name).is_some());
+        self.released.retain(|key| view.replicas.contains_key(key));
+        self.unfinished.retain(|key, _| view.replicas.contains_key(key));
+        self.dissolving.retain(|key, _| view.replicas.contains_key(key));
+    }
+}
--- /dev/null
+++ b/crates/forming/src/domain/free.rs
@@ -0,0 +1,75 @@
+use celeryhaven_fleet::{ReplicaKey, TargetEntry, TargetPhase};
+use celeryhaven_types::{ModelName, Set, VmName};
+
+use crate::domain::DomainFormer;
+use crate::domain::former::RecordState;
+use crate::interface::FormingView;
+
+/// How fast a free target can serve a model; the least is the fastest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Warmth {
+    /// It served the model last.
+    Served,
+    /// The model is staged on its host.
+    Staged,
+    /// Neither.
+    Cold,
+}
+
+pub(crate) fn warmth(entry: &TargetEntry, model: &ModelName) -> Warmth {
+    if entry.model.as_ref() == Some(model) {
+        Warmth::Served
+    } else if entry.staged.contains(model) {
+        Warmth::Staged
+    } else {
+        Warmth::Cold
+    }
+}
+
+impl DomainFormer {
+    /// Targets that may join a replica now, by name.
+    pub(crate) fn free_targets<'a>(&self, view: FormingView<'a>) -> Vec<&'a TargetEntry> {
+        let taken = self.taken();
+        view.fleet
+            .targets()
+            .filter(|entry| entry.domain.as_ref() == Some(&self.domain))
+            .filter(|entry| entry.phase == TargetPhase::Ready)
+            .filter(|entry| !view.fleet.is_lapsed(&entry.name))
+            .filter(|entry| !self.unreachable.contains_key(&entry.name))
+            .filter(|entry| !taken.contains(&entry.name) && self.is_released(entry))
+            .collect()
+    }
+
+    /// Targets of the domain that can be members at all.
+    pub(crate) fn usable_targets(&self, view: FormingView<'_>) -> usize {
+        view.fleet
+            .targets()
+            .filter(|entry| entry.domain.as_ref() == Some(&self.domain))
+            .filter(|entry| entry.phase == TargetPhase::Ready)
+            .filter(|entry| !self.unreachable.contains_key(&entry.name))
+            .count()
+    }
+
+    fn is_released(&self, entry: &TargetEntry) -> bool {
+        entry.membership.as_ref().is_none_or(|membership| {
+            let replica = membership.replica.clone();
+            self.released.contains(&ReplicaKey { replica, generation: membership.generation })
+        })
+    }
+
+    /// Targets that a formation or a plan already counts on.
+    fn taken(&self) -> Set<VmName> {
+        let forming = self.formations.values().flat_map(|formation| formation.members.iter());
+        let planned = match &self.record {
+            RecordState::Writing(record) => record.replicas.as_slice(),
+            _ => &[],
+        };
+        let planned = planned.iter().filter(|plan| plan.generation.is_none());
+        let announced = self.announced.values().flat_map(|(members, _)| members.iter());
+        forming
+            .chain(announced)
+            .chain(planned.flat_map(|plan| plan.members.iter()))
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/forming/src/domain/mod.rs
@@ -0,0 +1,14 @@
+//! The state machine of one domain's decider.
+
+mod dissolving;
+mod formation;
+mod former;
+mod free;
+mod loads;
+mod orders;
+mod planning;
+mod reach;
+mod replicas;
+mod staging;
+
+pub use former::DomainFormer;
--- /dev/null
+++ b/crates/forming/src/domain/planning.rs
@@ -0,0 +1,127 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_fleet::{MemberState, TargetEntry};
+use celeryhaven_types::{ModelName, ReplicaName, VmName};
+
+use crate::domain::DomainFormer;
+use crate::domain::former::RecordState;
+use crate::domain::free::{Warmth, warmth};
+use crate::interface::{FormingAction, FormingView};
+use crate::mix::{ModelCount, wanted_replicas};
+use crate::record::{DomainRecord, PlannedReplica};
+
+impl DomainFormer {
+    /// Plans replicas of free targets, and writes the plan down before any target hears of it.
+    pub(crate) fn plan(&mut self, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+        let mut free = self.free_targets(view);
+        let wanted = wanted_replicas(self.usable_targets(view), &view.profile.models);
+        let mut held = self.held(view);
+        let mut plans = Vec::new();
+        while let Some((model, members)) = self.next_replica(view, &wanted, &held, &free) {
+            free.retain(|entry| !members.contains(&entry.name));
+            *held.entry(model.clone()).or_default() += 1;
+            plans.push(self.planned(model, members));
+        }
+        if plans.is_empty() {
+            return;
+        }
+        self.unconfirmed = plans.iter().map(|plan| plan.replica.clone()).collect();
+        let RecordState::Known(record) = &self.record else { return };
+        let kept = record.replicas.iter().filter(|plan| self.may_exist(view, plan));
+        let replicas = kept.cloned().chain(plans).collect();
+        let record = DomainRecord { decider: Some(self.node.clone()), replicas };
+        self.record = RecordState::Writing(record.clone());
+        out.push(FormingAction::WriteRecord { record });
+    }
+
+    /// Replicas of each model that serve or are about to.
+    pub(crate) fn held(&self, view: FormingView<'_>) -> BTreeMap<ModelName, usize> {
+        let mut held = BTreeMap::new();
+        let own = view.replicas.values().filter(|r| r.domain.as_ref() == Some(&self.domain));
+        for replica in own {
+            let gone = self.released.contains(&replica.key)
+                || self.dissolving.contains_key(&replica.key)
+                || self.formations.contains_key(&replica.key)
+                || replica.head_state == Some(MemberState::Broken);
+            if let (false, Some(model)) = (gone, &replica.model) {
+                *held.entry(model.clone()).or_default() += 1;
+            }
+        }
+        for formation in self.formations.values() {
+            *held.entry(formation.model.clone()).or_default() += 1;
+        }
+        held
+    }
+
+    /// The next replica worth forming, with its members; the warmest first.
+    fn next_replica(
+        &self,
+        view: FormingView<'_>,
+        wanted: &[ModelCount],
+        held: &BTreeMap<ModelName, usize>,
+        free: &[&TargetEntry],
+    ) -> Option<(ModelName, Vec<VmName>)> {
+        let missing = |count: &&ModelCount| {
+            held.get(&count.model).copied().unwrap_or_default() < count.replicas
+        };
+        let short = wanted.iter().filter(missing).chain(wanted.iter().rev());
+        let warm = short.clone().find_map(|count| pick(free, count, Warmth::Staged));
+        if warm.is_some() {
+            return warm;
+        }
+        // Loads are cheap before callers come; later a target is staged first and joins warm.
+        let forming = self.formations.values().any(|formation| !self.is_warm(view, formation));
+        if view.traffic_seen || forming {
+            return None;
+        }
+        let first = wanted
+            .iter()
+            .rev()
+            .filter(missing)
+            .find(|count| held.get(&count.model).copied().unwrap_or_default() == 0);
+        let cold = first.or_else(|| wanted.iter().find(missing))?;
+        pick(free, cold, Warmth::Cold)
+    }
+
+    fn is_warm(
+        &self,
+        view: FormingView<'_>,
+        formation: &crate::domain::formation::Formation,
+    ) -> bool {
+        formation.members.iter().all(|name| {
+            let entry = view.fleet.target(name);
+            entry.is_some_and(|entry| warmth(entry, &formation.model) != Warmth::Cold)
+        })
+    }
+
+    fn planned(&mut self, model: ModelName, members: Vec<VmName>) -> PlannedReplica {
+        self.next_name += 1;
+        // The generation makes the name unique among deciders: no two write the same version.
+        let replica = ReplicaName::new(format!("{}-{}-{}", self.domain, self.node, self.next_name));
+        PlannedReplica { replica, generation: None, model, members }
+    }
+
+    /// Whether a member still names the planned replica, or may be about to.
+    fn may_exist(&self, view: FormingView<'_>, plan: &PlannedReplica) -> bool {
+        let forming = self.formations.keys().any(|key| key.replica == plan.replica);
+        forming || view.replicas.keys().any(|key| key.replica == plan.replica)
+    }
+}
+
+fn pick(
+    free: &[&TargetEntry],
+    count: &ModelCount,
+    coldest: Warmth,
+) -> Option<(ModelName, Vec<VmName>)> {
+    let mut fit: Vec<_> = free
+        .iter()
+        .map(|entry| (warmth(entry, &count.model), &entry.name))
+        .filter(|(warmth, _)| *warmth <= coldest)
+        .collect();
+    fit.sort();
+    if fit.len() < count.size {
+        return None;
+    }
+    let members = fit.into_iter().take(count.size).map(|(_, name)| name.clone()).collect();
+    Some((count.model.clone(), members))
+}
--- /dev/null
+++ b/crates/forming/src/domain/replicas.rs
@@ -0,0 +1,221 @@
+use celeryhaven_fleet::{CloseMode, MemberState, OrderOutcome, Replica, ReplicaKey, TargetOrder};
+use celeryhaven_types::{Generation, ModelName, TimeMs, VmName};
+
+use crate::domain::DomainFormer;
+use crate::domain::formation::{Dissolving, Formation};
+use crate::domain::former::RecordState;
+use crate::interface::{FormingAction, FormingView};
+use crate::record::PlannedReplica;
+
+impl DomainFormer {
+    /// Looks at each replica of the domain: opens what is ready, takes apart what is not whole.
+    pub(crate) fn judge_replicas(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let own = view.replicas.values().filter(|r| r.domain.as_ref() == Some(&self.domain));
+        for replica in own.cloned().collect::<Vec<_>>() {
+            if self.released.contains(&replica.key) || self.dissolving.contains_key(&replica.key) {
+                continue;
+            }
+            if self.formations.contains_key(&replica.key) {
+                self.advance_formation(view, &replica, out);
+            } else {
+                self.judge_found(now, view, &replica, out);
+            }
+        }
+        let late =
+            self.formations.values().filter(|f| f.give_up_at <= now || self.is_hurt(view, f));
+        let late: Vec<_> = late.map(|formation| formation.key.clone()).collect();
+        late.iter().for_each(|key| self.abandon(key, "formation abandoned", out));
+    }
+
+    /// Begins a replica that the record now holds.
+    pub(crate) fn begin(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        plan: &PlannedReplica,
+        generation: Generation,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let key = ReplicaKey { replica: plan.replica.clone(), generation };
+        let load_ms = view.profile.model(&plan.model).map_or(0, |model| model.load_ms);
+        let formation = Formation {
+            key: key.clone(),
+            model: plan.model.clone(),
+            members: plan.members.clone(),
+            give_up_at: now.after(load_ms * self.settings.load_patience),
+            accepted: Vec::new(),
+            open_sent: false,
+        };
+        self.note(&key, "planned", plan.members.first(), out);
+        self.formations.insert(key, formation);
+        for member in &plan.members {
+            let order = TargetOrder::Join {
+                replica: plan.replica.clone(),
+                generation,
+                model: plan.model.clone(),
+                members: plan.members.clone(),
+            };
+            self.staging.remove(member);
+            self.send(member.clone(), order, out);
+        }
+    }
+
+    /// Takes over what became of a join.
+    pub(crate) fn joined(
+        &mut self,
+        now: TimeMs,
+        key: &ReplicaKey,
+        target: &VmName,
+        outcome: OrderOutcome,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let Some(formation) = self.formations.get_mut(key) else { return };
+        match outcome {
+            OrderOutcome::Accepted => formation.accepted.push(target.clone()),
+            OrderOutcome::Refused => self.abandon(key, "join refused", out),
+            OrderOutcome::Gone | OrderOutcome::Unanswered => {
+                self.unreachable.insert(target.clone(), now.after(self.settings.probe_every_ms));
+                self.abandon(key, "member unreachable", out);
+            }
+        }
+    }
+
+    /// Opens the head once every member was seen ready under this name and generation.
+    ///
+    /// Guards against a replica that serves without a member: nobody else checks the members, and a
+    /// head that is opened early answers nothing.
+    fn advance_formation(
+        &mut self,
+        view: FormingView<'_>,
+        replica: &Replica,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let Some(formation) = self.formations.get_mut(&replica.key) else { return };
+        if replica.head_state == Some(MemberState::Open) {
+            self.formations.remove(&replica.key);
+            self.note(&replica.key, "open", replica.head(), out);
+            return;
+        }
+        let whole = replica.is_complete(formation.members.len()) && replica.all_ready;
+        let reachable = formation.members.iter().all(|name| !self.unreachable.contains_key(name));
+        let listed = formation.members.iter().all(|name| !view.fleet.is_lapsed(name));
+        if whole && reachable && listed && !replica.draining && !formation.open_sent {
+            formation.open_sent = true;
+            let ReplicaKey { replica, generation } = formation.key.clone();
+            let head = formation.members[0].clone();
+            self.send(head, TargetOrder::Open { replica, generation }, out);
+        }
+    }
+
+    /// Whether a formation has lost a member.
+    fn is_hurt(&self, view: FormingView<'_>, formation: &Formation) -> bool {
+        formation.members.iter().any(|name| {
+            self.unreachable.contains_key(name)
+                || view
+                    .fleet
+                    .target(name)
+                    .is_none_or(|entry| entry.phase == celeryhaven_fleet::TargetPhase::Draining)
+        })
+    }
+
+    fn abandon(&mut self, key: &ReplicaKey, why: &'static str, out: &mut Vec<FormingAction>) {
+        let Some(formation) = self.formations.remove(key) else { return };
+        self.note(key, why, None, out);
+        let head = formation.members.first().cloned();
+        self.dissolve(key, head, out);
+    }
+
+    /// Judges a replica that another decider formed, or that this one has opened.
+    fn judge_found(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        replica: &Replica,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let model = replica.model.clone().or_else(|| self.planned_model(&replica.key));
+        let size = model.and_then(|model| Some(view.profile.model(&model)?.size));
+        let complete = size.is_some_and(|size| replica.is_complete(size));
+        let lost = replica.members.iter().flatten().any(|name| self.unreachable.contains_key(name));
+        let head = replica.head().cloned();
+        match replica.head_state {
+            Some(MemberState::Open | MemberState::Closing) => {
+                if lost || size.is_some() && !complete {
+                    self.note(&replica.key, "member lost", None, out);
+                    self.dissolve(&replica.key, head, out);
+                } else if replica.draining {
+                    self.close(now, &replica.key, head, out);
+                }
+            }
+            Some(MemberState::Broken) => {
+                self.note(&replica.key, "broken", None, out);
+                self.released.insert(replica.key.clone());
+            }
+            Some(MemberState::Joining | MemberState::Ready) => {
+                let since = *self.unfinished.entry(replica.key.clone()).or_insert(now);
+                let waited = now.since(since) >= self.settings.adopt_after_ms;
+                if waited && complete && replica.all_ready && !lost && !replica.draining {
+                    self.adopt(now, view, replica, out);
+                } else if lost || waited && !(complete && size.is_some()) {
+                    self.dissolve(&replica.key, head, out);
+                }
+            }
+            None => self.dissolve(&replica.key, None, out),
+        }
+    }
+
+    /// Goes on with a replica that another decider left half done.
+    fn adopt(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        replica: &Replica,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let Some(model) = replica.model.clone().or_else(|| self.planned_model(&replica.key)) else {
+            return;
+        };
+        let load_ms = view.profile.model(&model).map_or(0, |model| model.load_ms);
+        self.note(&replica.key, "adopted", replica.head(), out);
+        let formation = Formation {
+            key: replica.key.clone(),
+            model,
+            members: replica.members.iter().flatten().cloned().collect(),
+            give_up_at: now.after(load_ms * self.settings.load_patience),
+            accepted: Vec::new(),
+            open_sent: false,
+        };
+        self.formations.insert(replica.key.clone(), formation);
+        self.advance_formation(view, replica, out);
+    }
+
+    fn close(
+        &mut self,
+        now: TimeMs,
+        key: &ReplicaKey,
+        head: Option<VmName>,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let Some(name) = head.clone() else { return };
+        self.note(key, "member leaves", None, out);
+        let dissolving =
+            Dissolving { head, head_missing_since: None, closed_at: Some(now), leave_sent: false };
+        self.dissolving.insert(key.clone(), dissolving);
+        let ReplicaKey { replica, generation } = key.clone();
+        let order = TargetOrder::Close { replica, generation, mode: CloseMode::Finish };
+        self.send(name, order, out);
+    }
+
+    fn planned_model(&self, key: &ReplicaKey) -> Option<ModelName> {
+        let (RecordState::Known(record) | RecordState::Writing(record)) = &self.record else {
+            return None;
+        };
+        let mut plans = record.replicas.iter();
+        plans.find(|plan| plan.replica == key.replica).map(|plan| plan.model.clone())
+    }
+}
--- /dev/null
+++ b/crates/forming/src/interface/mod.rs
@@ -0,0 +1,11 @@
+//! What a [`DomainFormer`](crate::DomainFormer) hears and does, and its settings.
+
+mod action;
+mod event;
+mod settings;
+mod view;
+
+pub use action::{FormingAction, OrderCall};
+pub use event::{FormingEvent, Reachability};
+pub use settings::FormingSettings;
+pub use view::FormingView;
--- /dev/null
+++ b/crates/forming/src/interface/settings.rs
@@ -0,0 +1,72 @@
+use celeryhaven_derives::state;
+
+state! {
+    /// Spans and limits of a decider.
+    #[derive(Copy)]
+    pub struct FormingSettings {
+        /// Time between two tries of an order without an answer, in milliseconds.
+        ///
+        /// Several times what a sound target takes to answer.
+        pub order_retry_ms: u64,
+        /// Tries of one join without an answer, after which the target counts as unreachable.
+        pub join_tries_max: u32,
+        /// How long a head must be off the list before its members are free, in milliseconds.
+        ///
+        /// The list drops a target after three heartbeats of silence, so it has been silent for
+        /// seconds by then; a second more covers a list that lags.
+        pub head_gone_ms: u64,
+        /// How long another decider's unfinished replica is left alone, in milliseconds.
+        ///
+        /// A live decider opens a ready replica within some hundred milliseconds.
+        pub adopt_after_ms: u64,
+        /// How long the members of another decider's new plan count as taken, in milliseconds.
+        ///
+        /// Joins follow the plan within some tens of milliseconds; a second covers a list that lags.
+        pub announced_ms: u64,
+        /// How long a target that refused to stage is left alone, in milliseconds.
+        ///
+        /// It mostly still stages for an earlier decider, which takes many seconds; without the
+        /// pause it got 250 orders in a second.
+        pub stage_again_ms: u64,
+        /// Time between two probes of an unreachable target, in milliseconds.
+        pub probe_every_ms: u64,
+        /// Longest time that a leaving member is waited for, in milliseconds.
+        pub drain_wait_ms: u64,
+        /// Loads from the weights store that this domain may begin each second.
+        pub loads_per_s: f64,
+        /// Loads that may be saved up.
+        pub loads_saved_max: f64,
+        /// Times of its expected load that a formation may take.
+        pub load_patience: u64,
+    }
+}
+
+impl Default for FormingSettings {
+    fn default() -> Self {
+        Self {
+            order_retry_ms: 300,
+            join_tries_max: 4,
+            head_gone_ms: 1_000,
+            adopt_after_ms: 1_500,
+            announced_ms: 1_500,
+            stage_again_ms: 3_000,
+            probe_every_ms: 1_000,
+            drain_wait_ms: 10_000,
+            loads_per_s: 0.75,
+            loads_saved_max: 4.0,
+            load_patience: 4,
+        }
+    }
+}
+
+impl FormingSettings {
+    /// Spreads the loads that may start over all domains.
+    ///
+    /// Load: a fabric domain returns, or many empty targets come. Harm: beyond its rate the weights
+    /// store makes every load slower, also those that mend a replica. Limit: nine tenths of the
+    /// rate, since deciders cannot see each other's last second.
+    pub fn with_loads(mut self, loads_per_s: f64, domains: usize) -> Self {
+        self.loads_per_s = loads_per_s * 0.9 / domains.max(1) as f64;
+        self
+    }
+}
--- /dev/null
+++ b/crates/forming/src/interface/view.rs
@@ -0,0 +1,16 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_fleet::{EngineProfile, FleetView, Replica, ReplicaKey};
+
+/// What a decider looks at in one step.
+#[derive(Clone, Copy, Debug)]
+pub struct FormingView<'a> {
+    /// All listed targets.
+    pub fleet: &'a FleetView,
+    /// The replicas that they name.
+    pub replicas: &'a BTreeMap<ReplicaKey, Replica>,
+    /// What is known of the engines.
+    pub profile: &'a EngineProfile,
+    /// Whether callers have sent requests yet; loads are free of limits before.
+    pub traffic_seen: bool,
+}
--- /dev/null
+++ b/crates/forming/src/mix/wanted.rs
@@ -0,0 +1,60 @@
+use celeryhaven_derives::state;
+use celeryhaven_fleet::ModelProfile;
+use celeryhaven_types::ModelName;
+
+state! {
+    /// Replicas of one model.
+    #[derive(Eq)]
+    pub struct ModelCount {
+        /// The model.
+        pub model: ModelName,
+        /// Targets that form one replica of it.
+        pub size: usize,
+        /// How many replicas.
+        pub replicas: usize,
+    }
+}
+
+/// Targets of a domain for each that is kept as a spare.
+///
+/// A lost member stops the whole replica; with a spare that has the model staged it serves again
+/// within two seconds, without one after a load of many.
+const TARGETS_PER_SPARE: usize = 10;
+
+/// How many replicas of each model a domain with this many usable targets should hold.
+///
+/// Larger replicas come first, by their model's share of the work; the smallest take what is left.
+///
+/// ```
+/// use celeryhaven_fleet::ModelProfile;
+/// use celeryhaven_forming::wanted_replicas;
+/// use celeryhaven_types::ModelName;
+///
+/// let model = |name: &str, size| ModelProfile {
+///     name: ModelName::new(name),
+///     size,
+///     share: 0.5,
+///     pace: 1.0,
+///     load_ms: 16_000,
+///     staged_load_ms: 1_600,
+/// };
+/// let wanted = wanted_replicas(10, &[model("small", 2), model("large", 4)]);
+/// assert_eq!((wanted[0].size, wanted[0].replicas), (4, 1));
+/// assert_eq!((wanted[1].size, wanted[1].replicas), (2, 2));
+/// ```
+pub fn wanted_replicas(targets: usize, models: &[ModelProfile]) -> Vec<ModelCount> {
+    let mut sorted: Vec<&ModelProfile> = models.iter().filter(|model| model.size > 0).collect();
+    sorted.sort_by(|a, b| b.size.cmp(&a.size).then_with(|| a.name.cmp(&b.name)));
+    let usable = targets - targets / TARGETS_PER_SPARE;
+    let shares: f64 = sorted.iter().map(|model| model.share).sum();
+    let last = sorted.len().saturating_sub(1);
+    let mut left = usable;
+    let count = |(place, model): (usize, &&ModelProfile)| {
+        let part = usable as f64 * model.share / shares.max(f64::EPSILON) / model.size as f64;
+        let wished = if place == last { left / model.size } else { part.round() as usize };
+        let replicas = wished.min(left / model.size);
+        left -= replicas * model.size;
+        ModelCount { model: model.name.clone(), size: model.size, replicas }
+    };
+    sorted.iter().enumerate().map(count).collect()
+}
--- /dev/null
+++ b/crates/forming/tests/common/mod.rs
@@ -0,0 +1,474 @@
+//! A fabric domain of toy targets in virtual time, and deciders that order them.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use celeryhaven_fleet::{
+    EngineProfile, FleetView, MemberState, Membership, ModelProfile, OrderOutcome, TargetEntry,
+    TargetOrder, TargetPhase,
+};
+use celeryhaven_forming::{
+    DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
+    Reachability,
+};
+use celeryhaven_types::{
+    DataCentreName, DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs,
+    VmName,
+};
+
+/// Time of one step of the world.
+pub const STEP_MS: u64 = 100;
+
+/// How long a join takes where the model was served last.
+const REJOIN_MS: u64 = 200;
+
+/// One toy target.
+#[derive(Clone, Debug)]
+pub struct Toy {
+    pub entry: TargetEntry,
+    pub alive: bool,
+    /// Listed although it is dead, until then.
+    pub listed_until: Option<TimeMs>,
+    pub ready_at: Option<TimeMs>,
+    pub open_at: Option<TimeMs>,
+    pub staged_at: Option<(ModelName, TimeMs)>,
+    pub highest: Generation,
+    /// Orders it got, in order.
+    pub orders: Vec<TargetOrder>,
+}
+
+/// The targets of one domain, the record in the store, and one decider or more.
+pub struct World {
+    pub now: TimeMs,
+    pub toys: BTreeMap<VmName, Toy>,
+    pub record: Option<(u64, DomainRecord)>,
+    pub revision: u64,
+    pub store_answers: bool,
+    pub deciders: Vec<DomainFormer>,
+    versions: Vec<Option<u64>>,
+    pub traffic_seen: bool,
+    /// Violations of what must always hold.
+    pub faults: Vec<String>,
+    /// Orders that get no answer and are carried out at a later time.
+    pub delay_orders: Option<u64>,
+    delayed: Vec<(TimeMs, VmName, TargetOrder)>,
+    /// Targets that refuse to stage.
+    pub refuses_stage: BTreeSet<VmName>,
+    opened: BTreeMap<(ReplicaName, Generation), Vec<VmName>>,
+}
+
+pub fn model(name: &str, size: usize) -> ModelProfile {
+    ModelProfile {
+        name: ModelName::new(name),
+        size,
+        share: 0.5,
+        pace: 1.0,
+        load_ms: 16_000,
+        staged_load_ms: 1_600,
+    }
+}
+
+pub fn profile() -> EngineProfile {
+    EngineProfile {
+        slots: 17,
+        step_ms: 7.8,
+        step_ms_per_request: 0.1,
+        prefill_tokens_per_ms: 45.9,
+        tokens_per_event: 5,
+        open_ms: 300,
+        loads_per_s: 5.0,
+        models: vec![model("large", 4), model("small", 2)],
+    }
+}
+
+pub fn name(number: usize) -> VmName {
+    VmName::new(format!("vm-{number:02}"))
+}
+
+impl World {
+    /// A domain of empty targets with one decider.
+    pub fn new(targets: usize) -> Self {
+        let mut world = Self {
+            now: TimeMs::new(1_000),
+            toys: BTreeMap::new(),
+            record: None,
+            revision: 10,
+            store_answers: true,
+            deciders: Vec::new(),
+            versions: Vec::new(),
+            traffic_seen: false,
+            faults: Vec::new(),
+            delay_orders: None,
+            delayed: Vec::new(),
+            refuses_stage: BTreeSet::new(),
+            opened: BTreeMap::new(),
+        };
+        (0..targets).for_each(|number| world.add(number));
+        world.add_decider("entry-1");
+        world
+    }
+
+    /// An empty target comes.
+    pub fn add(&mut self, number: usize) {
+        let entry = TargetEntry {
+            name: name(number),
+            service: ServiceName::new("models"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + number as u16)),
+            data_centre: DataCentreName::new("a"),
+            domain: Some(DomainName::new("rack")),
+            slots: 17,
+            phase: TargetPhase::Ready,
+            started_at_ms: Some(1),
+            membership: None,
+            model: None,
+            staged: Vec::new(),
+        };
+        let toy = Toy {
+            entry,
+            alive: true,
+            listed_until: None,
+            ready_at: None,
+            open_at: None,
+            staged_at: None,
+            highest: Generation::new(0),
+            orders: Vec::new(),
+        };
+        self.toys.insert(name(number), toy);
+    }
+
+    pub fn add_decider(&mut self, node: &str) {
+        let settings = FormingSettings::default();
+        let domain = DomainName::new("rack");
+        self.deciders.push(DomainFormer::new(self.now, domain, NodeName::new(node), settings));
+        self.versions.push(None);
+    }
+
+    /// A decider is gone; what it had begun stays as it is.
+    pub fn drop_decider(&mut self, index: usize) {
+        self.deciders.remove(index);
+        self.versions.remove(index);
+    }
+
+    /// A target goes silent; its entry lapses some seconds later.
+    pub fn kill(&mut self, target: &VmName) {
+        let until = self.now.after(3_000);
+        if let Some(toy) = self.toys.get_mut(target) {
+            toy.alive = false;
+            toy.listed_until = Some(until);
+        }
+    }
+
+    /// Lets this much time pass.
+    pub fn run_ms(&mut self, span_ms: u64) {
+        let end = self.now.after(span_ms);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets one step pass.
+    pub fn step(&mut self) {
+        self.now = self.now.after(STEP_MS);
+        self.advance_toys();
+        self.carry_out_delayed();
+        for index in 0..self.deciders.len() {
+            let mut out = Vec::new();
+            self.with_view(index, |former, now, view| former.step(now, view, &mut out));
+            self.carry_out(index, out);
+        }
+        self.check();
+    }
+
+    /// Tells every decider that a replica stands still.
+    pub fn suspect(&mut self, target: &VmName) {
+        let Some(member) = self.toys[target].entry.membership.clone() else { return };
+        let replica = celeryhaven_fleet::ReplicaKey {
+            replica: member.replica,
+            generation: member.generation,
+        };
+        for index in 0..self.deciders.len() {
+            self.hear(index, FormingEvent::Suspected { replica: replica.clone() });
+        }
+    }
+
+    /// Whole replicas that serve, by model.
+    pub fn serving(&self) -> BTreeMap<String, usize> {
+        let view = self.fleet();
+        let mut serving = BTreeMap::new();
+        for replica in view.replicas().values() {
+            let size = replica.model.as_ref().and_then(|model| Some(profile().model(model)?.size));
+            let alive = replica.members.iter().flatten().all(|name| self.toys[name].alive);
+            if alive && size.is_some_and(|size| replica.is_whole(size)) {
+                let model = replica.model.as_ref().map(ToString::to_string).unwrap_or_default();
+                *serving.entry(model).or_default() += 1;
+            }
+        }
+        serving
+    }
+
+    /// Members of a serving replica of a model, the head first.
+    pub fn members_of(&self, model: &str) -> Vec<VmName> {
+        let view = self.fleet();
+        let replicas = view.replicas();
+        let found = replicas.values().find(|replica| {
+            replica.head_state == Some(MemberState::Open)
+                && replica.model == Some(ModelName::new(model))
+        });
+        found.map(|replica| replica.members.iter().flatten().cloned().collect()).unwrap_or_default()
+    }
+
+    pub fn fleet(&self) -> FleetView {
+        let mut view = FleetView::new();
+        for toy in self.toys.values() {
+            if toy.alive || toy.listed_until.is_some_and(|until| until > self.now) {
+                view.put(toy.entry.clone());
+            }
+        }
+        view
+    }
+
+    fn with_view(
+        &mut self,
+        index: usize,
+        act: impl FnOnce(&mut DomainFormer, TimeMs, FormingView<'_>),
+    ) {
+        let fleet = self.fleet();
+        let (replicas, profile) = (fleet.replicas(), profile());
+        let view = FormingView {
+            fleet: &fleet,
+            replicas: &replicas,
+            profile: &profile,
+            traffic_seen: self.traffic_seen,
+        };
+        act(&mut self.deciders[index], self.now, view);
+    }
+
+    pub fn hear(&mut self, index: usize, event: FormingEvent) {
+        let mut out = Vec::new();
+        self.with_view(index, |former, now, view| former.hear(now, view, event, &mut out));
+        self.carry_out(index, out);
+    }
+
+    pub fn carry_out(&mut self, index: usize, actions: Vec<FormingAction>) {
+        for action in actions {
+            match action {
+                FormingAction::ReadRecord => self.read_record(index),
+                FormingAction::WriteRecord { record } => self.write_record(index, record),
+                FormingAction::Order { call, target, order } => {
+                    let outcome = self.order(&target, &order);
+                    self.hear(index, FormingEvent::Ordered { call, outcome });
+                }
+                FormingAction::Probe { target } => {
+                    let reachability = match self.toys.get(&target) {
+                        Some(toy) if toy.alive => Reachability::Answers,
+                        _ => Reachability::Silent,
+                    };
+                    self.hear(index, FormingEvent::Probed { target, reachability });
+                }
+                FormingAction::Note { .. } => {}
+            }
+        }
+    }
+
+    fn read_record(&mut self, index: usize) {
+        if !self.store_answers {
+            return self.hear(index, FormingEvent::RecordFailed);
+        }
+        let (version, record) = match &self.record {
+            Some((revision, record)) => {
+                (Some(*revision), record.clone().at(Generation::new(*revision)))
+            }
+            None => (None, DomainRecord::default()),
+        };
+        self.versions[index] = version;
+        self.hear(index, FormingEvent::RecordRead { record });
+    }
+
+    fn write_record(&mut self, index: usize, record: DomainRecord) {
+        let held = self.record.as_ref().map(|(revision, _)| *revision);
+        if !self.store_answers || held != self.versions[index] {
+            return self.hear(index, FormingEvent::RecordFailed);
+        }
+        self.revision += 1;
+        self.record = Some((self.revision, record));
+        self.versions[index] = Some(self.revision);
+        let generation = Generation::new(self.revision);
+        self.hear(index, FormingEvent::RecordWritten { generation });
+    }
+
+    fn order(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
+        if let Some(delay_ms) = self.delay_orders {
+            self.delayed.push((self.now.after(delay_ms), target.clone(), order.clone()));
+            return OrderOutcome::Unanswered;
+        }
+        self.apply(target, order)
+    }
+
+    fn carry_out_delayed(&mut self) {
+        let now = self.now;
+        let (due, later) = self.delayed.drain(..).partition(|(at, ..)| *at <= now);
+        self.delayed = later;
+        let due: Vec<(TimeMs, VmName, TargetOrder)> = due;
+        for (_, target, order) in due {
+            self.apply(&target, &order);
+        }
+    }
+
+    fn apply(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
+        self.check_join(target, order);
+        let now = self.now;
+        let refuses = self.refuses_stage.contains(target);
+        let Some(toy) = self.toys.get_mut(target) else { return OrderOutcome::Gone };
+        if !toy.alive {
+            return OrderOutcome::Unanswered;
+        }
+        toy.orders.push(order.clone());
+        match order {
+            TargetOrder::Join { replica, generation, model, members } => {
+                if *generation < toy.highest {
+                    return OrderOutcome::Refused;
+                }
+                toy.highest = *generation;
+                let load_ms = if toy.entry.model.as_ref() == Some(model) {
+                    REJOIN_MS
+                } else if toy.entry.staged.contains(model) {
+                    1_600
+                } else {
+                    16_000
+                };
+                let rank = members.iter().position(|member| member == target).unwrap_or_default();
+                toy.entry.membership = Some(Membership {
+                    replica: replica.clone(),
+                    generation: *generation,
+                    rank: rank as u32,
+                    state: MemberState::Joining,
+                });
+                toy.entry.model = Some(model.clone());
+                toy.entry.staged = vec![model.clone()];
+                toy.ready_at = Some(now.after(load_ms));
+                toy.open_at = None;
+                OrderOutcome::Accepted
+            }
+            TargetOrder::Open { replica, generation } => {
+                let fits = toy.entry.membership.as_ref().is_some_and(|member| {
+                    member.replica == *replica
+                        && member.generation == *generation
+                        && member.state == MemberState::Ready
+                });
+                if fits {
+                    toy.open_at = Some(now.after(300));
+                }
+                if fits { OrderOutcome::Accepted } else { OrderOutcome::Refused }
+            }
+            TargetOrder::Close { replica, generation, .. } => {
+                let Some(member) = toy.entry.membership.as_mut() else {
+                    return OrderOutcome::Refused;
+                };
+                if member.replica != *replica || member.generation != *generation {
+                    return OrderOutcome::Refused;
+                }
+                member.state = MemberState::Ready;
+                OrderOutcome::Accepted
+            }
+            TargetOrder::Leave { replica, generation } => {
+                let member = toy.entry.membership.as_ref();
+                let fits = member.is_some_and(|member| {
+                    member.replica == *replica && member.generation == *generation
+                });
+                if !fits {
+                    return OrderOutcome::Refused;
+                }
+                toy.entry.membership = None;
+                toy.ready_at = None;
+                toy.open_at = None;
+                OrderOutcome::Accepted
+            }
+            TargetOrder::Stage { model } => {
+                if refuses {
+                    return OrderOutcome::Refused;
+                }
+                toy.staged_at = Some((model.clone(), now.after(16_000)));
+                OrderOutcome::Accepted
+            }
+        }
+    }
+
+    /// A target that joins another replica while the head of its own serves is in both.
+    fn check_join(&mut self, target: &VmName, order: &TargetOrder) {
+        let TargetOrder::Join { replica, generation, .. } = order else { return };
+        let Some(toy) = self.toys.get(target) else { return };
+        let Some(member) = &toy.entry.membership else { return };
+        if member.replica == *replica && member.generation == *generation
+            || *generation < toy.highest
+            || !toy.alive
+        {
+            return;
+        }
+        let head = self.toys.values().find(|other| {
+            other.alive
+                && other.entry.membership.as_ref().is_some_and(|other| {
+                    other.replica == member.replica
+                        && other.generation == member.generation
+                        && other.rank == 0
+                        && matches!(other.state, MemberState::Open | MemberState::Closing)
+                })
+        });
+        if let Some(head) = head {
+            let head = head.entry.name.clone();
+            self.faults.push(format!("{target} joins another replica while {head} is open"));
+        }
+    }
+
+    fn advance_toys(&mut self) {
+        let now = self.now;
+        for toy in self.toys.values_mut().filter(|toy| toy.alive) {
+            if let Some(member) = toy.entry.membership.as_mut() {
+                if toy.ready_at.is_some_and(|at| at <= now) {
+                    toy.ready_at = None;
+                    member.state = MemberState::Ready;
+                }
+                if toy.open_at.is_some_and(|at| at <= now) {
+                    toy.open_at = None;
+                    member.state = MemberState::Open;
+                }
+            }
+            if toy.staged_at.as_ref().is_some_and(|(_, at)| *at <= now)
+                && let Some((model, _)) = toy.staged_at.take()
+            {
+                toy.entry.staged = vec![model];
+            }
+        }
+        self.note_opened();
+    }
+
+    /// A head that opens must have all its members ready at that moment.
+    fn note_opened(&mut self) {
+        let view = self.fleet();
+        for replica in view.replicas().values() {
+            if replica.head_state != Some(MemberState::Open) {
+                continue;
+            }
+            let id = (replica.key.replica.clone(), replica.key.generation);
+            if self.opened.contains_key(&id) {
+                continue;
+            }
+            let size = replica.model.as_ref().and_then(|model| Some(profile().model(model)?.size));
+            if !size.is_some_and(|size| replica.is_complete(size) && replica.all_ready) {
+                self.faults.push(format!("{} opened without all its members", id.0));
+            }
+            let members = replica.members.iter().flatten().cloned().collect();
+            self.opened.insert(id, members);
+        }
+    }
+
+    fn check(&self) {
+        assert!(self.faults.is_empty(), "{:?}", self.faults);
+    }
+
+    /// Orders of a kind that a target got.
+    pub fn count_orders(&self, target: &VmName, word: &str) -> usize {
+        self.toys[target].orders.iter().filter(|order| order.as_str() == word).count()
+    }
+}
--- /dev/null
+++ b/crates/forming/tests/former.rs
@@ -0,0 +1,123 @@
+//! One decider and a domain of toy targets, under losses.
+
+mod common;
+
+use common::{World, name};
+
+fn served() -> World {
+    let mut world = World::new(10);
+    world.run_ms(40_000);
+    world.traffic_seen = true;
+    world
+}
+
+#[test]
+fn former_empty_domain() {
+    let world = served();
+    let serving = world.serving();
+    assert_eq!(serving["large"], 1);
+    assert_eq!(serving["small"], 2);
+}
+
+/// A member that is not the head goes silent. Callers of its replica get nothing until another
+/// replica is formed: the head leaves, a staged spare takes the member's place, and the replica
+/// serves again within two seconds and a half.
+#[test]
+fn former_member_lost_with_spare() {
+    let mut world = served();
+    world.run_ms(20_000);
+    let lost = world.members_of("large")[2].clone();
+    world.kill(&lost);
+    world.run_ms(600);
+    world.suspect(&lost);
+    world.run_ms(2_500);
+    assert_eq!(world.serving()["large"], 1);
+}
+
+/// The head goes silent. It may live and serve behind a cut, so its members stay where they are
+/// until its entry has lapsed too; then the replica is formed anew.
+#[test]
+fn former_head_lost_waits_for_lapse() {
+    let mut world = served();
+    world.run_ms(20_000);
+    let members = world.members_of("large");
+    world.kill(&members[0]);
+    world.run_ms(600);
+    world.suspect(&members[0]);
+    world.run_ms(1_500);
+    assert_eq!(world.count_orders(&members[1], "join"), 1, "taken while its head is listed");
+    world.run_ms(5_000);
+    assert_eq!(world.serving()["large"], 1);
+}
+
+/// A target refuses to stage, since an earlier decider's order is still being carried out. Asked
+/// again at each look at the list, it would get hundreds of orders a second.
+#[test]
+fn former_stage_refused_not_hammered() {
+    let mut world = World::new(11);
+    world.refuses_stage = (0..11).map(name).collect();
+    world.run_ms(40_000);
+    let before: usize = (0..11).map(|number| world.count_orders(&name(number), "stage")).sum();
+    world.run_ms(10_000);
+    let after: usize = (0..11).map(|number| world.count_orders(&name(number), "stage")).sum();
+    assert!(after - before <= 20, "{} orders to stage in ten seconds", after - before);
+}
+
+/// A decider dies between two joins. The next one finds members of a replica that will never be
+/// whole, takes it apart and forms the domain anew, within seconds and without a target in two.
+#[test]
+fn former_decider_lost_half_way() {
+    let mut world = World::new(10);
+    world.run_ms(300);
+    world.drop_decider(0);
+    world.add_decider("entry-2");
+    world.run_ms(60_000);
+    assert_eq!(world.serving()["large"], 1);
+    assert_eq!(world.serving()["small"], 2);
+}
+
+/// Two nodes both believe that they decide. Each write of a plan is conditional, so one of them
+/// fails at it; no target is ordered into two replicas.
+#[test]
+fn former_two_deciders() {
+    let mut world = World::new(10);
+    world.add_decider("entry-2");
+    world.run_ms(60_000);
+    assert_eq!(world.serving()["large"], 1);
+    assert_eq!(world.serving()["small"], 2);
+    world.traffic_seen = true;
+    let lost = world.members_of("small")[1].clone();
+    world.kill(&lost);
+    world.suspect(&lost);
+    world.run_ms(20_000);
+    assert!(world.serving()["large"] >= 1);
+}
+
+/// Orders get no answer and are carried out seconds later, after newer ones. The generation of the
+/// newer plan makes the late ones harmless.
+#[test]
+fn former_orders_applied_late() {
+    let mut world = World::new(10);
+    world.run_ms(500);
+    world.delay_orders = Some(5_000);
+    world.run_ms(4_000);
+    world.delay_orders = None;
+    world.run_ms(90_000);
+    assert_eq!(world.serving()["large"], 1);
+    assert_eq!(world.serving()["small"], 2);
+}
+
+/// The store is away. Replicas that serve go on, and what breaks is formed anew when it is back.
+#[test]
+fn former_store_away() {
+    let mut world = served();
+    world.store_answers = false;
+    let lost = world.members_of("small")[1].clone();
+    world.kill(&lost);
+    world.suspect(&lost);
+    world.run_ms(3_000);
+    assert_eq!(world.serving()["large"], 1);
+    world.store_answers = true;
+    world.run_ms(60_000);
+    assert!(world.serving()["small"] >= 2);
+}
--- /dev/null
+++ b/crates/gateway/src/args/mod.rs
@@ -0,0 +1,5 @@
+//! The command line.
+
+mod parse;
+
+pub use parse::{Args, ArgsError, help};
--- /dev/null
+++ b/crates/gateway/src/control/event.rs
@@ -0,0 +1,47 @@
+use celeryhaven_forming::FormingEvent;
+use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
+use celeryhaven_types::{DomainName, NodeName};
+
+use crate::control::nodes::NodeRecord;
+use crate::traffic::TrafficNews;
+
+/// Which kind of object a feed follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fed {
+    /// The configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+}
+
+/// What a feed from the store brings.
+#[derive(Clone, Debug)]
+pub(crate) enum FeedNews {
+    /// The whole list; `after_outage` if the store was away just before.
+    Listed { objects: Vec<Object>, after_outage: bool },
+    /// What has changed since, perhaps nothing.
+    Changed { changes: Vec<ObjectChange>, after_outage: bool },
+    /// The store gave no answer.
+    Failed,
+}
+
+/// What the control thread hears.
+#[derive(Clone, Debug)]
+pub(crate) enum ControlEvent {
+    /// A feed has news.
+    Fed(Fed, FeedNews),
+    /// The records of all nodes, perhaps seconds old.
+    Nodes(Vec<NodeRecord>),
+    /// Whether a node that comes before this one answers.
+    Probed { node: NodeName, answers: bool },
+    /// Something about the forming of a domain's replicas.
+    Forming(DomainName, FormingEvent),
+    /// A domain's record is at this version.
+    RecordVersion(DomainName, Option<ObjectVersion>),
+    /// News from traffic.
+    Traffic(TrafficNews),
+    /// Time has passed.
+    Tick,
+    /// The platform wants the process to stop.
+    Leave,
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,13 @@
+//! The control thread: feeds from the store, deciders of domains, what traffic may use.
+
+mod control_loop;
+mod deciders;
+mod event;
+mod feed;
+mod nodes;
+mod publish;
+mod targets;
+
+pub(crate) use control_loop::{Control, ControlParts};
+pub(crate) use event::ControlEvent;
+pub(crate) use targets::TargetCalls;
--- /dev/null
+++ b/crates/gateway/src/control/targets.rs
@@ -0,0 +1,137 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryhaven_fleet::{OrderOutcome, TargetOrder};
+use celeryhaven_forming::Reachability;
+use celeryhaven_http::{ChannelError, ChannelPool};
+use celeryhaven_types::VmName;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::Full;
+use smol::Timer;
+
+use crate::adapter::Adapter;
+
+/// How long an order may take to be answered.
+///
+/// A sound target answers within a few milliseconds; every order may be sent again.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How long a probe may take to be answered.
+///
+/// A report takes no slot, so a sound target answers it within some milliseconds whatever its
+/// load.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Calls targets for the control thread.
+#[derive(Clone)]
+pub(crate) struct TargetCalls<A> {
+    pub(crate) adapter: A,
+    pub(crate) channels: ChannelPool,
+}
+
+impl<A: Adapter> TargetCalls<A> {
+    /// Sends an order.
+    pub(crate) async fn order(
+        &self,
+        name: &VmName,
+        address: SocketAddr,
+        order: &TargetOrder,
+    ) -> OrderOutcome {
+        let call = self.adapter.order(order);
+        let mut request = Request::new(Full::new(Bytes::from(call.body)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(call.path);
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        self.adapter.expect_target(headers, name);
+        match self.exchange(address, request, ORDER_TIMEOUT).await {
+            Some(Ok(status)) => self.adapter.order_outcome(status),
+            Some(Err(ChannelError::Connect { source })) if is_refused(&source) => {
+                OrderOutcome::Gone
+            }
+            Some(Err(_)) | None => OrderOutcome::Unanswered,
+        }
+    }
+
+    /// Asks for a report, to see whether the target can be reached.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> Reachability {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
+        match self.exchange(address, request, PROBE_TIMEOUT).await {
+            Some(Ok(_)) => Reachability::Answers,
+            Some(Err(ChannelError::Connect { source })) if is_refused(&source) => {
+                Reachability::Gone
+            }
+            Some(Err(_)) | None => Reachability::Silent,
+        }
+    }
+
+    /// Asks a node whether it takes requests; any answer shows that it lives.
+    pub(crate) async fn is_node_alive(&self, address: SocketAddr) -> bool {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
+        matches!(self.exchange(address, request, PROBE_TIMEOUT).await, Some(Ok(_)))
+    }
+
+    /// One exchange; `None` if it took too long.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Option<Result<StatusCode, ChannelError>> {
+        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let late = async {
+            Timer::after(timeout).await;
+            None
+        };
+        let exchange = async {
+            let answer = async {
+                let (mut channel, is_new) = self.channels.take(address).await?;
+                match channel.send(request.clone()).await {
+                    Err(ChannelError::Ended) if !is_new => {
+                        channel = self.channels.connect(address).await?;
+                        let response = channel.send(request).await?;
+                        Ok((channel, response))
+                    }
+                    Err(error) => Err(error),
+                    Ok(response) => Ok((channel, response)),
+                }
+            };
+            Some(match answer.await {
+                Ok((channel, response)) => {
+                    let status = response.status();
+                    self.finish(address, channel, response).await;
+                    Ok(status)
+                }
+                Err(error) => Err(error),
+            })
+        };
+        smol::future::or(exchange, late).await
+    }
+
+    /// Reads the answer to its end, so that the channel can be kept.
+    async fn finish(
+        &self,
+        address: SocketAddr,
+        mut channel: celeryhaven_http::Channel,
+        response: http::Response<hyper::body::Incoming>,
+    ) {
+        let closes = self.adapter.answer_head(response.status(), response.headers()).closes;
+        let whole = http_body_util::BodyExt::collect(response.into_body()).await.is_ok();
+        if whole && !closes && channel.settle().await {
+            self.channels.put(address, channel, None);
+        }
+    }
+}
+
+fn is_refused(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        std::io::ErrorKind::ConnectionRefused | std::io::ErrorKind::ConnectionReset
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/ask.rs
@@ -0,0 +1,84 @@
+use bytes::Bytes;
+use celeryhaven_fleet::Route;
+use celeryhaven_types::{
+    Idempotency, ModelName, OrganisationName, Priority, RequestClass, RequestHead, RequestId,
+    ServiceName, TimeMs,
+};
+use http::{HeaderMap, Method, Uri};
+
+use crate::adapter::CallerHead;
+
+/// Times its objective after which a request that is still not at a target is of little use.
+///
+/// Load: a wall of requests behind full replicas. Harm: an answer that begins after several times
+/// its objective has lost most of its worth, and its caller mostly left. Limit: three times, as
+/// long as callers wait for a first event.
+const OBJECTIVES_TO_SEND: u64 = 3;
+
+/// Worth of a request whose route says nothing of it, relative to others.
+const WORTH: u32 = 1;
+
+/// The least urgent rank.
+const RANK_LAST: u8 = 9;
+
+/// One caller's request, ready to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) route: Route,
+    pub(crate) service: ServiceName,
+    /// The model asked for; `None` at a plain service.
+    pub(crate) model: Option<ModelName>,
+    pub(crate) caller: CallerHead,
+    pub(crate) organisation: Option<OrganisationName>,
+    pub(crate) rank: u8,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived_at: TimeMs,
+    pub(crate) deadline: TimeMs,
+}
+
+impl Ask {
+    /// What the request policy is told; `tokens_per_event` is its unit of output.
+    pub(crate) fn head(&self, now: TimeMs, tokens_per_event: u32) -> RequestHead {
+        let class = match &self.model {
+            Some(model) => RequestClass::Completion { model: model.clone(), adapter: None },
+            None => RequestClass::Plain { service: self.service.clone() },
+        };
+        let idempotency = match self.route.kind.may_repeat() {
+            true => Idempotency::Idempotent,
+            false => Idempotency::NonIdempotent,
+        };
+        let organisation = self.organisation.clone();
+        let output = self.caller.output_tokens.unwrap_or(self.caller.output_tokens_max);
+        RequestHead {
+            id: RequestId::new(self.id()),
+            organisation: organisation.unwrap_or_else(|| OrganisationName::new("")),
+            class,
+            priority: priority(self.rank),
+            worth: WORTH,
+            idempotency,
+            deadline_in_ms: self.deadline.since(now),
+            start_within_ms: Some(self.route.objective_ms * OBJECTIVES_TO_SEND),
+            prompt_tokens: self.caller.prompt_tokens,
+            output_tokens_max: output.div_ceil(tokens_per_event.max(1)),
+            prefix_hashes: Vec::new(),
+        }
+    }
+
+    /// The request's id, for logs and for its target.
+    pub(crate) fn id(&self) -> &str {
+        self.caller.request_id.as_deref().unwrap_or("")
+    }
+
+    /// Whether a request that may have run may be sent again.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.route.kind.may_repeat()
+    }
+}
+
+/// The policy counts the other way round: its highest number is the most urgent.
+fn priority(rank: u8) -> Priority {
+    Priority::new(RANK_LAST.saturating_sub(rank))
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/gate.rs
@@ -0,0 +1,171 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use celeryhaven_clock::BootClock;
+use celeryhaven_http::ChannelPool;
+use celeryhaven_policy::Ticket;
+use celeryhaven_telemetry::GatewayMetrics;
+use celeryhaven_types::{TimeMs, Verdict};
+use slog::{Logger, info};
+use smol::LocalExecutor;
+
+use crate::adapter::{Adapter, ReportedLoad};
+use crate::traffic::gate_state::{GateState, Instruction};
+use crate::traffic::{Ask, RoutableName, TrafficNews, TrafficUpdate};
+
+/// Time between two looks at queues and at replicas that stand still.
+const TICK: Duration = Duration::from_millis(25);
+
+/// What every exchange of the process shares; it lives on the traffic thread.
+pub(crate) struct Gate<A> {
+    pub(crate) adapter: A,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) channels: ChannelPool,
+    pub(crate) state: RefCell<GateState>,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) log: Logger,
+    news: Sender<TrafficNews>,
+    seen_first: Cell<bool>,
+}
+
+impl<A: Adapter> Gate<A> {
+    /// Knows nothing yet and takes no requests.
+    pub(crate) fn new(
+        adapter: A,
+        executor: Rc<LocalExecutor<'static>>,
+        channels: ChannelPool,
+        state: GateState,
+        metrics: GatewayMetrics,
+        log: Logger,
+        news: Sender<TrafficNews>,
+    ) -> Rc<Self> {
+        let (state, seen_first) = (RefCell::new(state), Cell::new(false));
+        Rc::new(Self { adapter, executor, channels, state, metrics, log, news, seen_first })
+    }
+
+    /// The time now.
+    pub(crate) fn now(&self) -> TimeMs {
+        BootClock.now()
+    }
+
+    /// Takes over what the control thread publishes, for ever.
+    pub(crate) async fn follow(self: Rc<Self>, updates: Receiver<TrafficUpdate>) {
+        while let Ok(mut update) = updates.recv().await {
+            while let Ok(newer) = updates.try_recv() {
+                update = newer;
+            }
+            let now = self.now();
+            let mut state = self.state.borrow_mut();
+            state.routes = update.routes;
+            state.addresses = update.addresses;
+            state.ready = update.ready;
+            state.set_sharers(now, update.sharers);
+            state.set_routables(now, update.routables);
+        }
+    }
+
+    /// Lets time pass, for ever.
+    pub(crate) async fn tick(self: Rc<Self>) {
+        loop {
+            smol::Timer::after(TICK).await;
+            let still = self.state.borrow_mut().tick(self.now());
+            for name in still {
+                self.suspected(&name, "streams stand still");
+            }
+            self.metrics.queued.set(self.state.borrow().queued() as i64);
+        }
+    }
+
+    /// Lets a request in; the receiver says where it goes.
+    pub(crate) fn enter(&self, ask: &Ask) -> (Ticket, Receiver<Instruction>) {
+        if !self.seen_first.replace(true) {
+            self.tell_control(TrafficNews::FirstRequest);
+        }
+        // Room for a cancel and for what follows it.
+        let (sender, instructions) = async_channel::bounded(4);
+        let ticket = self.state.borrow_mut().enter(self.now(), ask, sender);
+        (ticket, instructions)
+    }
+
+    /// A stream has given its first event, or a plain answer its head.
+    pub(crate) fn started(&self, ticket: Ticket, is_stream: bool) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if let Some(present) = state.present.get_mut(&ticket)
+            && is_stream
+            && !present.streaming
+            && let Some(name) = &present.at
+        {
+            present.streaming = true;
+            state.progress.begun(now, name);
+        }
+        state.tell(ticket, |pool, out| pool.started(now, ticket, out));
+    }
+
+    /// An event of a stream has come.
+    pub(crate) fn progressed(&self, name: &RoutableName) {
+        let now = self.now();
+        self.state.borrow_mut().progress.event(now, name);
+    }
+
+    /// A target has told its load.
+    pub(crate) fn reported(&self, ticket: Ticket, name: &RoutableName, load: ReportedLoad) {
+        let now = self.now();
+        self.state.borrow_mut().tell(ticket, |pool, out| pool.reported(now, name, load, out));
+    }
+
+    /// The caller has the whole answer.
+    pub(crate) fn finished(&self, ticket: Ticket, events: u32) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.tell(ticket, |pool, out| pool.finished(now, ticket, events, out));
+        state.leave(ticket);
+    }
+
+    /// An attempt is over without a whole answer; an instruction follows.
+    pub(crate) fn broken(&self, ticket: Ticket, verdict: Verdict) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if let Some(present) = state.present.get_mut(&ticket) {
+            if present.streaming
+                && let Some(name) = &present.at
+            {
+                state.progress.ended(name);
+            }
+            present.streaming = false;
+            present.at = None;
+        }
+        state.tell(ticket, |pool, out| pool.broken(now, ticket, verdict, out));
+    }
+
+    /// The request is over without an answer of a target.
+    pub(crate) fn gone(&self, ticket: Ticket) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.tell(ticket, |pool, out| pool.gone(now, ticket, out));
+        state.leave(ticket);
+    }
+
+    /// Forgets a request that the policy has refused.
+    pub(crate) fn refused(&self, ticket: Ticket) {
+        self.state.borrow_mut().leave(ticket);
+    }
+
+    /// Keeps requests away from what stands still, and tells the control thread.
+    pub(crate) fn suspected(&self, name: &RoutableName, why: &'static str) {
+        self.state.borrow_mut().suspect(self.now(), name);
+        let RoutableName::Replica(key) = name else { return };
+        info!(self.log, "replica suspected";
+            "replica" => key.replica.as_str(), "generation" => key.generation.get(), "why" => why);
+        self.tell_control(TrafficNews::Suspected(key.clone()));
+    }
+
+    /// Tells the control thread; it reads faster than requests come, and a loss is only a delay.
+    pub(crate) fn tell_control(&self, news: TrafficNews) {
+        self.news.try_send(news).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/pool.rs
@@ -0,0 +1,200 @@
+use celeryhaven_fleet::{EngineProfile, ModelProfile};
+use celeryhaven_policy::{
+    Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, TargetKey, TargetLoad,
+    TargetProfile, Ticket,
+};
+use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
+
+use crate::adapter::ReportedLoad;
+use crate::traffic::{Routable, RoutableName};
+
+/// Time that a plain answer is supposed to take until some were seen, in milliseconds.
+const PLAIN_MS: f64 = 40.0;
+
+/// Part of a replica's slots that is supposed to be taken until some answers were seen.
+const SUPPOSED_FILL: f64 = 0.5;
+
+/// Decode steps until a first token comes, until some answers were seen.
+const FIRST_TOKEN_STEPS: f64 = 4.0;
+
+/// The policy's supposed age of a load that came with an answer, in milliseconds.
+const LOAD_AGE_MS: u64 = 1;
+
+/// Targets that serve the same requests, and the policy that decides among them.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    serves: RequestClass,
+    policy: FairPolicy,
+    keys: Map<RoutableName, TargetKey>,
+    routables: Map<TargetKey, Routable>,
+    next_key: TargetKey,
+    /// Tokens that one event of a stream holds.
+    pub(crate) tokens_per_event: u32,
+}
+
+/// Limits of a pool's repeated sends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RetryLimits {
+    /// Earned by each arrival.
+    pub(crate) earned: f64,
+    /// Saved up at most.
+    pub(crate) saved_max: f64,
+}
+
+impl Pool {
+    /// A pool without targets; times are supposed from the engines' profile.
+    pub(crate) fn new(
+        serves: RequestClass,
+        seed: u64,
+        engine: Option<(&EngineProfile, &ModelProfile)>,
+        retries: RetryLimits,
+    ) -> Self {
+        let tokens_per_event = engine.map_or(1, |(engine, _)| engine.tokens_per_event);
+        let settings = FairSettings::new(seed).with_eject_silent(false).with_retries(
+            retries.earned,
+            retries.saved_max,
+            true,
+        );
+        let settings = match engine {
+            None => settings.with_times(PLAIN_MS, 0.0, 0.0),
+            Some((engine, model)) => {
+                let batch = f64::from(engine.slots) * SUPPOSED_FILL;
+                let token_ms = engine.token_ms(model, batch);
+                let prefill_ms = model.pace / engine.prefill_tokens_per_ms.max(f64::EPSILON);
+                let event_ms = token_ms * f64::from(tokens_per_event);
+                settings.with_times(token_ms * FIRST_TOKEN_STEPS, prefill_ms, event_ms)
+            }
+        };
+        Self {
+            serves,
+            policy: FairPolicy::new(settings),
+            keys: Map::default(),
+            routables: Map::default(),
+            next_key: TargetKey::default(),
+            tokens_per_event,
+        }
+    }
+
+    /// The routable that a key stands for.
+    pub(crate) fn routable(&self, key: TargetKey) -> Option<&Routable> {
+        self.routables.get(&key)
+    }
+
+    /// Takes requests to these and no others from now on.
+    pub(crate) fn set_targets(
+        &mut self,
+        now: TimeMs,
+        routables: &[Routable],
+        out: &mut Vec<Decision>,
+    ) {
+        let gone: Vec<_> = self
+            .keys
+            .keys()
+            .filter(|name| routables.iter().all(|routable| routable.name != **name))
+            .cloned()
+            .collect();
+        for name in &gone {
+            if let Some(key) = self.keys.remove(name) {
+                self.routables.remove(&key);
+                self.policy.handle(now, PolicyEvent::TargetDown { target: key }, out);
+            }
+        }
+        for routable in routables {
+            if !self.keys.contains_key(&routable.name) {
+                self.target_up(now, routable, out);
+            }
+        }
+    }
+
+    fn target_up(&mut self, now: TimeMs, routable: &Routable, out: &mut Vec<Decision>) {
+        let target = self.next_key;
+        self.next_key = target.next();
+        self.keys.insert(routable.name.clone(), target);
+        self.routables.insert(target, routable.clone());
+        let profile =
+            TargetProfile { serves: self.serves.clone(), slots: routable.slots, distance_us: 0 };
+        self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
+    }
+
+    /// Takes over how many nodes send here, and how many repeated sends this one may save up.
+    pub(crate) fn set_sharers(
+        &mut self,
+        now: TimeMs,
+        nodes: u32,
+        retries: RetryLimits,
+        out: &mut Vec<Decision>,
+    ) {
+        self.policy.set_retry_saved_max(retries.saved_max);
+        self.policy.handle(now, PolicyEvent::Sharers { nodes }, out);
+    }
+
+    pub(crate) fn arrived(
+        &mut self,
+        now: TimeMs,
+        ticket: Ticket,
+        head: &RequestHead,
+        out: &mut Vec<Decision>,
+    ) {
+        self.policy.handle(now, PolicyEvent::Arrived { ticket, head }, out);
+    }
+
+    pub(crate) fn started(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
+        self.policy.handle(now, PolicyEvent::Started { ticket }, out);
+    }
+
+    pub(crate) fn finished(
+        &mut self,
+        now: TimeMs,
+        ticket: Ticket,
+        events: u32,
+        out: &mut Vec<Decision>,
+    ) {
+        let event = PolicyEvent::Finished { ticket, output_tokens: events };
+        self.policy.handle(now, event, out);
+    }
+
+    pub(crate) fn broken(
+        &mut self,
+        now: TimeMs,
+        ticket: Ticket,
+        verdict: Verdict,
+        out: &mut Vec<Decision>,
+    ) {
+        self.policy.handle(now, PolicyEvent::Broken { ticket, verdict }, out);
+    }
+
+    pub(crate) fn gone(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
+        self.policy.handle(now, PolicyEvent::CallerGone { ticket }, out);
+    }
+
+    pub(crate) fn reported(
+        &mut self,
+        now: TimeMs,
+        name: &RoutableName,
+        load: ReportedLoad,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(&target) = self.keys.get(name) else { return };
+        let load = TargetLoad {
+            age_ms: LOAD_AGE_MS,
+            running: load.running,
+            waiting: load.waiting,
+            prefill_tokens_queued: 0,
+            kv_used_permille: 0,
+            tokens_generated: 0,
+            adapters_loaded: Vec::new(),
+        };
+        self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
+    }
+
+    pub(crate) fn tick(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
+        if self.policy.next_wake().is_some_and(|at| at <= now) {
+            self.policy.handle(now, PolicyEvent::Tick, out);
+        }
+    }
+
+    /// Requests that wait.
+    pub(crate) fn queued(&self) -> usize {
+        self.policy.queued()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic/update.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use celeryhaven_derives::state;
+use celeryhaven_fleet::{ReplicaKey, RouteTable};
+use celeryhaven_types::{ModelName, ServiceName, VmName};
+
+state! {
+    /// Something that requests can be sent to.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub(crate) enum RoutableName {
+        /// A whole replica; its head takes the requests.
+        Replica(ReplicaKey),
+        /// A target of a plain service.
+        Plain(VmName),
+    }
+
+    /// A whole replica, or a target of a plain service.
+    #[derive(Eq)]
+    pub(crate) struct Routable {
+        /// Names it.
+        pub(crate) name: RoutableName,
+        /// The service that it belongs to.
+        pub(crate) service: ServiceName,
+        /// The model that it serves; `None` for a plain service.
+        pub(crate) model: Option<ModelName>,
+        /// The target that takes the requests.
+        pub(crate) target: VmName,
+        /// Where it listens.
+        pub(crate) address: SocketAddr,
+        /// Requests that it runs side by side.
+        pub(crate) slots: u32,
+    }
+}
+
+/// What traffic may use from now on.
+#[derive(Clone, Debug)]
+pub(crate) struct TrafficUpdate {
+    /// The configuration in force; `None` while none is known.
+    pub(crate) routes: Option<Arc<RouteTable>>,
+    /// Everything that requests may be sent to.
+    pub(crate) routables: Vec<Routable>,
+    /// Addresses of the nodes that take requests, this one among them if it does.
+    pub(crate) addresses: Vec<SocketAddr>,
+    /// Live nodes that send to the same targets, this one included.
+    pub(crate) sharers: u32,
+    /// Whether this node takes requests.
+    pub(crate) ready: bool,
+}
+
+/// What traffic tells the control thread.
+#[derive(Clone, Debug)]
+pub(crate) enum TrafficNews {
+    /// A caller's first request has come.
+    FirstRequest,
+    /// The requests at a replica stand still together.
+    Suspected(ReplicaKey),
+    /// A target is named as lost, or refuses connections.
+    Accused(VmName),
+}
--- /dev/null
+++ b/crates/http/src/socket/mod.rs
@@ -0,0 +1,9 @@
+//! TCP sockets and timers for `hyper`.
+
+mod options;
+mod smol_io;
+mod smol_timer;
+
+pub use options::set_silence_timeout;
+pub use smol_io::SmolIo;
+pub use smol_timer::SmolTimer;
--- a/crates/node/tests/common/callers.rs
+++ b/crates/node/tests/common/callers.rs
@@ -81,6 +81,7 @@
             worth: 1,
             idempotency: plan.idempotency,
             deadline_in_ms: plan.deadline_ms,
+            start_within_ms: None,
             prompt_tokens: 10,
             output_tokens_max: plan.pieces,
             prefix_hashes: vec![id.get()],
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -88,10 +88,11 @@
     pub(crate) fn waiting(&self, request: &RequestState) -> Waiting {
         let Cost { mean_ms, high_ms } = request.cost;
         let needed_ms = mean_ms + (high_ms - mean_ms) * self.settings.cost_margin;
+        let latest_start = TimeMs::new(request.deadline.get().saturating_sub(needed_ms as u64));
         Waiting {
             flow: request.flow,
             cost_ms: request.cost.mean_ms.max(1.0) as u64,
-            latest_start: TimeMs::new(request.deadline.get().saturating_sub(needed_ms as u64)),
+            latest_start: request.send_by.map_or(latest_start, |send_by| send_by.min(latest_start)),
             priority: request.priority,
             worth: request.worth,
         }
@@ -128,6 +129,7 @@
             flow: self.intern_flow(&head.organisation),
             idempotent: head.idempotency == Idempotency::Idempotent,
             deadline: now.after(head.deadline_in_ms),
+            send_by: head.start_within_ms.map(|within_ms| now.after(within_ms)),
             prompt_tokens: head.prompt_tokens,
             output_tokens_max: head.output_tokens_max,
             adapter,
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -105,7 +105,8 @@
             self.judge_break(now, target, out);
         }
         // A move has taken its retry from the budget when it was decided.
-        let paid = not_run || cancelled == Some(CancelReason::Stuck);
+        let free = not_run && !self.settings.charge_refused;
+        let paid = free || cancelled == Some(CancelReason::Stuck);
         if self.should_retry(now, ticket, paid) {
             self.enqueue(now, ticket, out);
         } else {
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -63,13 +63,13 @@
     pub fn new(settings: FairSettings) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(settings.seed),
+            retry_budget: RetryBudget::new(settings.retry_earned, settings.retry_saved_max),
             settings,
             sharers: 1,
             classes: Vec::new(),
             targets: Map::default(),
             requests: Map::default(),
             timers: BTreeSet::new(),
-            retry_budget: RetryBudget::new(),
             pick_visits: 0,
             class_keys: Map::default(),
             flow_keys: Map::default(),
@@ -83,6 +83,11 @@
         self.pick_visits + self.classes.iter().map(|class| class.queue.visits()).sum::<u64>()
     }
 
+    /// Saves at most this many retries from now on.
+    pub fn set_retry_saved_max(&mut self, saved_max: f64) {
+        self.retry_budget.set_saved_max(saved_max);
+    }
+
     /// Requests that wait for a target.
     pub fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -57,6 +57,8 @@
         pub(crate) flow: FlowKey,
         pub(crate) idempotent: bool,
         pub(crate) deadline: TimeMs,
+        /// When it must be at a target, if it must be before its deadline makes it.
+        pub(crate) send_by: Option<TimeMs>,
         pub(crate) prompt_tokens: u32,
         pub(crate) output_tokens_max: u32,
         pub(crate) adapter: Option<AdapterKey>,
--- a/crates/policy/src/fair/settings.rs
+++ b/crates/policy/src/fair/settings.rs
@@ -55,6 +55,17 @@
         pub stuck_ratio: f64,
         /// Whether a target whose reports stay away is ejected.
         pub eject_silent: bool,
+        /// Retries earned by each arrival.
+        ///
+        /// Load: a target or a domain that breaks much of what it gets. Harm: each retry is load
+        /// that breaks again, until healthy targets drown too. Limit: one retry for five arrivals,
+        /// so retries add at most a fifth to the load.
+        pub retry_earned: f64,
+        /// Retries that may be saved up: the requests that one node has at a domain when it goes
+        /// dark.
+        pub retry_saved_max: f64,
+        /// Whether a retry counts against the budget although no target ran the last attempt.
+        pub charge_refused: bool,
     }
 }
 
@@ -75,6 +86,9 @@
             learn_prefix_hits: true,
             stuck_ratio: 2.5,
             eject_silent: true,
+            retry_earned: 0.2,
+            retry_saved_max: 100.0,
+            charge_refused: false,
         }
     }
 }
@@ -133,6 +147,22 @@
         self
     }
 
+    /// Earns and saves this many retries, and charges those that no target ran as well or not.
+    pub fn with_retries(mut self, earned: f64, saved_max: f64, charge_refused: bool) -> Self {
+        self.retry_earned = earned;
+        self.retry_saved_max = saved_max;
+        self.charge_refused = charge_refused;
+        self
+    }
+
+    /// Supposes these times until others were seen, in milliseconds.
+    pub fn with_times(mut self, base_ms: f64, prefill_ms: f64, decode_ms: f64) -> Self {
+        self.base_ms = base_ms;
+        self.prefill_ms_per_token = prefill_ms;
+        self.decode_ms_per_token = decode_ms;
+        self
+    }
+
     /// Holds at most this many waiting requests of one class.
     pub fn with_queue_entries_max(mut self, entries: usize) -> Self {
         self.queue_entries_max = entries;
--- a/crates/policy/tests/loaded/mod.rs
+++ b/crates/policy/tests/loaded/mod.rs
@@ -102,6 +102,7 @@
         worth: 1,
         idempotency: Idempotency::Idempotent,
         deadline_in_ms,
+        start_within_ms: None,
         prompt_tokens: 1_000,
         output_tokens_max: 10_000,
         prefix_hashes: (0..8).map(|block| number * 8 + block).collect(),
--- a/crates/policy/tests/toy/mod.rs
+++ b/crates/policy/tests/toy/mod.rs
@@ -46,6 +46,7 @@
         worth: 1,
         idempotency: Idempotency::Idempotent,
         deadline_in_ms,
+        start_within_ms: None,
         prompt_tokens: 10,
         output_tokens_max: output_tokens,
         prefix_hashes: Vec::new(),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,4 +26,4 @@
 pub use error::SettingsError;
 pub use field::{Field, Kind};
 pub use intent::{IntentProblem, check_intent, load_intent, parse_intent};
-pub use process::{ControllerSettings, EntrySettings, LogLevel, OperatorSettings};
+pub use process::{ControllerSettings, EntrySettings, GatewaySettings, LogLevel, OperatorSettings};
--- a/crates/settings/tests/page.rs
+++ b/crates/settings/tests/page.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use celeryhaven_settings::field::table;
-use celeryhaven_settings::{ControllerSettings, EntrySettings, OperatorSettings};
+use celeryhaven_settings::{ControllerSettings, EntrySettings, GatewaySettings, OperatorSettings};
 
 fn page() -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
@@ -13,8 +13,13 @@
 #[test]
 fn page_tables() {
     let page = page();
-    let tables =
-        [EntrySettings::FIELDS, ControllerSettings::FIELDS, OperatorSettings::FIELDS].map(table);
+    let tables = [
+        EntrySettings::FIELDS,
+        ControllerSettings::FIELDS,
+        GatewaySettings::FIELDS,
+        OperatorSettings::FIELDS,
+    ]
+    .map(table);
     for expected in &tables {
         assert!(page.contains(expected), "run `cargo run --example settings_tables` anew");
     }
@@ -32,6 +37,7 @@
         rest.split_once("```").unwrap().0.to_owned()
     };
     EntrySettings::from_yaml("entry.yaml", &example("entry.yaml")).unwrap();
+    GatewaySettings::from_yaml("gateway.yaml", &example("gateway.yaml")).unwrap();
     ControllerSettings::from_yaml("controller.yaml", &example("controller.yaml")).unwrap();
     OperatorSettings::from_yaml("ctl.yaml", &example("ctl.yaml")).unwrap();
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,12 +7,13 @@
 //! | module | what it holds |
 //! |---|---|
 //! | `client` | sending, timeouts, verdicts |
-//! | `wire` | paths and JSON of the Object API |
+//! | [`wire`] | how calls and answers are written |
 //!
 //! A write whose answer is lost is in `examples/read_back.rs`:
 //! `cargo run -p celeryhaven-store --example read_back`.
 
 mod client;
-mod wire;
+pub mod wire;
 
 pub use client::StoreClient;
+pub use wire::{Freshness, ObjectApiWire, StoreWire, WireCall, WireReply};
--- a/crates/store/src/wire/mod.rs
+++ b/crates/store/src/wire/mod.rs
@@ -1,7 +1,9 @@
-//! Paths and JSON of the Object API.
+//! How calls and answers are written: the trait, and the Object API's own form.
 
 mod body;
 mod line;
+mod object_api;
+mod store_wire;
 
-pub(crate) use body::{parse_changes, parse_list, parse_object, parse_version};
-pub(crate) use line::{method, precondition, target, value};
+pub use object_api::ObjectApiWire;
+pub use store_wire::{Freshness, StoreWire, WireCall, WireReply};
--- /dev/null
+++ b/crates/store/src/wire/object_api.rs
@@ -0,0 +1,49 @@
+use celeryhaven_types::store::{StoreReply, StoreRequest};
+
+use crate::wire::body::{parse_changes, parse_list, parse_object, parse_version};
+use crate::wire::line::{method, precondition, target, value};
+use crate::wire::{Freshness, StoreWire, WireCall, WireReply};
+
+/// The form of the Object API itself (docs/PROTOCOLS.md).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ObjectApiWire;
+
+impl StoreWire for ObjectApiWire {
+    fn call(&self, request: &StoreRequest, _: Freshness, _: Option<&str>) -> WireCall {
+        WireCall {
+            method: method(request),
+            target: target(request),
+            precondition: precondition(request),
+            body: value(request).map(ToString::to_string),
+        }
+    }
+
+    fn reply(&self, request: &StoreRequest, status: u16, body: &str) -> WireReply {
+        WireReply::whole(match status {
+            200 => success(request, body).unwrap_or(StoreReply::Unknown),
+            404 if request.is_write() => StoreReply::Conflict,
+            404 => StoreReply::Missing,
+            412 => StoreReply::Conflict,
+            410 => StoreReply::TooOld,
+            400..=499 => StoreReply::NotDone,
+            _ => StoreReply::Unknown,
+        })
+    }
+}
+
+fn success(request: &StoreRequest, body: &str) -> Option<StoreReply> {
+    match request {
+        StoreRequest::Get { .. } => Some(StoreReply::Found(parse_object(body)?)),
+        StoreRequest::List { .. } => {
+            let (version, objects) = parse_list(body)?;
+            Some(StoreReply::Listed { version, objects })
+        }
+        StoreRequest::Watch { .. } => {
+            let (version, changes) = parse_changes(body)?;
+            Some(StoreReply::Changes { version, changes })
+        }
+        StoreRequest::Create { .. } | StoreRequest::Update { .. } | StoreRequest::Delete { .. } => {
+            Some(StoreReply::Written { version: parse_version(body)? })
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,4 +9,4 @@
 pub mod metrics;
 
 pub use log::{LogGuard, RequestRecord, open_log};
-pub use metrics::{ControllerMetrics, EntryMetrics, ProcessMetrics, RequestLabels};
+pub use metrics::{ControllerMetrics, EntryMetrics, GatewayMetrics, ProcessMetrics, RequestLabels};
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -3,11 +3,13 @@
 mod buckets;
 mod controller;
 mod entry;
+mod gateway;
 mod labels;
 mod process;
 
 pub use controller::ControllerMetrics;
 pub use entry::EntryMetrics;
+pub use gateway::GatewayMetrics;
 pub use labels::{DeploymentLabel, DirectionLabel, OutcomeLabel, RequestLabels};
 pub use process::ProcessMetrics;
 pub use prometheus_client::metrics::gauge::Gauge;
--- a/crates/types/src/store/request.rs
+++ b/crates/types/src/store/request.rs
@@ -56,3 +56,10 @@
         },
     }
 }
+
+impl StoreRequest {
+    /// Whether it changes an object.
+    pub const fn is_write(&self) -> bool {
+        matches!(self, Self::Create { .. } | Self::Update { .. } | Self::Delete { .. })
+    }
+}
