forming, gateway: members leave a replica before they join another; callers are told of nodes that answer

Change: each member leaves by its own order first, whatever became of the head; a member that has left belongs to nothing.

Cause: a node that was removed kept its record for ten seconds, so callers were told of it. Change: a node names only those that answered a probe within 2.5 s; a record alone names nobody.

Ruled out: waiting longer for a silent head, since its entry and its silence prove nothing.

--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -1,4 +1,4 @@
-use celeryhaven_fleet::{MemberState, OrderOutcome, ReplicaKey, TargetOrder};
+use celeryhaven_fleet::{MemberState, OrderOutcome, Replica, ReplicaKey, TargetOrder};
 use celeryhaven_types::{TimeMs, VmName};
 
 use crate::domain::DomainFormer;
@@ -6,20 +6,20 @@
 use crate::interface::{FormingAction, FormingView};
 
 impl DomainFormer {
-    /// Takes a replica apart: its members are free once its head has left.
+    /// Takes a replica apart: each member is free once it has left.
     ///
-    /// Guards against a target in two replicas: while the head is open, or stands still without
-    /// having noticed, a member that joins another replica would be in both.
+    /// Guards against a target in two replicas. The head may be out of reach and its entry lapsed
+    /// while it still serves behind a cut, so its silence proves nothing. A member that has left
+    /// belongs to nothing, whatever the head believes, and a head without a member answers nothing.
     pub(crate) fn dissolve(
         &mut self,
         key: &ReplicaKey,
-        head: Option<VmName>,
+        members: Vec<VmName>,
         out: &mut Vec<FormingAction>,
     ) {
-        let dissolving =
-            Dissolving { head, head_missing_since: None, closed_at: None, leave_sent: false };
+        let dissolving = Dissolving { waiting: members.into_iter().collect(), closed_at: None };
         self.dissolving.insert(key.clone(), dissolving);
-        self.order_leave(key, out);
+        self.order_leaves(key, out);
     }
 
     /// Goes on with what is being taken apart.
@@ -35,23 +35,25 @@
     }
 
     /// Takes over what became of a leave.
-    pub(crate) fn left(
-        &mut self,
-        key: &ReplicaKey,
-        head: &VmName,
-        outcome: OrderOutcome,
-        out: &mut Vec<FormingAction>,
-    ) {
-        let Some(dissolving) = self.dissolving.get_mut(key) else { return };
+    pub(crate) fn left(&mut self, key: &ReplicaKey, member: &VmName, outcome: OrderOutcome) {
         match outcome {
-            // A refusal says that the head is not in this replica any more.
+            // A refusal says that the target is not in this replica any more.
             OrderOutcome::Accepted | OrderOutcome::Refused | OrderOutcome::Gone => {
-                self.release(key, "head left", Some(head), out);
+                self.left.insert((member.clone(), key.clone()));
             }
-            OrderOutcome::Unanswered => dissolving.leave_sent = false,
+            OrderOutcome::Unanswered => {}
+        }
+        if let Some(dissolving) = self.dissolving.get_mut(key) {
+            dissolving.waiting.remove(member);
         }
     }
 
+    /// Lets the members of a broken replica go without a word: it cannot serve any more.
+    pub(crate) fn release(&mut self, replica: &Replica) {
+        let members = replica.members.iter().flatten();
+        self.left.extend(members.map(|member| (member.clone(), replica.key.clone())));
+    }
+
     fn advance_one(
         &mut self,
         now: TimeMs,
@@ -59,53 +61,33 @@
         key: &ReplicaKey,
         out: &mut Vec<FormingAction>,
     ) {
-        let Some(dissolving) = self.dissolving.get_mut(key) else { return };
-        let head = dissolving.head.as_ref().and_then(|name| view.fleet.target(name));
-        let lapsed = dissolving.head.as_ref().is_some_and(|name| view.fleet.is_lapsed(name));
-        let Some(head) = head.filter(|_| !lapsed) else {
-            let since = *dissolving.head_missing_since.get_or_insert(now);
-            if now.since(since) >= self.settings.head_gone_ms {
-                self.release(key, "head gone", None, out);
+        let Some(dissolving) = self.dissolving.get(key) else { return };
+        let Some(closed_at) = dissolving.closed_at else {
+            if dissolving.waiting.is_empty() {
+                self.dissolving.remove(key);
+                self.note(key, "taken apart", None, out);
             }
             return;
         };
-        dissolving.head_missing_since = None;
-        let membership = head.membership.as_ref();
-        let state = membership
-            .filter(|member| member.replica == key.replica && member.generation == key.generation)
-            .map(|member| member.state);
-        let closing = dissolving.closed_at.is_some_and(|at| {
-            state == Some(MemberState::Closing) && now.since(at) < self.settings.drain_wait_ms
-                || state == Some(MemberState::Open)
-                    && now.since(at) < self.settings.order_retry_ms * 3
-        });
-        if state == Some(MemberState::Broken) {
-            self.release(key, "broken", None, out);
-        } else if !closing {
-            self.order_leave(key, out);
+        let state = view.replicas.get(key).and_then(|replica| replica.head_state);
+        let waited_ms = now.since(closed_at);
+        let is_closing = match state {
+            Some(MemberState::Closing) => waited_ms < self.settings.drain_wait_ms,
+            Some(MemberState::Open) => waited_ms < self.settings.order_retry_ms * 3,
+            _ => false,
+        };
+        if !is_closing {
+            let members = dissolving.waiting.iter().cloned().collect();
+            self.dissolve(key, members, out);
         }
     }
 
-    fn order_leave(&mut self, key: &ReplicaKey, out: &mut Vec<FormingAction>) {
-        let Some(dissolving) = self.dissolving.get_mut(key) else { return };
-        let Some(head) = dissolving.head.clone() else { return };
-        if dissolving.leave_sent {
-            return;
-        }
-        dissolving.leave_sent = true;
+    fn order_leaves(&mut self, key: &ReplicaKey, out: &mut Vec<FormingAction>) {
+        let Some(dissolving) = self.dissolving.get(key) else { return };
         let ReplicaKey { replica, generation } = key.clone();
-        self.send(head, TargetOrder::Leave { replica, generation }, out);
-    }
-
-    fn release(
-        &mut self,
-        key: &ReplicaKey,
-        why: &'static str,
-        head: Option<&VmName>,
-        out: &mut Vec<FormingAction>,
-    ) {
-        self.dissolving.remove(key);
-        self.note(key, why, head, out);
-        self.released.insert(key.clone());
+        for member in dissolving.waiting.clone() {
+            let order = TargetOrder::Leave { replica: replica.clone(), generation };
+            self.send(member, order, out);
+        }
     }
 }
--- a/crates/forming/src/domain/formation.rs
+++ b/crates/forming/src/domain/formation.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
@@ -26,8 +28,8 @@
 /// A replica that is being taken apart.
 #[derive(Clone, Debug)]
 pub(crate) struct Dissolving {
-    pub(crate) head: Option<VmName>,
-    pub(crate) head_missing_since: Option<TimeMs>,
+    /// Members whose leave has no outcome yet.
+    pub(crate) waiting: BTreeSet<VmName>,
+    /// When its head was told to finish its work; `None` once the members leave.
     pub(crate) closed_at: Option<TimeMs>,
-    pub(crate) leave_sent: bool,
 }
--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -43,8 +43,8 @@
     pub(crate) record: RecordState,
     pub(crate) formations: BTreeMap<ReplicaKey, Formation>,
     pub(crate) dissolving: BTreeMap<ReplicaKey, Dissolving>,
-    /// Replicas whose head has left or is gone: their members are free.
-    pub(crate) released: BTreeSet<ReplicaKey>,
+    /// Targets that have left a replica which the list still shows them in.
+    pub(crate) left: BTreeSet<(VmName, ReplicaKey)>,
     /// When another decider's unfinished replica was first seen.
     pub(crate) unfinished: BTreeMap<ReplicaKey, TimeMs>,
     /// Unreachable targets, and when each is probed next.
@@ -73,7 +73,7 @@
             record: RecordState::Unknown,
             formations: BTreeMap::new(),
             dissolving: BTreeMap::new(),
-            released: BTreeSet::new(),
+            left: BTreeSet::new(),
             unfinished: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             staging: BTreeMap::new(),
@@ -188,7 +188,12 @@
         self.announced.retain(|_, (_, until)| *until > now);
         self.unreachable.retain(|name, _| view.fleet.target(name).is_some());
         self.staging.retain(|name, _| view.fleet.target(name).is_some());
-        self.released.retain(|key| view.replicas.contains_key(key));
+        self.left.retain(|(name, key)| {
+            let member = view.fleet.target(name).and_then(|entry| entry.membership.as_ref());
+            member.is_some_and(|member| {
+                member.replica == key.replica && member.generation == key.generation
+            })
+        });
         self.unfinished.retain(|key, _| view.replicas.contains_key(key));
         self.dissolving.retain(|key, _| view.replicas.contains_key(key));
     }
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -36,7 +36,7 @@
             .filter(|entry| entry.phase == TargetPhase::Ready)
             .filter(|entry| !view.fleet.is_lapsed(&entry.name))
             .filter(|entry| !self.unreachable.contains_key(&entry.name))
-            .filter(|entry| !taken.contains(&entry.name) && self.is_released(entry))
+            .filter(|entry| !taken.contains(&entry.name) && self.is_in_no_replica(entry))
             .collect()
     }
 
@@ -50,10 +50,11 @@
             .count()
     }
 
-    fn is_released(&self, entry: &TargetEntry) -> bool {
+    fn is_in_no_replica(&self, entry: &TargetEntry) -> bool {
         entry.membership.as_ref().is_none_or(|membership| {
             let replica = membership.replica.clone();
-            self.released.contains(&ReplicaKey { replica, generation: membership.generation })
+            let key = ReplicaKey { replica, generation: membership.generation };
+            self.left.contains(&(entry.name.clone(), key))
         })
     }
 
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -67,7 +67,7 @@
             }
             TargetOrder::Leave { replica, generation } => {
                 let key = key(replica, *generation);
-                self.left(&key, &pending.target, outcome, out);
+                self.left(&key, &pending.target, outcome);
             }
             TargetOrder::Stage { .. } => {
                 if outcome != OrderOutcome::Accepted {
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -39,7 +39,7 @@
         let mut held = BTreeMap::new();
         let own = view.replicas.values().filter(|r| r.domain.as_ref() == Some(&self.domain));
         for replica in own {
-            let gone = self.released.contains(&replica.key)
+            let gone = self.left.iter().any(|(_, key)| *key == replica.key)
                 || self.dissolving.contains_key(&replica.key)
                 || self.formations.contains_key(&replica.key)
                 || replica.head_state == Some(MemberState::Broken);
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -17,7 +17,7 @@
     ) {
         let own = view.replicas.values().filter(|r| r.domain.as_ref() == Some(&self.domain));
         for replica in own.cloned().collect::<Vec<_>>() {
-            if self.released.contains(&replica.key) || self.dissolving.contains_key(&replica.key) {
+            if self.is_left(&replica) || self.dissolving.contains_key(&replica.key) {
                 continue;
             }
             if self.formations.contains_key(&replica.key) {
@@ -126,8 +126,7 @@
     fn abandon(&mut self, key: &ReplicaKey, why: &'static str, out: &mut Vec<FormingAction>) {
         let Some(formation) = self.formations.remove(key) else { return };
         self.note(key, why, None, out);
-        let head = formation.members.first().cloned();
-        self.dissolve(key, head, out);
+        self.dissolve(key, formation.members, out);
     }
 
     /// Judges a replica that another decider formed, or that this one has opened.
@@ -142,19 +141,19 @@
         let size = model.and_then(|model| Some(view.profile.model(&model)?.size));
         let complete = size.is_some_and(|size| replica.is_complete(size));
         let lost = replica.members.iter().flatten().any(|name| self.unreachable.contains_key(name));
-        let head = replica.head().cloned();
+        let members: Vec<VmName> = replica.members.iter().flatten().cloned().collect();
         match replica.head_state {
             Some(MemberState::Open | MemberState::Closing) => {
                 if lost || size.is_some() && !complete {
                     self.note(&replica.key, "member lost", None, out);
-                    self.dissolve(&replica.key, head, out);
+                    self.dissolve(&replica.key, members, out);
                 } else if replica.draining {
-                    self.close(now, &replica.key, head, out);
+                    self.close(now, replica, out);
                 }
             }
             Some(MemberState::Broken) => {
                 self.note(&replica.key, "broken", None, out);
-                self.released.insert(replica.key.clone());
+                self.release(replica);
             }
             Some(MemberState::Joining | MemberState::Ready) => {
                 let since = *self.unfinished.entry(replica.key.clone()).or_insert(now);
@@ -162,10 +161,10 @@
                 if waited && complete && replica.all_ready && !lost && !replica.draining {
                     self.adopt(now, view, replica, out);
                 } else if lost || waited && !(complete && size.is_some()) {
-                    self.dissolve(&replica.key, head, out);
+                    self.dissolve(&replica.key, members, out);
                 }
             }
-            None => self.dissolve(&replica.key, None, out),
+            None => self.dissolve(&replica.key, members, out),
         }
     }
 
@@ -194,21 +193,22 @@
         self.advance_formation(view, replica, out);
     }
 
-    fn close(
-        &mut self,
-        now: TimeMs,
-        key: &ReplicaKey,
-        head: Option<VmName>,
-        out: &mut Vec<FormingAction>,
-    ) {
-        let Some(name) = head.clone() else { return };
-        self.note(key, "member leaves", None, out);
-        let dissolving =
-            Dissolving { head, head_missing_since: None, closed_at: Some(now), leave_sent: false };
-        self.dissolving.insert(key.clone(), dissolving);
-        let ReplicaKey { replica, generation } = key.clone();
+    /// Whether every listed member has left it, although the list does not show that yet.
+    fn is_left(&self, replica: &Replica) -> bool {
+        let mut members = replica.members.iter().flatten();
+        members.all(|member| self.left.contains(&(member.clone(), replica.key.clone())))
+    }
+
+    /// Lets the head of a replica finish its work, since a member leaves.
+    fn close(&mut self, now: TimeMs, replica: &Replica, out: &mut Vec<FormingAction>) {
+        let Some(head) = replica.head().cloned() else { return };
+        self.note(&replica.key, "member leaves", None, out);
+        let waiting = replica.members.iter().flatten().cloned().collect();
+        let dissolving = Dissolving { waiting, closed_at: Some(now) };
+        self.dissolving.insert(replica.key.clone(), dissolving);
+        let ReplicaKey { replica, generation } = replica.key.clone();
         let order = TargetOrder::Close { replica, generation, mode: CloseMode::Finish };
-        self.send(name, order, out);
+        self.send(head, order, out);
     }
 
     fn planned_model(&self, key: &ReplicaKey) -> Option<ModelName> {
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -10,11 +10,6 @@
         pub order_retry_ms: u64,
         /// Tries of one join without an answer, after which the target counts as unreachable.
         pub join_tries_max: u32,
-        /// How long a head must be off the list before its members are free, in milliseconds.
-        ///
-        /// The list drops a target after three heartbeats of silence, so it has been silent for
-        /// seconds by then; a second more covers a list that lags.
-        pub head_gone_ms: u64,
         /// How long another decider's unfinished replica is left alone, in milliseconds.
         ///
         /// A live decider opens a ready replica within some hundred milliseconds.
@@ -46,7 +41,6 @@
         Self {
             order_retry_ms: 300,
             join_tries_max: 4,
-            head_gone_ms: 1_000,
             adopt_after_ms: 1_500,
             announced_ms: 1_500,
             stage_again_ms: 3_000,
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -43,10 +43,11 @@
 const FIRST_READS: u64 = 3;
 const FIRST_HEARTBEAT: Duration = Duration::from_millis(300);
 
-/// Time between two probes of the nodes that come before this one, in milliseconds.
+/// Time between two probes of a node, in milliseconds.
 ///
-/// Two failed probes are a second, after which the next node goes on with what a dead one left.
-const PROBE_NODES_MS: u64 = 500;
+/// Two failed probes are one and a half seconds, after which the next node goes on with what a dead
+/// one left.
+const PROBE_NODES_MS: u64 = 700;
 
 /// Nodes after a domain's decider that watch it by probes.
 ///
@@ -218,10 +219,14 @@
             ControlEvent::Nodes(records) => {
                 self.nodes.update(now, records);
                 self.nodes_listed = true;
+                if self.nodes.has_unprobed() {
+                    self.nodes_probed_at = TimeMs::new(0);
+                    self.probe_nodes(now);
+                }
                 true
             }
-            ControlEvent::Probed { node, answers } => {
-                self.nodes.probed(now, &node, answers);
+            ControlEvent::Probed { node, probe } => {
+                self.nodes.probed(now, &node, probe);
                 true
             }
             ControlEvent::Forming(domain, event) => {
@@ -351,15 +356,15 @@
             .unwrap_or_default();
         let ready = self.routes.is_some() && self.listed && !self.leaving;
         let own = self.parts.settings.caller_listen;
-        let others = self.nodes.live(now).filter(|record| record.ready);
-        let others = others.map(|record| record.caller_address).filter(|address| *address != own);
-        let mut addresses: Vec<_> = others.collect();
+        let named = self.nodes.named(now, &self.parts.settings.node);
+        let mut addresses: Vec<_> = named.iter().map(|record| record.caller_address).collect();
         if ready {
             addresses.push(own);
         }
         let whole = routables.iter().filter(|routable| routable.model.is_some()).count();
         self.parts.metrics.replicas_whole.set(whole as i64);
-        let sharers = addresses.len().max(1) as u32;
+        let others = self.nodes.live().filter(|record| record.caller_address != own).count();
+        let sharers = others as u32 + 1;
         let routes = self.routes.clone();
         let update = TrafficUpdate { routes, routables, addresses, sharers, ready };
         self.parts.traffic.try_send(update).unwrap_or_default();
@@ -403,7 +408,7 @@
         // A node that has not read the others' records would take every domain for its own.
         let mine: BTreeSet<_> = match self.leaving || !self.nodes_listed {
             true => BTreeSet::new(),
-            false => all.iter().filter(|domain| self.is_decider(now, domain)).cloned().collect(),
+            false => all.iter().filter(|domain| self.is_decider(domain)).cloned().collect(),
         };
         let settings = FormingSettings::default().with_loads(profile.loads_per_s, all.len());
         if self.deciders.set(now, &self.parts.settings.node, &mine, settings) {
@@ -419,31 +424,30 @@
     }
 
     /// Whether every node that comes before this one is gone.
-    fn is_decider(&self, now: TimeMs, domain: &DomainName) -> bool {
+    fn is_decider(&self, domain: &DomainName) -> bool {
         let own = &self.parts.settings.node;
         let before = self.nodes.ranking(domain, own);
-        let live: BTreeSet<&NodeName> = self.nodes.live(now).map(|record| &record.node).collect();
+        let live: BTreeSet<&NodeName> = self.nodes.live().map(|record| &record.node).collect();
         before.iter().take_while(|name| *name != own).all(|name| !live.contains(name))
     }
 
-    /// Asks the nodes that come before this one whether they live.
+    /// Asks the nodes that callers are told of, and those that decide before this one.
     fn probe_nodes(&mut self, now: TimeMs) {
         if now.since(self.nodes_probed_at) < PROBE_NODES_MS {
             return;
         }
         self.nodes_probed_at = now;
-        let Some((service, _)) = self.engine() else { return };
-        let before: BTreeSet<NodeName> = domains_of(&self.fleet, &service)
-            .iter()
-            .flat_map(|domain| self.watched(domain))
-            .collect();
-        for node in before {
+        let named = self.nodes.to_probe(&self.parts.settings.node);
+        let domains = self.engine().map(|(service, _)| domains_of(&self.fleet, &service));
+        let deciders = domains.iter().flatten().flat_map(|domain| self.watched(domain));
+        let probed: BTreeSet<NodeName> = named.into_iter().chain(deciders).collect();
+        for node in probed {
             let Some(record) = self.nodes.record(&node) else { continue };
             let address = record.ready_address;
             let (targets, events) = (self.parts.targets.clone(), self.parts.events.0.clone());
             let probe = async move {
-                let answers = targets.is_node_alive(address).await;
-                events.send(ControlEvent::Probed { node, answers }).await.unwrap_or_default();
+                let probe = targets.probe_node(address).await;
+                events.send(ControlEvent::Probed { node, probe }).await.unwrap_or_default();
             };
             self.executor.spawn(probe).detach();
         }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -2,7 +2,7 @@
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
 use celeryhaven_types::{DomainName, NodeName};
 
-use crate::control::nodes::NodeRecord;
+use crate::control::nodes::{NodeProbe, NodeRecord};
 use crate::traffic::TrafficNews;
 
 /// Which kind of object a feed follows.
@@ -32,8 +32,8 @@
     Fed(Fed, FeedNews),
     /// The records of all nodes, perhaps seconds old.
     Nodes(Vec<NodeRecord>),
-    /// Whether a node that comes before this one answers.
-    Probed { node: NodeName, answers: bool },
+    /// What a probe of another node showed.
+    Probed { node: NodeName, probe: NodeProbe },
     /// Something about the forming of a domain's replicas.
     Forming(DomainName, FormingEvent),
     /// A domain's record is at this version.
--- a/crates/gateway/src/control/nodes.rs
+++ b/crates/gateway/src/control/nodes.rs
@@ -13,8 +13,21 @@
 /// Three heartbeats and the age of a stale read.
 const RECORD_LIFE_MS: u64 = 10_000;
 
-/// How long a failed probe keeps a node out, in milliseconds.
-const PROBE_LIFE_MS: u64 = 1_500;
+/// How long a node is named to callers after its last good probe, in milliseconds.
+///
+/// Three probes, one of which may be lost. Callers keep an address for some seconds more, and a
+/// node that is gone costs each of them a second.
+const PROBE_LIFE_MS: u64 = 2_500;
+
+/// Failed probes in a row after which a node counts as silent.
+const SILENT_PROBES: u32 = 2;
+
+/// Nodes that one node probes for its address answers.
+///
+/// Load: hundreds of nodes. Harm: probes of all by all grow with the square of their number, and a
+/// node with a tenth of a core spends it on them. Limit: ten, chosen by rendezvous hash, so that
+/// every node is named by some and no caller is left with few addresses.
+const PROBED_NODES: usize = 10;
 
 data! {
     /// What a node tells the others of itself.
@@ -37,11 +50,36 @@
     }
 }
 
+/// What a probe of a node showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NodeProbe {
+    /// It takes requests.
+    Ready,
+    /// It lives and takes none: it starts or leaves.
+    NotReady,
+    /// It did not answer.
+    Silent,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
     record: NodeRecord,
     changed_at: TimeMs,
-    silent_until: Option<TimeMs>,
+    /// Its last answer to a probe; the record alone may be of a node that is long gone.
+    answered_at: Option<TimeMs>,
+    last: Option<NodeProbe>,
+    failures: u32,
+}
+
+impl Seen {
+    fn new(now: TimeMs, record: NodeRecord) -> Self {
+        Self { record, changed_at: now, answered_at: None, last: None, failures: 0 }
+    }
+
+    /// Whether it lives and takes requests, as far as is known.
+    fn is_live(&self) -> bool {
+        self.failures < SILENT_PROBES && self.last != Some(NodeProbe::NotReady)
+    }
 }
 
 /// The other nodes, as their records and probes show them.
@@ -61,27 +99,52 @@
                 }
                 Some(_) => {}
                 None => {
-                    let seen = Seen { record, changed_at: now, silent_until: None };
-                    self.seen.insert(seen.record.node.clone(), seen);
+                    self.seen.insert(record.node.clone(), Seen::new(now, record));
                 }
             }
         }
         self.seen.retain(|_, seen| now.since(seen.changed_at) < RECORD_LIFE_MS);
     }
 
-    /// Takes over whether a node answered a probe.
-    pub(crate) fn probed(&mut self, now: TimeMs, node: &NodeName, answers: bool) {
-        if let Some(seen) = self.seen.get_mut(node) {
-            seen.silent_until = (!answers).then(|| now.after(PROBE_LIFE_MS));
+    /// Whether a node has never been probed.
+    pub(crate) fn has_unprobed(&self) -> bool {
+        self.seen.values().any(|seen| seen.last.is_none() && seen.failures == 0)
+    }
+
+    /// Takes over what a probe showed.
+    pub(crate) fn probed(&mut self, now: TimeMs, node: &NodeName, probe: NodeProbe) {
+        let Some(seen) = self.seen.get_mut(node) else { return };
+        match probe {
+            NodeProbe::Silent => seen.failures = seen.failures.saturating_add(1),
+            NodeProbe::Ready | NodeProbe::NotReady => {
+                seen.failures = 0;
+                seen.answered_at = Some(now);
+                seen.last = Some(probe);
+            }
         }
     }
 
-    /// Nodes that live, as far as is known.
-    pub(crate) fn live(&self, now: TimeMs) -> impl Iterator<Item = &NodeRecord> {
-        self.seen
-            .values()
-            .filter(move |seen| seen.silent_until.is_none_or(|until| until <= now))
-            .map(|seen| &seen.record)
+    /// Nodes that live and take requests, as far as is known.
+    pub(crate) fn live(&self) -> impl Iterator<Item = &NodeRecord> {
+        self.seen.values().filter(|seen| seen.is_live()).map(|seen| &seen.record)
+    }
+
+    /// Nodes to name to callers: those that this one probes and that answered lately.
+    pub(crate) fn named(&self, now: TimeMs, own: &NodeName) -> Vec<&NodeRecord> {
+        let probed = self.to_probe(own);
+        let fresh = |seen: &&Seen| {
+            seen.is_live() && seen.answered_at.is_some_and(|at| now.since(at) < PROBE_LIFE_MS)
+        };
+        let seen = probed.iter().filter_map(|name| self.seen.get(name));
+        seen.filter(fresh).map(|seen| &seen.record).collect()
+    }
+
+    /// Nodes that this one probes for its address answers.
+    pub(crate) fn to_probe(&self, own: &NodeName) -> Vec<NodeName> {
+        let mut names: Vec<_> = self.seen.keys().filter(|name| *name != own).cloned().collect();
+        names.sort_by_key(|name| std::cmp::Reverse(weight(own.as_str(), name)));
+        names.truncate(PROBED_NODES);
+        names
     }
 
     /// The record of a node.
@@ -98,7 +161,7 @@
         if !names.contains(own) {
             names.push(own.clone());
         }
-        names.sort_by_key(|name| std::cmp::Reverse((weight(domain, name), name.clone())));
+        names.sort_by_key(|name| std::cmp::Reverse((weight(domain.as_str(), name), name.clone())));
         names
     }
 }
@@ -108,8 +171,8 @@
 }
 
 /// Source: Fowler, Noll, Vo, 64-bit FNV-1a; the same on every node, unlike seeded hashers.
-fn weight(domain: &DomainName, node: &NodeName) -> u64 {
-    let bytes = domain.as_str().bytes().chain([0]).chain(node.as_str().bytes());
+fn weight(of: &str, node: &NodeName) -> u64 {
+    let bytes = of.bytes().chain([0]).chain(node.as_str().bytes());
     let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -12,6 +12,7 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
+use crate::control::nodes::NodeProbe;
 
 /// How long an order may take to be answered.
 ///
@@ -68,11 +69,15 @@
         }
     }
 
-    /// Asks a node whether it takes requests; any answer shows that it lives.
-    pub(crate) async fn is_node_alive(&self, address: SocketAddr) -> bool {
+    /// Asks a node whether it takes requests.
+    pub(crate) async fn probe_node(&self, address: SocketAddr) -> NodeProbe {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
-        matches!(self.exchange(address, request, PROBE_TIMEOUT).await, Some(Ok(_)))
+        match self.exchange(address, request, PROBE_TIMEOUT).await {
+            Some(Ok(StatusCode::OK)) => NodeProbe::Ready,
+            Some(Ok(_)) => NodeProbe::NotReady,
+            Some(Err(_)) | None => NodeProbe::Silent,
+        }
     }
 
     /// One exchange; `None` if it took too long.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
+use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
 use celeryhaven_types::{Refusal, RefusalCode, Verdict};
 use http::StatusCode;
@@ -14,7 +15,7 @@
 use crate::http::refusal_parts;
 use crate::traffic::attempt::{Attempt, AttemptEnd};
 use crate::traffic::gate_state::Instruction;
-use crate::traffic::{AnswerParts, Ask, EventSplitter, Gate, Sink};
+use crate::traffic::{AnswerParts, Ask, Gate, Sink};
 
 /// When to ask again after a target refused and no other may be tried, in milliseconds.
 ///
--- a/crates/gateway/src/traffic/gate_state.rs
+++ b/crates/gateway/src/traffic/gate_state.rs
@@ -3,11 +3,10 @@
 
 use async_channel::Sender;
 use celeryhaven_fleet::RouteTable;
-use celeryhaven_policy::{Decision, Ticket};
+use celeryhaven_policy::{Decision, StandstillWatch, Ticket};
 use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
 
 use crate::traffic::pool::{Pool, RetryLimits};
-use crate::traffic::progress::Progress;
 use crate::traffic::{Ask, Routable, RoutableName};
 
 /// Names a pool: a service, and the model where it has engines.
@@ -48,7 +47,7 @@
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) ready: bool,
     pub(crate) leaving_since: Option<TimeMs>,
-    pub(crate) progress: Progress,
+    pub(crate) progress: StandstillWatch<RoutableName>,
     pub(crate) present: Map<Ticket, Present>,
     pools: Map<PoolKey, Pool>,
     sharers: u32,
@@ -67,7 +66,7 @@
             addresses: Vec::new(),
             ready: false,
             leaving_since: None,
-            progress: Progress::default(),
+            progress: StandstillWatch::new(),
             present: Map::default(),
             pools: Map::default(),
             sharers: 1,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,10 +7,8 @@
 mod gate;
 pub(crate) mod gate_state;
 mod pool;
-mod progress;
 mod relay;
 mod sink;
-mod splitter;
 mod update;
 
 pub(crate) use ask::Ask;
@@ -18,5 +16,4 @@
 pub(crate) use exchange::Exchange;
 pub(crate) use gate::Gate;
 pub(crate) use sink::{AnswerParts, Sink, sink};
-pub(crate) use splitter::EventSplitter;
 pub(crate) use update::{Routable, RoutableName, TrafficNews, TrafficUpdate};
--- a/crates/gateway/src/traffic/splitter.rs
+++ b/crates/http/src/events/event_splitter.rs
@@ -9,8 +9,16 @@
 ///
 /// Guards against a piece that is lost or comes twice: a target may stop in the middle of an
 /// event, and the next run begins with the event after the last whole one.
+///
+/// ```
+/// use celeryhaven_http::EventSplitter;
+/// let mut splitter = EventSplitter::new(None);
+/// assert!(splitter.push(b"id: 7\ndata: a").is_none());
+/// assert_eq!(splitter.push(b"b\n\nid: 8").unwrap(), "id: 7\ndata: ab\n\n");
+/// assert_eq!(splitter.last_id(), Some("7"));
+/// ```
 #[derive(Clone, Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     pending: BytesMut,
     last_id: Option<String>,
     events: u32,
@@ -18,12 +26,12 @@
 
 impl EventSplitter {
     /// A splitter for a stream that goes on after this event.
-    pub(crate) fn new(last_id: Option<String>) -> Self {
+    pub fn new(last_id: Option<String>) -> Self {
         Self { last_id, ..Self::default() }
     }
 
     /// Takes bytes and gives back the whole events that they complete.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.pending.extend_from_slice(bytes);
         let end = end_of_events(&self.pending)?;
         let whole = self.pending.split_to(end).freeze();
@@ -32,32 +40,32 @@
     }
 
     /// Whether bytes of an unfinished event are held.
-    pub(crate) fn is_inside_event(&self) -> bool {
+    pub fn is_inside_event(&self) -> bool {
         !self.pending.is_empty()
     }
 
     /// Whether the unfinished event is longer than any that is accepted.
-    pub(crate) fn is_too_long(&self) -> bool {
+    pub fn is_too_long(&self) -> bool {
         self.pending.len() > EVENT_BYTES_MAX
     }
 
     /// Forgets an unfinished event.
-    pub(crate) fn drop_pending(&mut self) {
+    pub fn drop_pending(&mut self) {
         self.pending.clear();
     }
 
     /// Takes what is left, such as the end of a stream that cannot be resumed.
-    pub(crate) fn take_pending(&mut self) -> Bytes {
+    pub fn take_pending(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
 
     /// Id of the last whole event.
-    pub(crate) fn last_id(&self) -> Option<&str> {
+    pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 
     /// Whole events so far.
-    pub(crate) fn events(&self) -> u32 {
+    pub fn events(&self) -> u32 {
         self.events
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,11 +7,13 @@
 //! |---|---|
 //! | [`interface`] | the events a policy hears and the decisions it gives |
 //! | [`fair`] | the policy in use: fair queue, admission by deadline, sharing of targets |
+//! | [`standstill`] | replicas whose streams stand still together |
 //! | [`baseline`] | first-in-first-out policies that it is measured against |
 
 pub mod baseline;
 pub mod fair;
 pub mod interface;
+pub mod standstill;
 
 mod affinity;
 mod estimate;
@@ -23,3 +25,4 @@
 pub use interface::{
     Decision, PolicyEvent, RequestPolicy, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
+pub use standstill::StandstillWatch;
--- /dev/null
+++ b/crates/policy/src/standstill/mod.rs
@@ -0,0 +1,5 @@
+//! Replicas whose streams stand still together.
+
+mod watch;
+
+pub use watch::StandstillWatch;
--- a/crates/gateway/src/traffic/progress.rs
+++ b/crates/policy/src/standstill/watch.rs
@@ -1,6 +1,6 @@
-use celeryhaven_types::{Map, TimeMs};
+use std::hash::Hash;
 
-use crate::traffic::RoutableName;
+use celeryhaven_types::{Map, TimeMs};
 
 /// How long all streams of a replica may stand still together before it is suspected, in
 /// milliseconds.
@@ -16,10 +16,31 @@
 const SUSPECTED_MS: u64 = 2_500;
 
 /// Signs of life of the replicas that this node has streams at.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Progress {
-    replicas: Map<RoutableName, Streams>,
-    suspected: Map<RoutableName, TimeMs>,
+///
+/// Load: a replica that loses a member while its head goes on taking requests. Harm: for seconds
+/// everything sent there waits until its callers give up. The streams that it already gives fall
+/// silent together, which costs nothing to see.
+///
+/// ```
+/// use celeryhaven_policy::StandstillWatch;
+/// use celeryhaven_types::TimeMs;
+/// let mut watch = StandstillWatch::new();
+/// watch.begun(TimeMs::new(0), &"replica");
+/// watch.event(TimeMs::new(100), &"replica");
+/// assert!(watch.still(TimeMs::new(500)).is_empty());
+/// assert_eq!(watch.still(TimeMs::new(900)), ["replica"]);
+/// assert!(watch.is_suspected(TimeMs::new(900), &"replica"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct StandstillWatch<K> {
+    replicas: Map<K, Streams>,
+    suspected: Map<K, TimeMs>,
+}
+
+impl<K> Default for StandstillWatch<K> {
+    fn default() -> Self {
+        Self { replicas: Map::default(), suspected: Map::default() }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -28,9 +49,14 @@
     last_event_at: TimeMs,
 }
 
-impl Progress {
+impl<K: Clone + Eq + Hash + Ord> StandstillWatch<K> {
+    /// Watches nothing yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
     /// A stream has begun to give events.
-    pub(crate) fn begun(&mut self, now: TimeMs, name: &RoutableName) {
+    pub fn begun(&mut self, now: TimeMs, name: &K) {
         let fresh = Streams { open: 0, last_event_at: now };
         let streams = self.replicas.entry(name.clone()).or_insert(fresh);
         streams.open += 1;
@@ -38,7 +64,7 @@
     }
 
     /// An event has come.
-    pub(crate) fn event(&mut self, now: TimeMs, name: &RoutableName) {
+    pub fn event(&mut self, now: TimeMs, name: &K) {
         if let Some(streams) = self.replicas.get_mut(name) {
             streams.last_event_at = now;
         }
@@ -46,7 +72,7 @@
     }
 
     /// A stream that had begun is over.
-    pub(crate) fn ended(&mut self, name: &RoutableName) {
+    pub fn ended(&mut self, name: &K) {
         if let Some(streams) = self.replicas.get_mut(name) {
             streams.open = streams.open.saturating_sub(1);
             if streams.open == 0 {
@@ -56,23 +82,24 @@
     }
 
     /// Replicas whose streams stand still, each named once for a while.
-    pub(crate) fn still(&mut self, now: TimeMs) -> Vec<RoutableName> {
+    pub fn still(&mut self, now: TimeMs) -> Vec<K> {
         self.suspected.retain(|_, until| *until > now);
         let still = self.replicas.iter().filter(|(name, streams)| {
             now.since(streams.last_event_at) >= STILL_MS && !self.suspected.contains_key(*name)
         });
-        let still: Vec<_> = still.map(|(name, _)| name.clone()).collect();
+        let mut still: Vec<_> = still.map(|(name, _)| name.clone()).collect();
+        still.sort();
         still.iter().for_each(|name| self.suspect(now, name));
         still
     }
 
     /// Keeps requests away from a replica for a while.
-    pub(crate) fn suspect(&mut self, now: TimeMs, name: &RoutableName) {
+    pub fn suspect(&mut self, now: TimeMs, name: &K) {
         self.suspected.insert(name.clone(), now.after(SUSPECTED_MS));
     }
 
     /// Whether a replica gets no requests for now.
-    pub(crate) fn is_suspected(&self, now: TimeMs, name: &RoutableName) -> bool {
+    pub fn is_suspected(&self, now: TimeMs, name: &K) -> bool {
         self.suspected.get(name).is_some_and(|&until| until > now)
     }
 }
