--- a/crates/fleet/src/view/fleet_view.rs
+++ b/crates/fleet/src/view/fleet_view.rs
@@ -10,6 +10,12 @@
 /// Guards against a report of nonsense that would make a list of members of any length.
 const RANK_MAX: u32 = 64;
 
+/// How long an entry that was removed is remembered, in milliseconds.
+///
+/// A target that leaves without a word serves on for seconds after its entry is gone, and must
+/// still be asked and told.
+const DEPARTED_MS: u64 = 15_000;
+
 /// All targets that the platform lists.
 ///
 /// Entries lapse while the platform's store is away, also of targets that live; they are back
@@ -18,6 +24,7 @@
 pub struct FleetView {
     targets: BTreeMap<VmName, TargetEntry>,
     lapsed: BTreeMap<VmName, TimeMs>,
+    departed: BTreeMap<VmName, (TargetEntry, TimeMs)>,
     grace_until: Option<TimeMs>,
 }
 
@@ -44,6 +51,7 @@
     /// Takes over one entry.
     pub fn put(&mut self, entry: TargetEntry) {
         self.lapsed.remove(&entry.name);
+        self.departed.remove(&entry.name);
         self.targets.insert(entry.name.clone(), entry);
     }
 
@@ -53,10 +61,14 @@
             Some(until) if self.targets.contains_key(name) => {
                 self.lapsed.entry(name.clone()).or_insert(until);
             }
-            _ => {
-                self.targets.remove(name);
-                self.lapsed.remove(name);
-            }
+            _ => self.depart(now, name),
+        }
+    }
+
+    fn depart(&mut self, now: TimeMs, name: &VmName) {
+        self.lapsed.remove(name);
+        if let Some(entry) = self.targets.remove(name) {
+            self.departed.insert(name.clone(), (entry, now.after(DEPARTED_MS)));
         }
     }
 
@@ -68,10 +80,8 @@
             .filter(|&(_, &until)| until <= now)
             .map(|(name, _)| name.clone())
             .collect();
-        for name in &gone {
-            self.targets.remove(name);
-            self.lapsed.remove(name);
-        }
+        gone.iter().for_each(|name| self.depart(now, name));
+        self.departed.retain(|_, (_, until)| *until > now);
         !gone.is_empty()
     }
 
@@ -85,6 +95,11 @@
         self.targets.get(name)
     }
 
+    /// One target, also if its entry was removed some seconds ago.
+    pub fn known(&self, name: &VmName) -> Option<&TargetEntry> {
+        self.target(name).or_else(|| self.departed.get(name).map(|(entry, _)| entry))
+    }
+
     /// Every target, by name.
     pub fn targets(&self) -> impl Iterator<Item = &TargetEntry> {
         self.targets.values()
--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -61,7 +61,7 @@
         key: &ReplicaKey,
         out: &mut Vec<FormingAction>,
     ) {
-        let Some(dissolving) = self.dissolving.get(key) else { return };
+        let Some(dissolving) = self.dissolving.get(key).cloned() else { return };
         let Some(closed_at) = dissolving.closed_at else {
             if dissolving.waiting.is_empty() {
                 self.dissolving.remove(key);
@@ -74,6 +74,12 @@
         let is_closing = match state {
             Some(MemberState::Closing) => waited_ms < self.settings.drain_wait_ms,
             Some(MemberState::Open) => waited_ms < self.settings.order_retry_ms * 3,
+            // The head leaves without a word: as long as it answers, it may have work.
+            None => {
+                let head = self.planned(key).and_then(|plan| plan.members.first().cloned());
+                let answers = head.is_some_and(|head| self.departing.contains_key(&head));
+                answers && waited_ms < self.settings.unlisted_wait_ms
+            }
             _ => false,
         };
         if !is_closing {
--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -49,6 +49,8 @@
     pub(crate) unfinished: BTreeMap<ReplicaKey, TimeMs>,
     /// Unreachable targets, and when each is probed next.
     pub(crate) unreachable: BTreeMap<VmName, TimeMs>,
+    /// Members whose entry was removed, and when each is probed next; `true` once one answered.
+    pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
     /// Targets that have refused to stage, and until when they are not asked again.
     pub(crate) unstageable: BTreeMap<VmName, TimeMs>,
@@ -76,6 +78,7 @@
             left: BTreeSet::new(),
             unfinished: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            departing: BTreeMap::new(),
             staging: BTreeMap::new(),
             unstageable: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -186,7 +189,10 @@
     /// Forgets what is remembered of targets and replicas that nobody lists any more.
     fn forget_unlisted(&mut self, now: TimeMs, view: FormingView<'_>) {
         self.announced.retain(|_, (_, until)| *until > now);
-        self.unreachable.retain(|name, _| view.fleet.target(name).is_some());
+        self.unreachable.retain(|name, _| view.fleet.known(name).is_some());
+        self.departing.retain(|name, _| {
+            view.fleet.known(name).is_some() && view.fleet.target(name).is_none()
+        });
         self.staging.retain(|name, _| view.fleet.target(name).is_some());
         self.left.retain(|(name, key)| {
             let member = view.fleet.target(name).and_then(|entry| entry.membership.as_ref());
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -20,7 +20,7 @@
         while let Some((model, members)) = self.next_replica(view, &wanted, &held, &free) {
             free.retain(|entry| !members.contains(&entry.name));
             *held.entry(model.clone()).or_default() += 1;
-            plans.push(self.planned(model, members));
+            plans.push(self.new_plan(model, members));
         }
         if plans.is_empty() {
             return;
@@ -94,7 +94,7 @@
         })
     }
 
-    fn planned(&mut self, model: ModelName, members: Vec<VmName>) -> PlannedReplica {
+    fn new_plan(&mut self, model: ModelName, members: Vec<VmName>) -> PlannedReplica {
         self.next_name += 1;
         // The generation makes the name unique among deciders: no two write the same version.
         let replica = ReplicaName::new(format!("{}-{}-{}", self.domain, self.node, self.next_name));
--- a/crates/forming/src/domain/reach.rs
+++ b/crates/forming/src/domain/reach.rs
@@ -15,6 +15,10 @@
         let Some(replica) = view.replicas.get(key) else { return };
         let members: Vec<VmName> = replica.members.iter().flatten().cloned().collect();
         self.note(key, "suspected", None, out);
+        if self.dissolving.get(key).is_some_and(|dissolving| dissolving.closed_at.is_some()) {
+            // It was finishing its work, and a member has gone before that was done.
+            return self.dissolve(key, members, out);
+        }
         out.extend(members.into_iter().map(|target| FormingAction::Probe { target }));
     }
 
@@ -23,17 +27,44 @@
         match reachability {
             Reachability::Answers => {
                 self.unreachable.remove(&target);
+                if let Some((_, answered)) = self.departing.get_mut(&target) {
+                    *answered = true;
+                }
             }
             Reachability::Gone | Reachability::Silent => {
+                self.departing.remove(&target);
                 let again_at = now.after(self.settings.probe_every_ms);
                 self.unreachable.insert(target, again_at);
             }
         }
     }
 
-    /// Asks unreachable targets now and then, as long as they are listed.
+    /// Whether a member whose entry was removed still answers; `None` until it was asked.
+    ///
+    /// A target that leaves without a word finishes what its replica has; one that has died shows
+    /// it by its silence.
+    pub(crate) fn is_departing(
+        &mut self,
+        now: TimeMs,
+        name: &VmName,
+        out: &mut Vec<FormingAction>,
+    ) -> Option<bool> {
+        if self.unreachable.contains_key(name) {
+            return Some(false);
+        }
+        if let Some((_, answered)) = self.departing.get(name) {
+            return answered.then_some(true);
+        }
+        let again_at = now.after(self.settings.probe_every_ms);
+        self.departing.insert(name.clone(), (again_at, false));
+        out.push(FormingAction::Probe { target: name.clone() });
+        None
+    }
+
+    /// Asks targets that are unreachable or leave without a word now and then.
     pub(crate) fn probe_unreachable(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
-        for (target, at) in &mut self.unreachable {
+        let departing = self.departing.iter_mut().map(|(target, (at, _))| (target, at));
+        for (target, at) in self.unreachable.iter_mut().chain(departing) {
             if *at <= now {
                 *at = now.after(self.settings.probe_every_ms);
                 out.push(FormingAction::Probe { target: target.clone() });
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -144,11 +144,17 @@
         let members: Vec<VmName> = replica.members.iter().flatten().cloned().collect();
         match replica.head_state {
             Some(MemberState::Open | MemberState::Closing) => {
-                if lost || size.is_some() && !complete {
-                    self.note(&replica.key, "member lost", None, out);
-                    self.dissolve(&replica.key, members, out);
-                } else if replica.draining {
-                    self.close(now, replica, out);
+                let leaves = match size.is_some() && !complete {
+                    true => self.leave_without_word(now, replica, out),
+                    false => Some(replica.draining),
+                };
+                let whole = complete || size.is_none();
+                match leaves {
+                    _ if lost => self.take_apart(replica, out),
+                    None => {}
+                    Some(true) => self.close(now, replica, out),
+                    Some(false) if whole => {}
+                    Some(false) => self.take_apart(replica, out),
                 }
             }
             Some(MemberState::Broken) => {
@@ -164,7 +170,37 @@
                     self.dissolve(&replica.key, members, out);
                 }
             }
-            None => self.dissolve(&replica.key, members, out),
+            None => match self.leave_without_word(now, replica, out) {
+                None => {}
+                Some(true) => self.close(now, replica, out),
+                Some(false) => self.dissolve(&replica.key, members, out),
+            },
+        }
+    }
+
+    fn take_apart(&mut self, replica: &Replica, out: &mut Vec<FormingAction>) {
+        self.note(&replica.key, "member lost", None, out);
+        let members = replica.members.iter().flatten().cloned().collect();
+        self.dissolve(&replica.key, members, out);
+    }
+
+    /// Whether every member that is not listed any more still answers; `None` while one is asked.
+    fn leave_without_word(
+        &mut self,
+        now: TimeMs,
+        replica: &Replica,
+        out: &mut Vec<FormingAction>,
+    ) -> Option<bool> {
+        let listed: Vec<&VmName> = replica.members.iter().flatten().collect();
+        // Whom the record does not name cannot be asked; it counts as lost.
+        let Some(plan) = self.planned(&replica.key) else { return Some(false) };
+        let missing = plan.members.clone().into_iter().filter(|name| !listed.contains(&name));
+        let answers: Vec<Option<bool>> =
+            missing.map(|name| self.is_departing(now, &name, out)).collect();
+        match answers.contains(&Some(false)) {
+            true => Some(false),
+            false if answers.contains(&None) => None,
+            false => Some(true),
         }
     }
 
@@ -201,21 +237,27 @@
 
     /// Lets the head of a replica finish its work, since a member leaves.
     fn close(&mut self, now: TimeMs, replica: &Replica, out: &mut Vec<FormingAction>) {
-        let Some(head) = replica.head().cloned() else { return };
         self.note(&replica.key, "member leaves", None, out);
         let waiting = replica.members.iter().flatten().cloned().collect();
         let dissolving = Dissolving { waiting, closed_at: Some(now) };
         self.dissolving.insert(replica.key.clone(), dissolving);
+        // A head that is not listed takes no new requests, and ends with what it has.
+        let Some(head) = replica.head().cloned() else { return };
         let ReplicaKey { replica, generation } = replica.key.clone();
         let order = TargetOrder::Close { replica, generation, mode: CloseMode::Finish };
         self.send(head, order, out);
     }
 
     fn planned_model(&self, key: &ReplicaKey) -> Option<ModelName> {
+        self.planned(key).map(|plan| plan.model.clone())
+    }
+
+    /// The plan of a replica, as far as the record is known.
+    pub(crate) fn planned(&self, key: &ReplicaKey) -> Option<&PlannedReplica> {
         let (RecordState::Known(record) | RecordState::Writing(record)) = &self.record else {
             return None;
         };
         let mut plans = record.replicas.iter();
-        plans.find(|plan| plan.replica == key.replica).map(|plan| plan.model.clone())
+        plans.find(|plan| plan.replica == key.replica && plan.generation == Some(key.generation))
     }
 }
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -27,6 +27,12 @@
         pub probe_every_ms: u64,
         /// Longest time that a leaving member is waited for, in milliseconds.
         pub drain_wait_ms: u64,
+        /// Longest time that the work of a head which is not listed any more is waited for, in
+        /// milliseconds.
+        ///
+        /// No node sends it more, and three answers of four end within two seconds; its state cannot
+        /// be seen, and its members serve nobody until they leave.
+        pub unlisted_wait_ms: u64,
         /// Loads from the weights store that this domain may begin each second.
         pub loads_per_s: f64,
         /// Loads that may be saved up.
@@ -46,6 +52,7 @@
             stage_again_ms: 3_000,
             probe_every_ms: 1_000,
             drain_wait_ms: 10_000,
+            unlisted_wait_ms: 4_000,
             loads_per_s: 0.75,
             loads_saved_max: 4.0,
             load_patience: 4,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -57,6 +57,7 @@
     /// Targets that refuse to stage.
     pub refuses_stage: BTreeSet<VmName>,
     hidden: BTreeSet<VmName>,
+    listed: FleetView,
     opened: BTreeMap<(ReplicaName, Generation), Vec<VmName>>,
 }
 
@@ -105,6 +106,7 @@
             delayed: Vec::new(),
             refuses_stage: BTreeSet::new(),
             hidden: BTreeSet::new(),
+            listed: FleetView::new(),
             opened: BTreeMap::new(),
         };
         (0..targets).for_each(|number| world.add(number));
@@ -167,6 +169,14 @@
         self.hidden.insert(target.clone());
     }
 
+    /// A closing head has finished its work.
+    pub fn finish_work(&mut self, target: &VmName) {
+        let toy = self.toys.get_mut(target);
+        if let Some(member) = toy.and_then(|toy| toy.entry.membership.as_mut()) {
+            member.state = MemberState::Ready;
+        }
+    }
+
     /// Lets this much time pass.
     pub fn run_ms(&mut self, span_ms: u64) {
         let end = self.now.after(span_ms);
@@ -179,6 +189,7 @@
     pub fn step(&mut self) {
         self.now = self.now.after(STEP_MS);
         self.advance_toys();
+        self.listed = self.fleet();
         self.carry_out_delayed();
         for index in 0..self.deciders.len() {
             let mut out = Vec::new();
@@ -227,13 +238,13 @@
     }
 
     pub fn fleet(&self) -> FleetView {
-        let mut view = FleetView::new();
-        for toy in self.toys.values() {
+        let mut view = self.listed.clone();
+        let listed = self.toys.values().filter(|toy| {
             let hidden = self.hidden.contains(&toy.entry.name);
-            if !hidden && toy.alive || toy.listed_until.is_some_and(|until| until > self.now) {
-                view.put(toy.entry.clone());
-            }
-        }
+            !hidden && toy.alive || toy.listed_until.is_some_and(|until| until > self.now)
+        });
+        view.replace(self.now, listed.map(|toy| toy.entry.clone()).collect());
+        view.expire(self.now);
         view
     }
 
@@ -377,7 +388,7 @@
                 if member.replica != *replica || member.generation != *generation {
                     return OrderOutcome::Refused;
                 }
-                member.state = MemberState::Ready;
+                member.state = MemberState::Closing;
                 OrderOutcome::Accepted
             }
             TargetOrder::Leave { replica, generation } => {
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -132,3 +132,21 @@
     world.run_ms(60_000);
     assert!(world.serving()["small"] >= 2);
 }
+
+/// A member's entry is removed although the target lives: it leaves without a word and serves on
+/// for seconds. Taken apart at once, the replica would break off every stream that it has; instead
+/// its head finishes its work first.
+#[test]
+fn former_member_leaves_without_word() {
+    let mut world = served();
+    world.run_ms(20_000);
+    let members = world.members_of("large");
+    world.hide(&members[3]);
+    world.run_ms(500);
+    assert_eq!(world.count_orders(&members[0], "close"), 1);
+    assert_eq!(world.count_orders(&members[1], "leave"), 0, "broken off while it had work");
+    world.finish_work(&members[0]);
+    world.run_ms(5_000);
+    assert!(world.count_orders(&members[1], "leave") > 0);
+    assert_eq!(world.serving()["large"], 1);
+}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -491,7 +491,7 @@
                 self.executor.spawn(write).detach();
             }
             FormingAction::Order { call, target, order } => {
-                let Some(address) = self.fleet.target(&target).map(|entry| entry.address) else {
+                let Some(address) = self.fleet.known(&target).map(|entry| entry.address) else {
                     let outcome = celeryhaven_fleet::OrderOutcome::Gone;
                     let event = FormingEvent::Ordered { call, outcome };
                     events.try_send(ControlEvent::Forming(domain, event)).unwrap_or_default();
@@ -514,7 +514,7 @@
                 self.executor.spawn(send).detach();
             }
             FormingAction::Probe { target } => {
-                let address = self.fleet.target(&target).map(|entry| entry.address);
+                let address = self.fleet.known(&target).map(|entry| entry.address);
                 let (targets, log) = (self.parts.targets.clone(), self.parts.log.clone());
                 let probe = async move {
                     let reachability = match address {
