--- a/crates/forming/src/domain/reach.rs
+++ b/crates/forming/src/domain/reach.rs
@@ -46,10 +46,15 @@
     pub(crate) fn is_departing(
         &mut self,
         now: TimeMs,
+        view: FormingView<'_>,
         name: &VmName,
         out: &mut Vec<FormingAction>,
     ) -> Option<bool> {
-        if self.unreachable.contains_key(name) {
+        // One that is listed has started again or joined another; one without an address cannot be
+        // asked.
+        let is_listed = view.fleet.target(name).is_some();
+        let is_known = view.fleet.known(name).is_some();
+        if is_listed || !is_known || self.unreachable.contains_key(name) {
             return Some(false);
         }
         if let Some((_, answered)) = self.departing.get(name) {
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -145,7 +145,7 @@
         match replica.head_state {
             Some(MemberState::Open | MemberState::Closing) => {
                 let leaves = match size.is_some() && !complete {
-                    true => self.leave_without_word(now, replica, out),
+                    true => self.leave_without_word(now, view, replica, out),
                     false => Some(replica.draining),
                 };
                 let whole = complete || size.is_none();
@@ -170,7 +170,7 @@
                     self.dissolve(&replica.key, members, out);
                 }
             }
-            None => match self.leave_without_word(now, replica, out) {
+            None => match self.leave_without_word(now, view, replica, out) {
                 None => {}
                 Some(true) => self.close(now, replica, out),
                 Some(false) => self.dissolve(&replica.key, members, out),
@@ -188,6 +188,7 @@
     fn leave_without_word(
         &mut self,
         now: TimeMs,
+        view: FormingView<'_>,
         replica: &Replica,
         out: &mut Vec<FormingAction>,
     ) -> Option<bool> {
@@ -196,7 +197,7 @@
         let Some(plan) = self.planned(&replica.key) else { return Some(false) };
         let missing = plan.members.clone().into_iter().filter(|name| !listed.contains(&name));
         let answers: Vec<Option<bool>> =
-            missing.map(|name| self.is_departing(now, &name, out)).collect();
+            missing.map(|name| self.is_departing(now, view, &name, out)).collect();
         match answers.contains(&Some(false)) {
             true => Some(false),
             false if answers.contains(&None) => None,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -57,6 +57,8 @@
     /// Targets that refuse to stage.
     pub refuses_stage: BTreeSet<VmName>,
     hidden: BTreeSet<VmName>,
+    /// Probes sent so far.
+    pub probes: usize,
     listed: FleetView,
     opened: BTreeMap<(ReplicaName, Generation), Vec<VmName>>,
 }
@@ -106,6 +108,7 @@
             delayed: Vec::new(),
             refuses_stage: BTreeSet::new(),
             hidden: BTreeSet::new(),
+            probes: 0,
             listed: FleetView::new(),
             opened: BTreeMap::new(),
         };
@@ -169,6 +172,23 @@
         self.hidden.insert(target.clone());
     }
 
+    /// Another node decides, which has never seen what is not listed now.
+    pub fn replace_decider(&mut self, node: &str) {
+        self.listed = FleetView::new();
+        self.drop_decider(0);
+        self.add_decider(node);
+    }
+
+    /// A target starts again under its name and holds nothing of before.
+    pub fn restart(&mut self, target: &VmName) {
+        if let Some(toy) = self.toys.get_mut(target) {
+            toy.entry.membership = None;
+            toy.entry.model = None;
+            toy.entry.started_at_ms = Some(self.now.get());
+            toy.highest = Generation::new(0);
+        }
+    }
+
     /// A closing head has finished its work.
     pub fn finish_work(&mut self, target: &VmName) {
         let toy = self.toys.get_mut(target);
@@ -280,6 +300,7 @@
                     self.hear(index, FormingEvent::Ordered { call, outcome });
                 }
                 FormingAction::Probe { target } => {
+                    self.probes += 1;
                     let reachability = match self.toys.get(&target) {
                         Some(toy) if toy.alive => Reachability::Answers,
                         _ => Reachability::Silent,
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -150,3 +150,30 @@
     assert!(world.count_orders(&members[1], "leave") > 0);
     assert_eq!(world.serving()["large"], 1);
 }
+
+/// A decider starts when a member's entry is gone already: it has no address to ask. Asked again at
+/// each look, the probe would end at once and start again, hundreds of times a second.
+#[test]
+fn former_member_never_seen() {
+    let mut world = served();
+    let members = world.members_of("large");
+    world.hide(&members[2]);
+    world.replace_decider("entry-2");
+    let before = world.probes;
+    world.run_ms(5_000);
+    assert!(world.probes - before <= 10, "{} probes in five seconds", world.probes - before);
+    assert_eq!(world.serving()["large"], 1);
+}
+
+/// A member starts again under its name: it is listed and in no replica. Asked whether it leaves,
+/// it would answer each time, and be asked again at each look, thousands of times a second.
+#[test]
+fn former_member_restarts() {
+    let mut world = served();
+    let members = world.members_of("large");
+    world.restart(&members[2]);
+    let before = world.probes;
+    world.run_ms(5_000);
+    assert!(world.probes - before <= 10, "{} probes in five seconds", world.probes - before);
+    assert_eq!(world.serving()["large"], 1);
+}
