forming, gateway: shares of models made up across domains; requests are sent within one objective

Change: domains make up each other's remainders; a request that cannot be sent within its objective is refused at once; no margin on costs, which refused the largest requests twice as often.

--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -7,14 +7,14 @@
 use crate::domain::former::RecordState;
 use crate::domain::free::{Warmth, warmth};
 use crate::interface::{FormingAction, FormingView};
-use crate::mix::{ModelCount, wanted_replicas};
+use crate::mix::{DomainPlace, ModelCount, wanted_replicas};
 use crate::record::{DomainRecord, PlannedReplica};
 
 impl DomainFormer {
     /// Plans replicas of free targets, and writes the plan down before any target hears of it.
     pub(crate) fn plan(&mut self, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
         let mut free = self.free_targets(view);
-        let wanted = wanted_replicas(self.usable_targets(view), &view.profile.models);
+        let wanted = self.wanted(view);
         let mut held = self.held(view);
         let mut plans = Vec::new();
         while let Some((model, members)) = self.next_replica(view, &wanted, &held, &free) {
@@ -34,6 +34,13 @@
         out.push(FormingAction::WriteRecord { record });
     }
 
+    /// Replicas of each model that this domain should hold.
+    pub(crate) fn wanted(&self, view: FormingView<'_>) -> Vec<ModelCount> {
+        let index = view.domains.iter().position(|domain| *domain == self.domain);
+        let place = DomainPlace { index: index.unwrap_or_default(), domains: view.domains.len() };
+        wanted_replicas(self.usable_targets(view), &view.profile.models, place)
+    }
+
     /// Replicas of each model that serve or are about to.
     pub(crate) fn held(&self, view: FormingView<'_>) -> BTreeMap<ModelName, usize> {
         let mut held = BTreeMap::new();
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -6,7 +6,7 @@
 use crate::domain::DomainFormer;
 use crate::domain::free::{Warmth, warmth};
 use crate::interface::{FormingAction, FormingView};
-use crate::mix::{ModelCount, wanted_replicas};
+use crate::mix::ModelCount;
 
 impl DomainFormer {
     /// Stages a model on free targets, so that they join within two seconds when a replica breaks.
@@ -49,7 +49,7 @@
     fn unmet_needs(&self, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
         let mut free: BTreeMap<&VmName, &TargetEntry> =
             self.free_targets(view).into_iter().map(|entry| (&entry.name, entry)).collect();
-        let wanted = wanted_replicas(self.usable_targets(view), &view.profile.models);
+        let wanted = self.wanted(view);
         let needs = needs(&wanted, &self.held(view), free.len());
         let mut unmet = Vec::new();
         for model in needs {
--- a/crates/forming/src/interface/view.rs
+++ b/crates/forming/src/interface/view.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use celeryhaven_fleet::{EngineProfile, FleetView, Replica, ReplicaKey};
+use celeryhaven_types::DomainName;
 
 /// What a decider looks at in one step.
 #[derive(Clone, Copy, Debug)]
@@ -11,6 +12,8 @@
     pub replicas: &'a BTreeMap<ReplicaKey, Replica>,
     /// What is known of the engines.
     pub profile: &'a EngineProfile,
+    /// Domains of the service, by name.
+    pub domains: &'a [DomainName],
     /// Whether callers have sent requests yet; loads are free of limits before.
     pub traffic_seen: bool,
 }
--- a/crates/forming/src/mix/mod.rs
+++ b/crates/forming/src/mix/mod.rs
@@ -2,4 +2,4 @@
 
 mod wanted;
 
-pub use wanted::{ModelCount, wanted_replicas};
+pub use wanted::{DomainPlace, ModelCount, wanted_replicas};
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -279,6 +279,7 @@
             fleet: &fleet,
             replicas: &replicas,
             profile: &profile,
+            domains: &[DomainName::new("rack")],
             traffic_seen: self.traffic_seen,
         };
         act(&mut self.deciders[index], self.now, view);
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{EngineProfile, FleetView, Replica, ReplicaKey, RouteTable};
-use celeryhaven_forming::{FormingAction, FormingEvent, FormingSettings};
+use celeryhaven_forming::{FormingAction, FormingEvent, FormingSettings, FormingView};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
 use celeryhaven_telemetry::GatewayMetrics;
@@ -18,8 +18,7 @@
 
 use crate::adapter::Adapter;
 use crate::control::deciders::{
-    Deciders, domain_of_target, domains_of, forming_view, read_record, record_read, record_written,
-    write_record,
+    Deciders, domain_of_target, domains_of, read_record, record_read, record_written, write_record,
 };
 use crate::control::event::{ControlEvent, Fed, FeedNews};
 use crate::control::feed::Feed;
@@ -395,8 +394,15 @@
     }
 
     fn forming(&mut self, now: TimeMs, domain: &DomainName, event: FormingEvent) {
-        let Some((_, profile)) = self.engine() else { return };
-        let view = forming_view(&self.fleet, &self.replicas, &profile, self.traffic_seen);
+        let Some((service, profile)) = self.engine() else { return };
+        let domains: Vec<_> = domains_of(&self.fleet, &service).into_iter().collect();
+        let view = FormingView {
+            fleet: &self.fleet,
+            replicas: &self.replicas,
+            profile: &profile,
+            domains: &domains,
+            traffic_seen: self.traffic_seen,
+        };
         let actions = self.deciders.hear(now, view, domain, event);
         self.carry_out(domain, actions);
     }
@@ -416,7 +422,14 @@
             let names: Vec<_> = mine.iter().map(DomainName::as_str).collect();
             info!(self.parts.log, "decides for"; "domains" => names.join(","));
         }
-        let view = forming_view(&self.fleet, &self.replicas, &profile, self.traffic_seen);
+        let domains: Vec<_> = all.into_iter().collect();
+        let view = FormingView {
+            fleet: &self.fleet,
+            replicas: &self.replicas,
+            profile: &profile,
+            domains: &domains,
+            traffic_seen: self.traffic_seen,
+        };
         for (domain, actions) in self.deciders.step(now, view) {
             self.carry_out(&domain, actions);
         }
--- a/crates/gateway/src/control/deciders.rs
+++ b/crates/gateway/src/control/deciders.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use celeryhaven_fleet::{EngineProfile, FleetView, Replica, ReplicaKey};
+use celeryhaven_fleet::FleetView;
 use celeryhaven_forming::{
     DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
 };
@@ -136,16 +136,6 @@
     fleet.target(target)?.domain.clone()
 }
 
-/// What deciders look at.
-pub(crate) fn forming_view<'a>(
-    fleet: &'a FleetView,
-    replicas: &'a BTreeMap<ReplicaKey, Replica>,
-    profile: &'a EngineProfile,
-    traffic_seen: bool,
-) -> FormingView<'a> {
-    FormingView { fleet, replicas, profile, traffic_seen }
-}
-
 fn record_key(domain: &DomainName) -> ObjectKey {
     ObjectKey::new(format!("{PLACEMENT_PREFIX}{domain}"))
 }
--- a/crates/gateway/src/traffic/ask.rs
+++ b/crates/gateway/src/traffic/ask.rs
@@ -13,7 +13,7 @@
 /// Load: a wall of requests behind full replicas. Harm: an answer that begins after several times
 /// its objective has lost most of its worth, and its caller mostly left. Limit: three times, as
 /// long as callers wait for a first event.
-const OBJECTIVES_TO_SEND: u64 = 3;
+const OBJECTIVES_TO_SEND: u64 = 1;
 
 /// Worth of a request whose route says nothing of it, relative to others.
 const WORTH: u32 = 1;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -218,6 +218,8 @@
             "organisation" => self.ask.organisation.as_ref().map(celeryhaven_types::OrganisationName::as_str),
             "outcome" => outcome,
             "attempts" => self.attempts,
+            "prompt_tokens" => self.ask.caller.prompt_tokens,
+            "output_tokens" => self.ask.caller.output_tokens_max,
             "events" => events,
             "took_ms" => now.since(self.ask.arrived_at),
             "left_ms" => self.ask.deadline.since(now),
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -50,11 +50,10 @@
         retries: RetryLimits,
     ) -> Self {
         let tokens_per_event = engine.map_or(1, |(engine, _)| engine.tokens_per_event);
-        let settings = FairSettings::new(seed).with_eject_silent(false).with_retries(
-            retries.earned,
-            retries.saved_max,
-            true,
-        );
+        let settings = FairSettings::new(seed)
+            .with_eject_silent(false)
+            .with_cost_margin(0.0)
+            .with_retries(retries.earned, retries.saved_max, true);
         let settings = match engine {
             None => settings.with_times(PLAIN_MS, 0.0, 0.0),
             Some((engine, model)) => {
