--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -96,11 +96,12 @@
         routables: &[Routable],
         out: &mut Vec<Decision>,
     ) {
+        // A target that starts again keeps its name and may have another address.
         let gone: Vec<_> = self
-            .keys
-            .keys()
-            .filter(|name| routables.iter().all(|routable| routable.name != **name))
-            .cloned()
+            .routables
+            .values()
+            .filter(|routable| !routables.contains(routable))
+            .map(|routable| routable.name.clone())
             .collect();
         for name in &gone {
             if let Some(key) = self.keys.remove(name) {
