fleet, gateway: most nodes follow relays instead of the store

Cause: each node's own watches were the dearest thing at 63 nodes. Versions are the store's own, so a node goes on where it stopped. Ruled out: stale reads instead of watches, seconds old, too late for a target that leaves.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,11 +3,13 @@
 //! | module | what it holds |
 //! |---|---|
 //! | [`config`] | one version of the operators' configuration |
+//! | [`relay`] | what a relay keeps for nodes that ask it instead of the store |
 //! | [`routes`] | which route a request takes, and whose key it carries |
 //! | [`target`] | one listed target, its membership of a replica, the orders it takes |
 //! | [`view`] | all listed targets, and the replicas they report to form |
 
 pub mod config;
+pub mod relay;
 pub mod routes;
 pub mod target;
 pub mod view;
@@ -16,6 +18,7 @@
     CallerLimits, Configuration, EngineProfile, KeyHolder, ModelProfile, Route, RouteKind, Service,
     ServiceShare,
 };
+pub use relay::{ChangeLog, RelayAnswer};
 pub use routes::{RouteKey, RouteTable};
 pub use target::{
     CloseMode, MemberState, Membership, OrderOutcome, TargetEntry, TargetOrder, TargetPhase,
--- /dev/null
+++ b/crates/fleet/src/relay/change_log.rs
@@ -0,0 +1,150 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use celeryhaven_derives::data;
+use celeryhaven_types::TimeMs;
+use celeryhaven_types::store::{Object, ObjectChange, ObjectKey, ObjectVersion};
+
+/// Changes kept for those who ask for what is new; who is further behind gets the whole list.
+const CHANGES_MAX: usize = 512;
+
+data! {
+    /// What a relay answers.
+    pub enum RelayAnswer {
+        /// Every object, at a version of the store.
+        Listed {
+            /// The version.
+            version: ObjectVersion,
+            /// The objects.
+            objects: Vec<Object>,
+            /// Whether the store was away until just before.
+            after_outage: bool,
+        },
+        /// What has changed since the version asked for, perhaps nothing.
+        Changes {
+            /// The version up to which nothing is missing.
+            version: ObjectVersion,
+            /// The changes in order.
+            changes: Vec<ObjectChange>,
+            /// Whether the store was away until just before.
+            after_outage: bool,
+        },
+        /// The relay does not follow the store itself, or has not heard of it lately.
+        Stale,
+    }
+}
+
+/// The objects of one kind and their last changes, as the store told them.
+///
+/// Versions are the store's own, so a node can go on at another relay, or at the store, where it
+/// stopped at this one.
+///
+/// ```
+/// use celeryhaven_fleet::{ChangeLog, RelayAnswer};
+/// use celeryhaven_types::TimeMs;
+/// use celeryhaven_types::store::ObjectVersion;
+///
+/// let mut log = ChangeLog::new();
+/// let version = ObjectVersion::new(7);
+/// assert_eq!(log.since(TimeMs::new(0), None), Some(RelayAnswer::Stale));
+/// log.listed(TimeMs::new(0), version, &[]);
+/// assert_eq!(log.since(TimeMs::new(1), Some(version)), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ChangeLog {
+    version: ObjectVersion,
+    /// Changes up to this version are not kept one by one.
+    kept_from: ObjectVersion,
+    objects: BTreeMap<ObjectKey, Object>,
+    changes: VecDeque<ObjectChange>,
+    heard_at: Option<TimeMs>,
+    outage_over_at: Option<TimeMs>,
+}
+
+/// How long after the store's return its answers count as those after an outage, in milliseconds.
+///
+/// Entries that lapsed meanwhile are back within some two seconds, and a follower that heard of no
+/// outage must keep them as long.
+const RETURN_MS: u64 = 2_300;
+
+/// How long a relay may not have heard of the store before it vouches for nothing, in milliseconds.
+///
+/// A watch answers at least each two seconds and a half; a relay that is cut off from the store must
+/// not hold those that are not.
+const HEARD_MS: u64 = 3_500;
+
+impl ChangeLog {
+    /// Knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over a whole list of the store.
+    pub fn listed(&mut self, now: TimeMs, version: ObjectVersion, objects: &[Object]) {
+        self.version = version;
+        self.kept_from = version;
+        self.changes.clear();
+        self.objects = objects.iter().map(|object| (object.key.clone(), object.clone())).collect();
+        self.heard_at = Some(now);
+    }
+
+    /// Takes over what a watch of the store brought.
+    pub fn changed(&mut self, now: TimeMs, version: ObjectVersion, changes: &[ObjectChange]) {
+        self.heard_at = Some(now);
+        self.version = self.version.max(version);
+        for change in changes {
+            let (key, version) = (change.key.clone(), change.version);
+            match &change.value {
+                Some(value) => {
+                    let object = Object { key: key.clone(), version, value: value.clone() };
+                    self.objects.insert(key, object);
+                }
+                None => {
+                    self.objects.remove(&key);
+                }
+            }
+            self.changes.push_back(change.clone());
+        }
+        while self.changes.len() > CHANGES_MAX {
+            // What was dropped may share its version with what is kept.
+            let dropped = self.changes.pop_front().map_or(self.kept_from, |change| change.version);
+            self.kept_from = self.kept_from.max(dropped);
+        }
+    }
+
+    /// Takes over that the store has just come back.
+    pub fn outage_over(&mut self, now: TimeMs) {
+        self.outage_over_at = Some(now);
+    }
+
+    fn is_after_outage(&self, now: TimeMs) -> bool {
+        self.outage_over_at.is_some_and(|at| now.since(at) < RETURN_MS)
+    }
+
+    /// Forgets that the store was heard of: this node follows another relay.
+    pub fn silence(&mut self) {
+        self.heard_at = None;
+    }
+
+    /// What is new for a node that has everything up to a version; `None` if nothing is yet.
+    pub fn since(&self, now: TimeMs, from: Option<ObjectVersion>) -> Option<RelayAnswer> {
+        if self.heard_at.is_none_or(|at| now.since(at) > HEARD_MS) {
+            return Some(RelayAnswer::Stale);
+        }
+        let Some(from) = from.filter(|from| *from >= self.kept_from) else {
+            let objects = self.objects.values().cloned().collect();
+            let (version, after_outage) = (self.version, self.is_after_outage(now));
+            return Some(RelayAnswer::Listed { version, objects, after_outage });
+        };
+        let new: Vec<ObjectChange> =
+            self.changes.iter().filter(|change| change.version > from).cloned().collect();
+        let (version, after_outage) = (self.version, self.is_after_outage(now));
+        (!new.is_empty()).then_some(RelayAnswer::Changes { version, changes: new, after_outage })
+    }
+
+    /// The answer to a node for which nothing new has come.
+    pub fn nothing_new(&self, now: TimeMs, from: ObjectVersion) -> RelayAnswer {
+        let (version, after_outage) = (self.version.max(from), self.is_after_outage(now));
+        let nothing = RelayAnswer::Changes { version, changes: Vec::new(), after_outage };
+        self.since(now, Some(from)).unwrap_or(nothing)
+    }
+}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -1,4 +1,6 @@
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,12 +9,13 @@
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{FleetView, Replica, ReplicaKey, RouteTable};
 use celeryhaven_forming::FormingEvent;
+use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectKey;
-use slog::Logger;
+use slog::{Logger, warn};
 use smol::{LocalExecutor, Timer};
 
 use crate::adapter::Adapter;
@@ -21,12 +24,17 @@
 use crate::control::feed::{Feed, FeedPace};
 use crate::control::nodes::Nodes;
 use crate::control::publish::routables;
+use crate::control::relay::Relay;
 use crate::control::targets::TargetCalls;
 use crate::traffic::{TrafficNews, TrafficUpdate};
 
 /// Time between two looks at deciders.
 const TICK: Duration = Duration::from_millis(100);
 
+/// What nodes that follow this one may take.
+const PEER_LIMITS: ServerLimits =
+    ServerLimits { header_bytes_max: 8 * 1024, idle: Duration::from_secs(30) };
+
 /// What the control thread is made of.
 pub(crate) struct ControlParts<A> {
     pub(crate) adapter: A,
@@ -34,6 +42,8 @@
     pub(crate) client: StoreClient<A>,
     pub(crate) targets: TargetCalls<A>,
     pub(crate) boot: u64,
+    /// Shown by nodes that follow this one.
+    pub(crate) token: String,
     pub(crate) events: (Sender<ControlEvent>, Receiver<ControlEvent>),
     pub(crate) traffic: Sender<TrafficUpdate>,
     pub(crate) metrics: GatewayMetrics,
@@ -55,12 +65,14 @@
     pub(super) store_away: bool,
     pub(super) nodes_listed: bool,
     pub(super) pace: Rc<FeedPace>,
+    pub(super) relay: Relay,
     pub(super) nodes_probed_at: TimeMs,
 }
 
 impl<A: Adapter> Control<A> {
     /// Knows nothing yet.
     pub(crate) fn new(parts: ControlParts<A>, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let relay = Relay::new(&parts.token);
         Self {
             parts,
             executor,
@@ -75,10 +87,28 @@
             store_away: false,
             nodes_listed: false,
             pace: Rc::default(),
+            relay,
             nodes_probed_at: TimeMs::new(0),
         }
     }
 
+    /// Answers nodes that follow this one, for ever.
+    pub(crate) fn answer_peers(&self, socket: TcpListener) {
+        let limits = Rc::new(Cell::new(PEER_LIMITS));
+        let listener = match Listener::from_socket(socket, limits) {
+            Ok(listener) => listener,
+            Err(error) => {
+                // Nodes that would follow this one ask the store instead.
+                warn!(self.parts.log, "peers not answered"; "error" => error.to_string());
+                return;
+            }
+        };
+        let relay = self.relay.clone();
+        let answer = move |request| relay.clone().answer(request);
+        let serve = listener.serve(self.executor.clone(), StopSignal::default(), answer);
+        self.executor.spawn(serve).detach();
+    }
+
     /// Runs until the process ends.
     pub(crate) async fn run(mut self) {
         self.start_tasks();
@@ -118,7 +148,11 @@
             fed,
             wait_ms: self.parts.settings.watch_wait_ms,
             events: self.parts.events.0.clone(),
+            channels: self.parts.targets.channels.clone(),
             pace: self.pace.clone(),
+            relay: self.relay.clone(),
+            from: None,
+            direct_until: None,
             failures: 0,
         };
         self.executor.spawn(feed.follow()).detach();
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -10,6 +10,7 @@
 use crate::control::Control;
 use crate::control::deciders::domains_of;
 use crate::control::event::ControlEvent;
+use crate::control::relay::RelayAddress;
 
 /// Time between two probes of a node, in milliseconds.
 ///
@@ -72,7 +73,21 @@
             self.carry_out(&domain, actions);
         }
         self.pace.is_forming.set(!self.deciders.are_idle());
+        self.choose_relay();
+    }
+
+    /// Chooses whom the feeds ask.
+    fn choose_relay(&self) {
         self.pace.nodes.set(self.nodes.live().count() as u64);
+        let own = self.own_record();
+        let relays = self.nodes.relays(&own);
+        let is_relay = relays.iter().any(|record| record.node == own.node);
+        let first = relays.first().filter(|_| !is_relay).map(|record| RelayAddress {
+            address: record.peer_address,
+            token: record.token.clone(),
+        });
+        self.pace.is_relay.set(is_relay);
+        self.pace.relay.replace(first);
     }
 
     /// Whether every node that comes before this one is gone.
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -14,6 +14,16 @@
     Targets,
 }
 
+impl Fed {
+    /// The word used between nodes and in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Targets => "targets",
+        }
+    }
+}
+
 /// What a feed from the store brings.
 #[derive(Clone, Debug)]
 pub(crate) enum FeedNews {
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -1,13 +1,16 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
+use celeryhaven_fleet::RelayAnswer;
+use celeryhaven_http::ChannelPool;
 use celeryhaven_store::{StoreClient, StoreWire};
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::control::event::{ControlEvent, Fed, FeedNews};
+use crate::control::relay::{Relay, RelayAddress, ask_relay};
 
 /// Pause after a call that the store did not answer or refused.
 ///
@@ -25,73 +28,117 @@
 const GATHER_MS_MIN: u64 = 200;
 const GATHER_MS_MAX: u64 = 1_000;
 
-/// The same while this node forms replicas: each step of a formation waits for the last one to
-/// show.
+/// The same while this node forms replicas, each step of which waits for the last one to show, and
+/// on a relay, whose followers wait for it.
 const GATHER_FORMING: Duration = Duration::from_millis(20);
 
+/// How long the store is asked after a relay did not answer or vouched for nothing.
+const DIRECT: Duration = Duration::from_secs(3);
+
 /// Failures in a row after which the store counts as having been away.
 const FAILURES_OF_OUTAGE: u32 = 2;
 
-/// What decides how often feeds ask.
+/// What decides whom feeds ask, and how often.
 #[derive(Debug, Default)]
 pub(crate) struct FeedPace {
     /// Whether this node forms replicas now.
     pub(crate) is_forming: Cell<bool>,
+    /// Whether other nodes follow this one.
+    pub(crate) is_relay: Cell<bool>,
     /// Live nodes, all of which ask.
     pub(crate) nodes: Cell<u64>,
+    /// The relay to follow; the store itself where there is none.
+    pub(crate) relay: RefCell<Option<RelayAddress>>,
 }
 
-/// Follows the objects of one kind, for ever: a list, then watches from its version.
+/// Follows the objects of one kind, for ever: a list, then what is new since its version.
+///
+/// A node asks a relay where there is one, and the store whenever that does not answer or vouches
+/// for nothing. Versions are the store's, so it goes on where it stopped.
 pub(crate) struct Feed<W> {
     pub(crate) client: StoreClient<W>,
+    pub(crate) channels: ChannelPool,
     pub(crate) prefix: ObjectKey,
     pub(crate) fed: Fed,
     pub(crate) wait_ms: u64,
     pub(crate) events: Sender<ControlEvent>,
     pub(crate) pace: Rc<FeedPace>,
+    pub(crate) relay: Relay,
+    pub(crate) from: Option<ObjectVersion>,
     pub(crate) failures: u32,
+    /// Until when the store is asked although there is a relay.
+    pub(crate) direct_until: Option<Instant>,
 }
 
 impl<W: StoreWire> Feed<W> {
     /// Follows for ever.
     pub(crate) async fn follow(mut self) {
         loop {
-            let request = StoreRequest::List { prefix: self.prefix.clone() };
-            match self.client.call(&request).await {
-                StoreReply::Listed { version, objects } => {
-                    let after_outage = self.succeeded();
-                    self.tell(FeedNews::Listed { objects, after_outage }).await;
-                    self.watch(version).await;
-                }
-                _ => self.failed().await,
+            let relay = self.pace.relay.borrow().clone();
+            let relay = relay.filter(|_| self.direct_until.is_none_or(|at| at <= Instant::now()));
+            match relay {
+                Some(relay) => self.ask_relay(&relay).await,
+                None => self.ask_store().await,
             }
         }
     }
 
-    /// Watches until the store no longer keeps the history.
-    async fn watch(&mut self, mut from: ObjectVersion) {
-        loop {
-            let request =
-                StoreRequest::Watch { prefix: self.prefix.clone(), from, wait_ms: self.wait_ms };
-            match self.client.call(&request).await {
-                StoreReply::Changes { version, changes } => {
-                    let after_outage = self.succeeded();
-                    from = from.max(version);
-                    let gather = !changes.is_empty();
-                    self.tell(FeedNews::Changed { changes, after_outage }).await;
-                    if gather {
-                        Timer::after(self.gather()).await;
-                    }
+    async fn ask_relay(&mut self, relay: &RelayAddress) {
+        self.relay.silence(self.fed);
+        let answer = ask_relay(&self.channels, relay, self.fed, self.from, self.wait_ms).await;
+        match answer {
+            Some(RelayAnswer::Listed { version, objects, after_outage }) => {
+                let after_outage = self.succeeded() || after_outage;
+                self.take(version, FeedNews::Listed { objects, after_outage }).await;
+            }
+            Some(RelayAnswer::Changes { version, changes, after_outage }) => {
+                let after_outage = self.succeeded() || after_outage;
+                self.take(version, FeedNews::Changed { changes, after_outage }).await;
+            }
+            Some(RelayAnswer::Stale) | None => {
+                self.direct_until = Some(Instant::now() + DIRECT);
+            }
+        }
+    }
+
+    async fn ask_store(&mut self) {
+        let request = match self.from {
+            None => StoreRequest::List { prefix: self.prefix.clone() },
+            Some(from) => {
+                StoreRequest::Watch { prefix: self.prefix.clone(), from, wait_ms: self.wait_ms }
+            }
+        };
+        match self.client.call(&request).await {
+            StoreReply::Listed { version, objects } => {
+                let after_outage = self.succeeded();
+                let news = FeedNews::Listed { objects, after_outage };
+                self.relay.hear(self.fed, version, &news);
+                self.take(version, news).await;
+            }
+            StoreReply::Changes { version, changes } => {
+                let after_outage = self.succeeded();
+                let version = self.from.map_or(version, |from| from.max(version));
+                let is_new = !changes.is_empty();
+                let news = FeedNews::Changed { changes, after_outage };
+                self.relay.hear(self.fed, version, &news);
+                self.take(version, news).await;
+                if is_new {
+                    Timer::after(self.gather()).await;
                 }
-                StoreReply::TooOld => return,
-                _ => self.failed().await,
             }
+            StoreReply::TooOld => self.from = None,
+            _ => self.failed().await,
         }
     }
 
+    async fn take(&mut self, version: ObjectVersion, news: FeedNews) {
+        self.from = Some(version);
+        self.tell(news).await;
+    }
+
     fn gather(&self) -> Duration {
         let for_all_ms = self.pace.nodes.get() * GATHER_MS_PER_NODE;
-        match self.pace.is_forming.get() {
+        match self.pace.is_forming.get() || self.pace.is_relay.get() {
             true => GATHER_FORMING,
             false => Duration::from_millis(for_all_ms.clamp(GATHER_MS_MIN, GATHER_MS_MAX)),
         }
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -69,6 +69,8 @@
             data_centre: settings.data_centre.clone(),
             caller_address: settings.caller_listen,
             ready_address: settings.ready_listen,
+            peer_address: settings.peer_listen,
+            token: self.parts.token.clone(),
             boot: self.parts.boot,
             heartbeat: 0,
             ready: true,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod heartbeats;
 mod nodes;
 mod publish;
+mod relay;
 mod targets;
 
 pub(crate) use control_loop::{Control, ControlParts};
--- a/crates/gateway/src/control/nodes.rs
+++ b/crates/gateway/src/control/nodes.rs
@@ -22,6 +22,13 @@
 /// Failed probes in a row after which a node counts as silent.
 const SILENT_PROBES: u32 = 2;
 
+/// Nodes for which there is one relay, and the least number of relays.
+const NODES_PER_RELAY: usize = 10;
+const RELAYS_MIN: usize = 2;
+
+/// Nodes below which each asks the store itself.
+const RELAYED_NODES_MIN: usize = 5;
+
 /// Nodes that one node probes for its address answers.
 ///
 /// Load: hundreds of nodes. Harm: probes of all by all grow with the square of their number, and a
@@ -41,6 +48,10 @@
         pub(crate) caller_address: SocketAddr,
         /// Where it tells whether it takes requests.
         pub(crate) ready_address: SocketAddr,
+        /// Where it answers nodes that follow it.
+        pub(crate) peer_address: SocketAddr,
+        /// What those nodes show it; only who reads the store knows it.
+        pub(crate) token: String,
         /// Tells one start of its process from the next.
         pub(crate) boot: u64,
         /// Grows while it lives.
@@ -147,6 +158,27 @@
         names
     }
 
+    /// Nodes that follow the store for the others, the first for this one first; none where there
+    /// are few nodes.
+    ///
+    /// Load: hundreds of nodes before a store whose calls are rationed and priced. Harm: a watch of
+    /// each node and kind is most of its calls. Limit: one relay for some ten nodes, so that each
+    /// answers no more nodes as the fleet grows.
+    pub(crate) fn relays<'a>(&'a self, own: &'a NodeRecord) -> Vec<&'a NodeRecord> {
+        let live: Vec<&NodeRecord> = self.live().filter(|record| record.ready).collect();
+        let others = live.iter().filter(|record| record.node != own.node).count();
+        let count = (others + 1) / NODES_PER_RELAY;
+        let mut names: Vec<&NodeRecord> =
+            live.into_iter().filter(|record| record.node != own.node).chain([own]).collect();
+        names.sort_by_key(|record| std::cmp::Reverse(weight("relay", &record.node)));
+        names.truncate(count.max(RELAYS_MIN));
+        if others + 1 < RELAYED_NODES_MIN {
+            return Vec::new();
+        }
+        names.sort_by_key(|record| std::cmp::Reverse(weight(own.node.as_str(), &record.node)));
+        names
+    }
+
     /// The record of a node.
     pub(crate) fn record(&self, node: &NodeName) -> Option<&NodeRecord> {
         self.seen.get(node).map(|seen| &seen.record)
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -1,5 +1,5 @@
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -74,7 +74,8 @@
     let (events, heard) = unbounded();
     let (updates, followed) = unbounded();
     let parts = Parts { settings, adapter, metrics: GatewayMetrics::new(), log, events };
-    start_control(&parts, heard, updates)?;
+    let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
+    start_control(&parts, token, heard, updates)?;
     let executor = Rc::new(LocalExecutor::new());
     let log = parts.log.clone();
     let traffic = traffic(parts, settings_file, seed, followed, executor.clone(), signals);
@@ -85,6 +86,7 @@
 
 fn start_control<A: Adapter>(
     parts: &Parts<A>,
+    token: String,
     heard: Receiver<ControlEvent>,
     traffic: Sender<TrafficUpdate>,
 ) -> Result<(), ProcessError> {
@@ -93,6 +95,8 @@
     let (log, events) = (log.clone(), events.clone());
     let boot = celeryhaven_clock::unix_ms();
     info!(log, "started"; "callers" => settings.caller_listen.to_string(), "boot" => boot);
+    let address = settings.peer_listen;
+    let peers = TcpListener::bind(address).context(ListenSnafu { address })?;
     let control = move || {
         let executor = Rc::new(LocalExecutor::new());
         let timeout = Duration::from_millis(settings.store_timeout_ms);
@@ -105,12 +109,14 @@
             client,
             targets,
             boot,
+            token,
             events: (events, heard),
             traffic,
             metrics,
             log,
         };
         let control = Control::new(parts, executor.clone());
+        control.answer_peers(peers);
         smol::block_on(executor.run(control.run()));
     };
     thread::Builder::new().name("control".into()).spawn(control).context(ThreadSnafu)?;
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -47,6 +47,15 @@
         Ok(Self { listener, limits, open: Rc::default() })
     }
 
+    /// Takes over a socket that listens already, such as one that another thread has opened.
+    ///
+    /// # Errors
+    ///
+    /// The socket cannot be used without blocking.
+    pub fn from_socket(socket: TcpListener, limits: Rc<Cell<ServerLimits>>) -> io::Result<Self> {
+        Ok(Self { listener: Async::new(socket)?, limits, open: Rc::default() })
+    }
+
     /// Where it listens.
     ///
     /// # Errors
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -21,6 +21,8 @@
         ready_listen: SocketAddr = Kind::Address;
         /// Where callers ask which address to use.
         lookup_listen: SocketAddr = Kind::Address;
+        /// Where other nodes follow this one.
+        peer_listen: SocketAddr = Kind::Address;
         /// Where metrics are served.
         metrics_listen: SocketAddr = Kind::Address;
         /// Where the platform's store answers.
