gateway: a relay that is cut off holds its followers for a second at most

Change: questions to relays and their own watches are short, and a relay vouches for 1.5 s after it last heard of the store.

--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -68,9 +68,9 @@
 
 /// How long a relay may not have heard of the store before it vouches for nothing, in milliseconds.
 ///
-/// A watch answers at least each two seconds and a half; a relay that is cut off from the store must
-/// not hold those that are not.
-const HEARD_MS: u64 = 3_500;
+/// A watch of a relay answers at least each second, also while the store is slow; a relay that is cut
+/// off from the store must not hold those that are not.
+const HEARD_MS: u64 = 1_500;
 
 impl ChangeLog {
     /// Knows nothing.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -10,7 +10,7 @@
 use smol::Timer;
 
 use crate::control::event::{ControlEvent, Fed, FeedNews};
-use crate::control::relay::{Relay, RelayAddress, ask_relay};
+use crate::control::relay::{ANSWER_SLACK_MS, Relay, RelayAddress, ask_relay};
 
 /// Pause after a call that the store did not answer or refused.
 ///
@@ -32,6 +32,25 @@
 /// on a relay, whose followers wait for it.
 const GATHER_FORMING: Duration = Duration::from_millis(20);
 
+/// How long a watch of a relay waits at the store, in milliseconds.
+///
+/// A relay that is cut off from the store vouches for its followers until one of its watches should
+/// have answered, so its watches are short: followers learn of a change within two seconds all the
+/// same.
+const RELAY_WATCH_MS: u64 = 800;
+
+/// How long a question to a relay waits there, in milliseconds.
+///
+/// Guards against a relay that is cut off in silence: with two seconds and a half for an answer its
+/// followers missed a configuration for longer than it may take; now they ask the store after one.
+const RELAY_WAIT_MS: u64 = 700;
+
+/// Time within which a change must be in force on every node, in milliseconds.
+const IN_FORCE_MS: u64 = 2_000;
+
+// A relay that was cut off in silence is given up, and the store asked, well before that.
+const _: () = assert!(RELAY_WAIT_MS + ANSWER_SLACK_MS + RELAY_WATCH_MS < IN_FORCE_MS);
+
 /// How long the store is asked after a relay did not answer or vouched for nothing.
 const DIRECT: Duration = Duration::from_secs(3);
 
@@ -85,7 +104,7 @@
 
     async fn ask_relay(&mut self, relay: &RelayAddress) {
         self.relay.silence(self.fed);
-        let answer = ask_relay(&self.channels, relay, self.fed, self.from, self.wait_ms).await;
+        let answer = ask_relay(&self.channels, relay, self.fed, self.from, RELAY_WAIT_MS).await;
         match answer {
             Some(RelayAnswer::Listed { version, objects, after_outage }) => {
                 let after_outage = self.succeeded() || after_outage;
@@ -105,7 +124,8 @@
         let request = match self.from {
             None => StoreRequest::List { prefix: self.prefix.clone() },
             Some(from) => {
-                StoreRequest::Watch { prefix: self.prefix.clone(), from, wait_ms: self.wait_ms }
+                let wait_ms = if self.pace.is_relay.get() { RELAY_WATCH_MS } else { self.wait_ms };
+                StoreRequest::Watch { prefix: self.prefix.clone(), from, wait_ms }
             }
         };
         match self.client.call(&request).await {
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -17,10 +17,10 @@
 use crate::control::event::{Fed, FeedNews};
 use crate::traffic::AnswerBody;
 
-/// How much longer than its wait a relay's answer may take.
+/// How much longer than its wait a relay's answer may take, in milliseconds.
 ///
 /// A relay that died or was cut off is left for the store after it.
-const ANSWER_SLACK: Duration = Duration::from_millis(500);
+pub(crate) const ANSWER_SLACK_MS: u64 = 300;
 
 /// What this node keeps for those that follow it, one log for each kind.
 #[derive(Clone, Debug)]
@@ -169,7 +169,7 @@
     let token = HeaderValue::from_str(&format!("Bearer {}", relay.token)).ok()?;
     request.headers_mut().insert(AUTHORIZATION, token);
     let late = async {
-        Timer::after(Duration::from_millis(wait_ms) + ANSWER_SLACK).await;
+        Timer::after(Duration::from_millis(wait_ms + ANSWER_SLACK_MS)).await;
         None
     };
     let exchange = async {
