--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -150,7 +150,7 @@
         if let Some(accused) = &head.accused {
             let gate = &self.exchange.gate;
             gate.tell_control(TrafficNews::Accused(accused.clone()));
-            gate.suspected(&self.routable.name, "its head names a lost member");
+            gate.refuses(&self.routable.name);
         }
         AttemptEnd::Broken(Verdict::NotRun)
     }
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -164,6 +164,18 @@
         self.tell_control(TrafficNews::Suspected(key.clone()));
     }
 
+    /// Keeps new requests away from a replica whose head refuses them for want of a member.
+    ///
+    /// Guards against streams broken for nothing: a head that finishes its work refuses in the same
+    /// words as one that has lost a member, and what it has goes on to its end. A head that has lost
+    /// one breaks its streams off itself.
+    pub(crate) fn refuses(&self, name: &RoutableName) {
+        self.state.borrow_mut().keep_away(self.now(), name);
+        let RoutableName::Replica(key) = name else { return };
+        info!(self.log, "replica refuses";
+            "replica" => key.replica.as_str(), "generation" => key.generation.get());
+    }
+
     /// Tells the control thread; it reads faster than requests come, and a loss is only a delay.
     pub(crate) fn tell_control(&self, news: TrafficNews) {
         self.news.try_send(news).unwrap_or_default();
--- a/crates/gateway/src/traffic/gate_state.rs
+++ b/crates/gateway/src/traffic/gate_state.rs
@@ -175,6 +175,12 @@
         }
     }
 
+    /// Stops sending to a replica for a while; what it has goes on.
+    pub(crate) fn keep_away(&mut self, now: TimeMs, name: &RoutableName) {
+        self.progress.suspect(now, name);
+        self.refresh(now);
+    }
+
     /// Requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
