--- a/crates/entry/src/args/parse.rs
+++ b/crates/args/src/args.rs
@@ -1,39 +1,10 @@
 use std::ffi::OsString;
 
 use pico_args::Arguments;
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 
-/// What `--help` prints.
-pub const HELP: &str = "\
-celeryhaven-entry: takes callers' requests and routes them to whole replicas
-
-Usage: celeryhaven-entry --settings FILE [--check]
-
-  --settings FILE  process settings in YAML (docs/SETTINGS.md)
-  --check          check the settings and exit
-  --help           print this
-  --version        print the version
-
-Exit codes: 0 left in order, or the check passed; 1 a failure; 2 a wrong command line;
-3 wrong settings.
-";
-
-/// What is wrong with a command line.
-#[derive(Debug, Snafu)]
-pub enum ArgsError {
-    /// An option is missing or malformed.
-    #[snafu(display("{source}; see --help"))]
-    Option {
-        /// What.
-        source: pico_args::Error,
-    },
-    /// Something is left over.
-    #[snafu(display("`{}` is not an option; see --help", left.to_string_lossy()))]
-    Unknown {
-        /// What.
-        left: OsString,
-    },
-}
+use crate::ArgsError;
+use crate::error::{OptionSnafu, UnknownSnafu};
 
 /// What a command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,8 +28,12 @@
 impl Args {
     /// Reads a command line without its program name.
     ///
+    /// # Errors
+    ///
+    /// An option is missing, malformed or unknown.
+    ///
     /// ```
-    /// use celeryhaven_entry::Args;
+    /// use celeryhaven_args::Args;
     /// let args = Args::parse(vec!["--settings".into(), "entry.yaml".into()]).unwrap();
     /// assert_eq!(args, Args::Run { settings: "entry.yaml".into() });
     /// ```
--- /dev/null
+++ b/crates/args/src/lib.rs
@@ -0,0 +1,9 @@
+//! The command line of programs that serve from a settings file.
+
+mod args;
+mod error;
+mod help;
+
+pub use args::Args;
+pub use error::ArgsError;
+pub use help::help;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! | module | what it holds |
 //! |---|---|
-//! | [`args`] | the command line |
 //! | [`process`] | starting, leaving |
 //! | `control` | the thread that drives the node's state machine |
 //! | `exchange` | one caller's request and its answer, between threads |
@@ -14,7 +13,6 @@
 //! answers move on other threads; they tell the control thread what happened and carry out what it
 //! decides.
 
-pub mod args;
 mod control;
 mod exchange;
 pub mod forward;
@@ -22,5 +20,4 @@
 mod peer;
 pub mod process;
 
-pub use args::Args;
 pub use process::{EntryProcess, ProcessError};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,19 +2,22 @@
 
 use std::process::ExitCode;
 
-use celeryhaven_entry::args::HELP;
+use celeryhaven_args::{Args, help};
 use celeryhaven_entry::process::leave_on_signal;
-use celeryhaven_entry::{Args, EntryProcess, ProcessError};
+use celeryhaven_entry::{EntryProcess, ProcessError};
 use celeryhaven_settings::EntrySettings;
 use celeryhaven_telemetry::open_log;
 
+/// What the program is for, in its help.
+const PURPOSE: &str = "takes callers' requests and routes them to whole replicas";
+
 const FAILED: u8 = 1;
 const WRONG_COMMAND_LINE: u8 = 2;
 const WRONG_SETTINGS: u8 = 3;
 
 fn main() -> ExitCode {
     match Args::parse(std::env::args_os().skip(1).collect()) {
-        Ok(Args::Help) => print!("{HELP}"),
+        Ok(Args::Help) => print!("{}", help("celeryhaven-entry", PURPOSE)),
         Ok(Args::Version) => println!("celeryhaven-entry {}", env!("CARGO_PKG_VERSION")),
         Ok(Args::Check { settings }) => match EntrySettings::load(&settings) {
             Ok(_) => println!("{settings}: ok"),
--- a/crates/gateway/src/args/mod.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! The command line.
-
-mod parse;
-
-pub use parse::{Args, ArgsError, help};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,14 +7,12 @@
 //! | module | what it holds |
 //! |---|---|
 //! | [`adapter`] | what a platform's adapter translates |
-//! | [`args`] | the command line |
 //! | [`process`] | starting, leaving |
 //! | `control` | the control thread: feeds from the store, deciders of domains, what traffic may use |
 //! | `traffic` | requests: admission, attempts, streams, cancels |
 //! | `http` | the listeners |
 
 pub mod adapter;
-pub mod args;
 mod control;
 mod http;
 pub mod process;
@@ -24,5 +22,4 @@
     Adapter, AddressAnswer, AddressQuestion, AnswerHead, CallerHead, Paths, ReportedLoad, Sending,
     TargetCall, Unreadable,
 };
-pub use args::Args;
 pub use process::{ProcessError, run, run_program};
--- a/crates/gateway/src/process/main_function.rs
+++ b/crates/gateway/src/process/main_function.rs
@@ -1,12 +1,15 @@
 use std::process::ExitCode;
 
+use celeryhaven_args::{Args, help};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_telemetry::open_log;
 
 use crate::adapter::Adapter;
-use crate::args::{Args, help};
 use crate::process::run;
 
+/// What the program is for, in its help.
+const PURPOSE: &str = "takes callers' requests and forms the replicas that answer them";
+
 const FAILED: u8 = 1;
 const WRONG_COMMAND_LINE: u8 = 2;
 const WRONG_SETTINGS: u8 = 3;
@@ -18,7 +21,7 @@
         ExitCode::from(code)
     };
     match Args::parse(std::env::args_os().skip(1).collect()) {
-        Ok(Args::Help) => print!("{}", help(program)),
+        Ok(Args::Help) => print!("{}", help(program, PURPOSE)),
         Ok(Args::Version) => println!("{program} {}", env!("CARGO_PKG_VERSION")),
         Ok(Args::Check { settings }) => match GatewaySettings::load(&settings) {
             Ok(_) => println!("{settings}: ok"),
