--- a/crates/fleet/src/config/engine.rs
+++ b/crates/fleet/src/config/engine.rs
@@ -14,8 +14,6 @@
         pub prefill_tokens_per_ms: f64,
         /// Tokens that one event of a stream holds.
         pub tokens_per_event: u32,
-        /// Time from an order to open until the replica serves, in milliseconds.
-        pub open_ms: u64,
         /// Loads that may start in a second, over all targets.
         pub loads_per_s: f64,
         /// The models that its targets can serve.
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -81,7 +81,6 @@
         step_ms_per_request: 0.1,
         prefill_tokens_per_ms: 45.9,
         tokens_per_event: 5,
-        open_ms: 300,
         loads_per_s: 5.0,
         models: vec![model("large", 4), model("small", 2)],
     }
--- a/crates/gateway/src/adapter/adapter_trait.rs
+++ b/crates/gateway/src/adapter/adapter_trait.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::adapter::{
-    AddressAnswer, AddressQuestion, AnswerHead, CallerHead, Paths, Sending, TargetCall, Unreadable,
+    AddressAnswer, AnswerHead, CallerHead, Paths, Sending, TargetCall, Unreadable,
 };
 
 /// Translates between one platform and the product.
@@ -42,9 +42,6 @@
     /// The paths that the platform uses.
     fn paths(&self) -> Paths;
 
-    /// Reads the query of a caller that asks for addresses.
-    fn address_question(&self, query: &str) -> AddressQuestion;
-
     /// An answer for a caller that asks for addresses, as JSON.
     fn address_answer(&self, answer: &AddressAnswer<'_>) -> String;
 
--- a/crates/gateway/src/adapter/messages.rs
+++ b/crates/gateway/src/adapter/messages.rs
@@ -15,13 +15,6 @@
         pub report: &'static str,
     }
 
-    /// What a caller asks about addresses.
-    #[derive(Eq)]
-    pub struct AddressQuestion {
-        /// The caller's data centre, if it says.
-        pub data_centre: Option<String>,
-    }
-
     /// What the head of a caller's request says beside its method and path.
     #[derive(Default, Eq)]
     pub struct CallerHead {
--- a/crates/gateway/src/adapter/mod.rs
+++ b/crates/gateway/src/adapter/mod.rs
@@ -6,7 +6,6 @@
 
 pub use adapter_trait::Adapter;
 pub use messages::{
-    AddressAnswer, AddressQuestion, AnswerHead, CallerHead, Paths, ReportedLoad, Sending,
-    TargetCall,
+    AddressAnswer, AnswerHead, CallerHead, Paths, ReportedLoad, Sending, TargetCall,
 };
 pub use unreadable::Unreadable;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod traffic;
 
 pub use adapter::{
-    Adapter, AddressAnswer, AddressQuestion, AnswerHead, CallerHead, Paths, ReportedLoad, Sending,
-    TargetCall, Unreadable,
+    Adapter, AddressAnswer, AnswerHead, CallerHead, Paths, ReportedLoad, Sending, TargetCall,
+    Unreadable,
 };
 pub use process::{ProcessError, run, run_program};
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -73,11 +73,6 @@
         }
     }
 
-    /// Closes the idle channels to a target, such as one that has left.
-    pub fn forget(&self, address: SocketAddr) {
-        self.idle.borrow_mut().remove(&address);
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<Channel> {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&address)?;
