settings: limits of the platform may have fractions

Cause: the template fills in figures that may have fractions (53.8 repeated sends on a twin of the grown site); whole numbers only were accepted, and every process ended before it listened. Ruled out: rounding in the template, which has no such function.

--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -133,8 +133,8 @@
 ) -> Result<(), ProcessError> {
     let Parts { settings, adapter, metrics, log, events } = parts;
     let (news, heard) = unbounded();
-    let earned = f64::from(settings.retry_permille) / 1_000.0 * RETRY_PART;
-    let extra = f64::from(settings.retry_extra) * RETRY_PART / RETRY_POOLS;
+    let earned = settings.retry_ratio * RETRY_PART;
+    let extra = settings.retry_extra * RETRY_PART / RETRY_POOLS;
     let state = GateState::new(seed, earned, extra);
     let channels = ChannelPool::new(executor.clone(), TARGET_CHANNELS);
     let gate = Gate::new(adapter, executor.clone(), channels, state, metrics, log.clone(), news);
@@ -155,7 +155,7 @@
 
 /// Serves on while callers hold old address answers, then ends connections and exchanges.
 async fn leave(settings: &GatewaySettings, stop: &StopSignal, open: &Cell<usize>) {
-    Timer::after(Duration::from_millis(settings.stop_ms.saturating_sub(LAST_MS))).await;
+    Timer::after(settings.stop().saturating_sub(Duration::from_millis(LAST_MS))).await;
     stop.stop();
     let last = Instant::now() + Duration::from_millis(LAST_MS - MARGIN_MS);
     while open.get() > 0 && Instant::now() < last {
--- a/crates/settings/src/field/kind.rs
+++ b/crates/settings/src/field/kind.rs
@@ -18,6 +18,15 @@
         /// Taken when the field is missing.
         default: u64,
     },
+    /// A number within bounds that may have a fraction.
+    Decimal {
+        /// The least that is accepted.
+        least: f64,
+        /// The most that is accepted.
+        most: f64,
+        /// Taken when the field is missing.
+        default: f64,
+    },
     /// One of some words.
     Choice {
         /// The words.
@@ -33,6 +42,11 @@
         Self::Number { least, most, default }
     }
 
+    /// A number that may have a fraction, within bounds, with a default.
+    pub const fn decimal(least: f64, most: f64, default: f64) -> Self {
+        Self::Decimal { least, most, default }
+    }
+
     /// What is accepted, in words.
     pub fn accepted(&self) -> String {
         match self {
@@ -41,6 +55,7 @@
             Self::Addresses => "a list of IP addresses and ports, such as [10.0.0.1:7100]".into(),
             Self::File => "the path of a file".into(),
             Self::Number { least, most, .. } => format!("a whole number from {least} to {most}"),
+            Self::Decimal { least, most, .. } => format!("a number from {least} to {most}"),
             Self::Choice { words, .. } => format!("one of {}", words.join(", ")),
         }
     }
@@ -51,6 +66,7 @@
             Self::Name | Self::Address | Self::File => None,
             Self::Addresses => Some("[]".into()),
             Self::Number { default, .. } => Some(default.to_string()),
+            Self::Decimal { default, .. } => Some(default.to_string()),
             Self::Choice { default, .. } => Some((*default).into()),
         }
     }
--- a/crates/settings/src/field/spec.rs
+++ b/crates/settings/src/field/spec.rs
@@ -2,6 +2,14 @@
 use crate::field::{FromNode, Kind};
 use crate::yaml::{Document, Located, Node};
 
+/// Suffixes of names with their units; the longer one first where two fit.
+const UNITS: [(&str, &str); 4] = [
+    ("_ms", "milliseconds"),
+    ("_bytes_per_s", "bytes a second"),
+    ("_s", "seconds"),
+    ("_bytes", "bytes"),
+];
+
 /// One setting: its name, what it accepts and what it means.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Field {
@@ -22,9 +30,7 @@
     /// assert_eq!(field.unit(), Some("milliseconds"));
     /// ```
     pub fn unit(&self) -> Option<&'static str> {
-        [("_ms", "milliseconds"), ("_bytes_per_s", "bytes a second"), ("_bytes", "bytes")]
-            .into_iter()
-            .find_map(|(suffix, unit)| self.name.ends_with(suffix).then_some(unit))
+        UNITS.into_iter().find_map(|(suffix, unit)| self.name.ends_with(suffix).then_some(unit))
     }
 }
 
--- a/crates/settings/src/field/value.rs
+++ b/crates/settings/src/field/value.rs
@@ -31,6 +31,13 @@
     }
 }
 
+impl FromNode for f64 {
+    fn from_node(node: &Node, kind: &Kind) -> Option<Self> {
+        let Kind::Decimal { least, most, .. } = kind else { return None };
+        node.as_text()?.parse().ok().filter(|value| (least..=most).contains(&value))
+    }
+}
+
 impl FromNode for SocketAddr {
     fn from_node(node: &Node, _kind: &Kind) -> Option<Self> {
         node.as_text()?.parse().ok()
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use celeryhaven_types::{DataCentreName, NodeName};
 
@@ -30,11 +31,11 @@
         /// How long callers may keep an address answer.
         address_ttl_ms: u64 = Kind::number(100, 600_000, 2_000);
         /// Time from the signal to stop until the process is ended by force.
-        stop_ms: u64 = Kind::number(1_000, 600_000, 8_000);
-        /// Repeated sends that all nodes together may make, in thousandths of the requests.
-        retry_permille: u32 = Kind::number(0, 1_000, 200);
+        stop_s: f64 = Kind::decimal(1.0, 600.0, 8.0);
+        /// Repeated sends that all nodes together may make, as a share of the requests.
+        retry_ratio: f64 = Kind::decimal(0.0, 1.0, 0.2);
         /// Repeated sends beyond that which may be saved up, all nodes together.
-        retry_extra: u32 = Kind::number(0, 1_000_000, 100);
+        retry_extra: f64 = Kind::decimal(0.0, 1e6, 100.0);
         /// How long a call to the store may take.
         store_timeout_ms: u64 = Kind::number(50, 60_000, 700);
         /// How long a watch of the store waits for a change.
@@ -44,13 +45,20 @@
     }
 }
 
+impl GatewaySettings {
+    /// Time from the signal to stop until the process is ended by force.
+    pub fn stop(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_s)
+    }
+}
+
 /// Address answers that callers still hold must have run out before the process ends.
 fn stop_is_long_enough(
     settings: &GatewaySettings,
     document: &Document,
 ) -> Result<(), SettingsError> {
-    match settings.stop_ms > 2 * settings.address_ttl_ms {
+    match settings.stop().as_millis() > 2 * u128::from(settings.address_ttl_ms) {
         true => Ok(()),
-        false => Err(document.value_error("stop_ms", "more than twice address_ttl_ms")),
+        false => Err(document.value_error("stop_s", "more than twice address_ttl_ms")),
     }
 }
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use celeryhaven_settings::{ControllerSettings, EntrySettings, LogLevel};
+use celeryhaven_settings::{ControllerSettings, EntrySettings, GatewaySettings, LogLevel};
 
 const ENTRY: &str = "node: entry-1
 data_centre: riga-a
@@ -17,6 +17,16 @@
 authority_file: authority.pem
 ";
 
+const GATEWAY: &str = "node: front-1
+data_centre: riga-a
+caller_listen: 127.0.0.1:7000
+ready_listen: 127.0.0.1:7001
+lookup_listen: 127.0.0.1:7002
+peer_listen: 127.0.0.1:7100
+metrics_listen: 127.0.0.1:9464
+store: 127.0.0.1:7900
+";
+
 fn entry_error(text: &str) -> String {
     EntrySettings::from_yaml("entry.yaml", text).unwrap_err().to_string()
 }
@@ -117,3 +127,37 @@
         error.starts_with("controller.yaml:10: `lease_ttl_ms` is `5000`; write at least twice")
     );
 }
+
+/// An installation whose limits have fractions.
+///
+/// No gateway of it started: the template filled in a limit of 53.8 repeated sends, settings took
+/// whole numbers only, and every process ended before it listened.
+#[test]
+fn gateway_limits_with_fractions() {
+    let text =
+        format!("{GATEWAY}stop_s: 7.5\nretry_ratio: 0.125\nretry_extra: 53.80952380952381\n");
+    let settings = GatewaySettings::from_yaml("gateway.yaml", &text).unwrap();
+    assert_eq!(settings.stop().as_millis(), 7_500);
+    assert_eq!((settings.retry_ratio, settings.retry_extra), (0.125, 53.80952380952381));
+}
+
+#[test]
+fn gateway_whole_limits() {
+    let text = format!("{GATEWAY}stop_s: 8\nretry_ratio: 1\nretry_extra: 107\n");
+    let settings = GatewaySettings::from_yaml("gateway.yaml", &text).unwrap();
+    assert_eq!((settings.stop_s, settings.retry_ratio, settings.retry_extra), (8.0, 1.0, 107.0));
+}
+
+#[test]
+fn gateway_bad_decimals() {
+    let cases = [
+        ("retry_ratio: 1.5", "write a number from 0 to 1"),
+        ("retry_extra: NaN", "write a number from 0 to 1000000"),
+        ("stop_s: 4", "write more than twice address_ttl_ms"),
+    ];
+    for (line, advice) in cases {
+        let error = GatewaySettings::from_yaml("gateway.yaml", &format!("{GATEWAY}{line}\n"));
+        let text = error.unwrap_err().to_string();
+        assert!(text.contains(advice), "{text}");
+    }
+}
