gateway: a line for an order names domain, replica and model

Purpose: to see from the log what every target is for, second by second; it showed that up to 34 loads ran at once where the weights store takes 7 at full speed.

--- a/crates/fleet/src/target/order.rs
+++ b/crates/fleet/src/target/order.rs
@@ -79,6 +79,25 @@
             Self::Stage { .. } => "stage",
         }
     }
+
+    /// The replica that it is about.
+    pub const fn replica(&self) -> Option<&ReplicaName> {
+        match self {
+            Self::Join { replica, .. }
+            | Self::Open { replica, .. }
+            | Self::Close { replica, .. }
+            | Self::Leave { replica, .. } => Some(replica),
+            Self::Stage { .. } => None,
+        }
+    }
+
+    /// The model that the target is to serve or load.
+    pub const fn model(&self) -> Option<&ModelName> {
+        match self {
+            Self::Join { model, .. } | Self::Stage { model } => Some(model),
+            Self::Open { .. } | Self::Close { .. } | Self::Leave { .. } => None,
+        }
+    }
 }
 
 impl OrderOutcome {
--- a/crates/gateway/src/control/carrying.rs
+++ b/crates/gateway/src/control/carrying.rs
@@ -3,7 +3,7 @@
 use celeryhaven_forming::{DomainRecord, FormingAction, FormingEvent, OrderCall, Reachability};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
 use celeryhaven_types::store::ObjectVersion;
-use celeryhaven_types::{DomainName, VmName};
+use celeryhaven_types::{DomainName, ModelName, ReplicaName, VmName};
 use slog::info;
 
 use crate::adapter::Adapter;
@@ -64,8 +64,10 @@
             };
             let label = OutcomeLabel { call: order.as_str(), outcome: outcome.as_str() };
             orders.get_or_create(&label).inc();
-            info!(log, "order"; "target" => target.as_str(), "order" => order.as_str(),
-                "outcome" => outcome.as_str());
+            info!(log, "order"; "domain" => domain.as_str(), "target" => target.as_str(),
+                "order" => order.as_str(), "outcome" => outcome.as_str(),
+                "replica" => order.replica().map(ReplicaName::as_str),
+                "model" => order.model().map(ModelName::as_str));
             let event = FormingEvent::Ordered { call, outcome };
             events.send(ControlEvent::Forming(domain, event)).await.unwrap_or_default();
         };
