forming: loads take turns, and survivors of a replica keep their model

Cause: deciders staged every free target at sight, up to 34 loads at once where the weights store takes 7 at full speed, so each took 40 to 90 s in place of 12 to 16; survivors of a broken replica, seen while they left one after another, were told to load another model. Change: the number of loads side by side is read from the configuration and shared out over the domains; what brings most targets back for each second of loading comes first; members about to be free count as there; a warm host changes its model only where that one load makes a replica whole; the record says that callers are served, so that a restart of all nodes does not take loads for free.

--- a/crates/fleet/src/config/engine.rs
+++ b/crates/fleet/src/config/engine.rs
@@ -16,6 +16,8 @@
         pub tokens_per_event: u32,
         /// Loads that may start in a second, over all targets.
         pub loads_per_s: f64,
+        /// Loads that run side by side at full speed, over all targets; more share that speed.
+        pub loads_at_once: f64,
         /// The models that its targets can serve.
         pub models: Vec<ModelProfile>,
     }
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -4,6 +4,7 @@
 use crate::domain::DomainFormer;
 use crate::domain::former::RecordState;
 use crate::interface::FormingView;
+use crate::record::PlannedReplica;
 
 /// How fast a free target can serve a model; the least is the fastest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,16 +62,20 @@
     /// Targets that a formation or a plan already counts on.
     fn taken(&self) -> Set<VmName> {
         let forming = self.formations.values().flat_map(|formation| formation.members.iter());
-        let planned = match &self.record {
-            RecordState::Writing(record) => record.replicas.as_slice(),
-            _ => &[],
-        };
-        let planned = planned.iter().filter(|plan| plan.generation.is_none());
         let announced = self.announced.values().flat_map(|(members, _)| members.iter());
         forming
             .chain(announced)
-            .chain(planned.flat_map(|plan| plan.members.iter()))
+            .chain(self.being_planned().flat_map(|plan| plan.members.iter()))
             .cloned()
             .collect()
     }
+
+    /// Plans that are being written.
+    pub(crate) fn being_planned(&self) -> impl Iterator<Item = &PlannedReplica> {
+        let plans = match &self.record {
+            RecordState::Writing(record) => record.replicas.as_slice(),
+            _ => &[],
+        };
+        plans.iter().filter(|plan| plan.generation.is_none())
+    }
 }
--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -5,6 +5,7 @@
 mod former;
 mod free;
 mod loads;
+mod needs;
 mod orders;
 mod planning;
 mod reach;
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -29,7 +29,9 @@
         let RecordState::Known(record) = &self.record else { return };
         let kept = record.replicas.iter().filter(|plan| self.may_exist(view, plan));
         let replicas = kept.cloned().chain(plans).collect();
-        let record = DomainRecord { decider: Some(self.node.clone()), replicas };
+        let decider = Some(self.node.clone());
+        let serves_callers = self.serves_callers(view) == Some(true);
+        let record = DomainRecord { decider, serves_callers, replicas };
         self.record = RecordState::Writing(record.clone());
         out.push(FormingAction::WriteRecord { record });
     }
@@ -54,8 +56,9 @@
                 *held.entry(model.clone()).or_default() += 1;
             }
         }
-        for formation in self.formations.values() {
-            *held.entry(formation.model.clone()).or_default() += 1;
+        let forming = self.formations.values().map(|formation| &formation.model);
+        for model in forming.chain(self.being_planned().map(|plan| &plan.model)) {
+            *held.entry(model.clone()).or_default() += 1;
         }
         held
     }
@@ -78,7 +81,7 @@
         }
         // Loads are cheap before callers come; later a target is staged first and joins warm.
         let forming = self.formations.values().any(|formation| !self.is_warm(view, formation));
-        if view.traffic_seen || forming {
+        if self.serves_callers(view) != Some(false) || forming {
             return None;
         }
         let first = wanted
@@ -90,6 +93,20 @@
         pick(free, cold, Warmth::Cold)
     }
 
+    /// Whether callers are served, so that loads take their whole time; `None` if that is not known.
+    ///
+    /// Guards against a restart of every node: none has seen a request yet, and each would load all
+    /// that its domain lacks at once. An earlier decider has left word in the record.
+    pub(crate) fn serves_callers(&self, view: FormingView<'_>) -> Option<bool> {
+        match &self.record {
+            _ if view.traffic_seen => Some(true),
+            RecordState::Known(record) | RecordState::Writing(record) => {
+                Some(record.serves_callers)
+            }
+            RecordState::Unknown | RecordState::Reading => None,
+        }
+    }
+
     fn is_warm(
         &self,
         view: FormingView<'_>,
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -60,7 +60,6 @@
                 model: plan.model.clone(),
                 members: plan.members.clone(),
             };
-            self.staging.remove(member);
             self.send(member.clone(), order, out);
         }
     }
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -1,19 +1,18 @@
-use std::collections::BTreeMap;
-
-use celeryhaven_fleet::{TargetEntry, TargetOrder};
+use celeryhaven_fleet::{TargetEntry, TargetOrder, TargetPhase};
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
 use crate::domain::DomainFormer;
 use crate::domain::free::{Warmth, warmth};
+use crate::domain::needs::Needs;
 use crate::interface::{FormingAction, FormingView};
-use crate::mix::ModelCount;
 
 impl DomainFormer {
     /// Stages a model on free targets, so that they join within two seconds when a replica breaks.
     ///
     /// Load: targets that are lost every few seconds, and empty ones that come. Harm: an empty one
     /// needs a whole load when it is wanted, and its replica is down for as long. Limit: within the
-    /// rate of loads; before callers come it waits for the formations.
+    /// rate of loads, and no more at once than this domain's part of what the weights store does at
+    /// full speed, since loads beyond that share it; before callers come it waits for the formations.
     pub(crate) fn stage_free(
         &mut self,
         now: TimeMs,
@@ -22,14 +21,18 @@
     ) {
         self.staging.retain(|name, (model, until)| {
             let entry = view.fleet.target(name);
-            *until > now && entry.is_some_and(|entry| warmth(entry, model) == Warmth::Cold)
+            let is_sound = !self.unreachable.contains_key(name);
+            let is_loading = |entry| warmth(entry, model) == Warmth::Cold;
+            *until > now && is_sound && entry.is_some_and(is_loading)
         });
         self.unstageable.retain(|_, until| *until > now);
-        if !view.traffic_seen && !self.formations.is_empty() {
+        let Some(serves) = self.serves_callers(view) else { return };
+        if !serves && !self.formations.is_empty() {
             return;
         }
-        for (target, model) in self.unmet_needs(view) {
-            if view.traffic_seen && !self.loads.take(now, 1) {
+        for (target, model) in self.loads_wanted(view) {
+            let is_full = self.staging.len() >= self.settings.loads_under_way_max;
+            if serves && (is_full || !self.loads.take(now, 1)) {
                 return;
             }
             let load_ms = view.profile.model(&model).map_or(0, |model| model.load_ms);
@@ -45,87 +48,69 @@
         self.unstageable.insert(target.clone(), now.after(self.settings.stage_again_ms));
     }
 
-    /// Free targets that should stage a model, and which.
-    fn unmet_needs(&self, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
-        let mut free: BTreeMap<&VmName, &TargetEntry> =
-            self.free_targets(view).into_iter().map(|entry| (&entry.name, entry)).collect();
+    /// Free targets that should stage a model, and which; what brings most for its load first.
+    ///
+    /// Members of replicas that are being taken apart count as there, since they are free in a
+    /// moment: without them, survivors of one broken replica were told to load another model, and
+    /// half of all loads began on hosts that joined their own model again at once.
+    fn loads_wanted(&self, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
+        let free = self.free_targets(view);
+        let mut pool = Pool(free.iter().copied().chain(self.soon_free(view)).collect());
         let wanted = self.wanted(view);
-        let needs = needs(&wanted, &self.held(view), free.len());
+        let models: Vec<ModelName> = wanted.iter().map(|count| count.model.clone()).collect();
+        let mut needs = Needs::new(wanted, &self.held(view), view.profile, pool.0.len());
         let mut unmet = Vec::new();
-        for model in needs {
-            let warm = free.values().find(|entry| self.is_or_gets_warm(entry, &model));
-            match warm.map(|entry| &entry.name) {
-                Some(name) => {
-                    free.remove(name);
-                }
-                None => unmet.push(model),
-            }
+        while let Some(need) = needs.next(|model| pool.warm(self, model)) {
+            let lacking = need.targets - pool.take_warm(self, &need.model, need.targets);
+            let may_convert = need.is_replica && lacking == 1;
+            unmet.extend(std::iter::repeat_n((need.model, may_convert), lacking));
         }
-        let mut left: Vec<_> = free
-            .into_values()
-            .filter(|entry| !self.staging.contains_key(&entry.name))
-            .filter(|entry| !self.unstageable.contains_key(&entry.name))
-            .collect();
-        // Empty hosts first: nothing is lost by staging there.
-        left.sort_by_key(|entry| !entry.staged.is_empty());
-        left.iter().map(|entry| entry.name.clone()).zip(unmet).collect()
+        let mut hosts: Vec<&TargetEntry> = pool.0;
+        hosts.retain(|entry| free.iter().any(|free| free.name == entry.name));
+        hosts.retain(|entry| !self.staging.contains_key(&entry.name));
+        hosts.retain(|entry| !self.unstageable.contains_key(&entry.name));
+        let is_empty =
+            |entry: &&TargetEntry| models.iter().all(|model| warmth(entry, model) == Warmth::Cold);
+        let (mut empty, mut warm): (Vec<_>, Vec<_>) = hosts.into_iter().partition(is_empty);
+        let pick = |(model, may_convert): (ModelName, bool)| {
+            let host = empty.pop().or_else(|| may_convert.then(|| warm.pop()).flatten());
+            host.map(|entry| (entry.name.clone(), model))
+        };
+        unmet.into_iter().filter_map(pick).collect()
+    }
+
+    /// Targets that are about to leave a replica.
+    fn soon_free<'a>(&self, view: FormingView<'a>) -> impl Iterator<Item = &'a TargetEntry> {
+        let waiting = self.dissolving.values().flat_map(|dissolving| dissolving.waiting.iter());
+        let sound = waiting.filter(|name| !self.unreachable.contains_key(*name));
+        let listed = sound.filter_map(move |name| view.fleet.target(name));
+        listed.filter(|entry| entry.phase == TargetPhase::Ready)
     }
 
     fn is_or_gets_warm(&self, entry: &TargetEntry, model: &ModelName) -> bool {
-        let staging = self.staging.get(&entry.name);
-        match staging {
-            Some((staged, _)) => staged == model,
-            None => warmth(entry, model) != Warmth::Cold,
-        }
+        let stages = self.staging.get(&entry.name).is_some_and(|(staged, _)| staged == model);
+        stages || warmth(entry, model) != Warmth::Cold
     }
 }
 
-/// Members that a domain may lose while a load of many seconds is under way.
-///
-/// Seen on days of steady loss: two targets of a data centre's twenty every three seconds.
-const LOSSES_PER_LOAD: f64 = 1.5;
+/// Targets that no need counts on yet.
+struct Pool<'a>(Vec<&'a TargetEntry>);
 
-/// The model that each of so many free targets should have, the most needed first: members that
-/// missing replicas lack, then spares.
-fn needs(
-    wanted: &[ModelCount],
-    held: &BTreeMap<ModelName, usize>,
-    targets: usize,
-) -> Vec<ModelName> {
-    let lacking = wanted.iter().flat_map(|count| {
-        let has = held.get(&count.model).copied().unwrap_or_default();
-        let members = count.replicas.saturating_sub(has) * count.size;
-        std::iter::repeat_n(count.model.clone(), members)
-    });
-    let mut needs: Vec<ModelName> = lacking.take(targets).collect();
-    let mut spares = vec![0_u32; wanted.len()];
-    while needs.len() < targets {
-        let Some(best) = most_useful_spare(wanted, &spares) else { break };
-        spares[best] += 1;
-        needs.push(wanted[best].model.clone());
+impl Pool<'_> {
+    /// How many have a model or load it.
+    fn warm(&self, former: &DomainFormer, model: &ModelName) -> usize {
+        self.0.iter().filter(|entry| former.is_or_gets_warm(entry, model)).count()
     }
-    needs
-}
 
-/// The model whose next spare saves the most: its replicas stand still for want of one member, and
-/// the larger they are the more targets stand still with it.
-fn most_useful_spare(wanted: &[ModelCount], spares: &[u32]) -> Option<usize> {
-    let members: f64 = wanted.iter().map(|count| (count.replicas * count.size) as f64).sum();
-    let saved = |(count, &spares): (&ModelCount, &u32)| {
-        let part = (count.replicas * count.size) as f64 / members.max(1.0);
-        chance_of_more(LOSSES_PER_LOAD * part, spares) * count.size.saturating_sub(1) as f64
-    };
-    let saved: Vec<f64> = wanted.iter().zip(spares).map(saved).collect();
-    (0..saved.len()).max_by(|&a, &b| saved[a].total_cmp(&saved[b]).then(b.cmp(&a)))
-}
-
-/// Chance of more than so many losses where this many are expected (Poisson).
-fn chance_of_more(expected: f64, losses: u32) -> f64 {
-    let mut term = (-expected).exp();
-    let mut up_to = term;
-    for number in 1..=losses {
-        term *= expected / f64::from(number);
-        up_to += term;
+    /// Takes up to so many that have a model or load it; how many there were.
+    fn take_warm(&mut self, former: &DomainFormer, model: &ModelName, most: usize) -> usize {
+        let before = self.0.len();
+        let mut taken = 0;
+        self.0.retain(|entry| {
+            let takes = taken < most && former.is_or_gets_warm(entry, model);
+            taken += usize::from(takes);
+            !takes
+        });
+        before - self.0.len()
     }
-    1.0 - up_to
 }
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -35,6 +35,8 @@
         pub unlisted_wait_ms: u64,
         /// Loads from the weights store that this domain may begin each second.
         pub loads_per_s: f64,
+        /// Loads of this domain that may be under way at once.
+        pub loads_under_way_max: usize,
         /// Loads that may be saved up.
         pub loads_saved_max: f64,
         /// Times of its expected load that a formation may take.
@@ -54,6 +56,7 @@
             drain_wait_ms: 10_000,
             unlisted_wait_ms: 4_000,
             loads_per_s: 0.75,
+            loads_under_way_max: 2,
             loads_saved_max: 4.0,
             load_patience: 4,
         }
@@ -61,13 +64,16 @@
 }
 
 impl FormingSettings {
-    /// Spreads the loads that may start over all domains.
+    /// Spreads the loads that may start, and those that may run side by side, over all domains.
     ///
     /// Load: a fabric domain returns, or many empty targets come. Harm: beyond its rate the weights
     /// store makes every load slower, also those that mend a replica. Limit: nine tenths of the
-    /// rate, since deciders cannot see each other's last second.
-    pub fn with_loads(mut self, loads_per_s: f64, domains: usize) -> Self {
-        self.loads_per_s = loads_per_s * 0.9 / domains.max(1) as f64;
+    /// rate, since deciders cannot see each other's last second; an equal part of the loads side by
+    /// side, and one at least, so that a domain is never without.
+    pub fn with_loads(mut self, loads_per_s: f64, loads_at_once: f64, domains: usize) -> Self {
+        let domains = domains.max(1) as f64;
+        self.loads_per_s = loads_per_s * 0.9 / domains;
+        self.loads_under_way_max = (loads_at_once / domains).round().max(1.0) as usize;
         self
     }
 }
--- a/crates/forming/src/record/domain_record.rs
+++ b/crates/forming/src/record/domain_record.rs
@@ -11,6 +11,8 @@
     pub struct DomainRecord {
         /// Who wrote it last.
         pub decider: Option<NodeName>,
+        /// Whether callers were served when it was written.
+        pub serves_callers: bool,
         /// Planned replicas that may still exist.
         pub replicas: Vec<PlannedReplica>,
     }
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -33,7 +33,8 @@
     pub listed_until: Option<TimeMs>,
     pub ready_at: Option<TimeMs>,
     pub open_at: Option<TimeMs>,
-    pub staged_at: Option<(ModelName, TimeMs)>,
+    /// What it stages, and how much of the load is left, in milliseconds at full speed.
+    pub staging: Option<(ModelName, f64)>,
     pub highest: Generation,
     /// Orders it got, in order.
     pub orders: Vec<TargetOrder>,
@@ -49,6 +50,8 @@
     pub deciders: Vec<DomainFormer>,
     versions: Vec<Option<u64>>,
     pub traffic_seen: bool,
+    /// Whether it ever was, whatever a new decider knows of it.
+    callers_came: bool,
     /// Violations of what must always hold.
     pub faults: Vec<String>,
     /// Orders that get no answer and are carried out at a later time.
@@ -82,6 +85,7 @@
         prefill_tokens_per_ms: 45.9,
         tokens_per_event: 5,
         loads_per_s: 5.0,
+        loads_at_once: 2.0,
         models: vec![model("large", 4), model("small", 2)],
     }
 }
@@ -102,6 +106,7 @@
             deciders: Vec::new(),
             versions: Vec::new(),
             traffic_seen: false,
+            callers_came: false,
             faults: Vec::new(),
             delay_orders: None,
             delayed: Vec::new(),
@@ -137,7 +142,7 @@
             listed_until: None,
             ready_at: None,
             open_at: None,
-            staged_at: None,
+            staging: None,
             highest: Generation::new(0),
             orders: Vec::new(),
         };
@@ -429,7 +434,7 @@
                 if refuses {
                     return OrderOutcome::Refused;
                 }
-                toy.staged_at = Some((model.clone(), now.after(16_000)));
+                toy.staging = Some((model.clone(), 16_000.0));
                 OrderOutcome::Accepted
             }
         }
@@ -463,6 +468,13 @@
 
     fn advance_toys(&mut self) {
         let now = self.now;
+        // Loads beyond what the weights store can do at once share its speed.
+        self.callers_came |= self.traffic_seen;
+        let share = match self.callers_came {
+            true => profile().loads_at_once / self.loads_under_way().max(1) as f64,
+            false => 1.0,
+        };
+        let loaded_ms = STEP_MS as f64 * share.min(1.0);
         for toy in self.toys.values_mut().filter(|toy| toy.alive) {
             if let Some(member) = toy.entry.membership.as_mut() {
                 if toy.ready_at.is_some_and(|at| at <= now) {
@@ -474,9 +486,10 @@
                     member.state = MemberState::Open;
                 }
             }
-            if toy.staged_at.as_ref().is_some_and(|(_, at)| *at <= now)
-                && let Some((model, _)) = toy.staged_at.take()
-            {
+            if let Some((_, left_ms)) = toy.staging.as_mut() {
+                *left_ms -= loaded_ms;
+            }
+            if let Some((model, _)) = toy.staging.take_if(|(_, left_ms)| *left_ms <= 0.0) {
                 toy.entry.staged = vec![model];
             }
         }
@@ -507,6 +520,19 @@
         assert!(self.faults.is_empty(), "{:?}", self.faults);
     }
 
+    /// Targets that stage a model now.
+    pub fn loads_under_way(&self) -> usize {
+        self.toys.values().filter(|toy| toy.alive && toy.staging.is_some()).count()
+    }
+
+    /// The model that a target was told last to stage.
+    pub fn staged_last(&self, target: &VmName) -> Option<&ModelName> {
+        self.toys[target].orders.iter().rev().find_map(|order| match order {
+            TargetOrder::Stage { model } => Some(model),
+            _ => None,
+        })
+    }
+
     /// Orders of a kind that a target got.
     pub fn count_orders(&self, target: &VmName, word: &str) -> usize {
         self.toys[target].orders.iter().filter(|order| order.as_str() == word).count()
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use celeryhaven_types::ModelName;
 use common::{World, name};
 
 fn served() -> World {
@@ -177,3 +178,91 @@
     assert!(world.probes - before <= 10, "{} probes in five seconds", world.probes - before);
     assert_eq!(world.serving()["large"], 1);
 }
+
+/// Eight empty targets come at once while callers are served. Staged all together they share the
+/// weights store's speed, and the first is warm after a minute; callers wait for replicas that one
+/// load would have made whole. Two at a time, the first two are warm after one load.
+#[test]
+fn former_loads_take_turns() {
+    let mut world = served();
+    world.run_ms(20_000);
+    (10..18).for_each(|number| world.add(number));
+    for _ in 0..200 {
+        world.run_ms(100);
+        assert!(world.loads_under_way() <= 2, "{} loads at once", world.loads_under_way());
+    }
+    let warm = (10..18).filter(|&number| !world.toys[&name(number)].entry.staged.is_empty());
+    assert!(warm.count() >= 2);
+    world.run_ms(80_000);
+    assert_eq!(world.loads_under_way(), 0);
+}
+
+/// All nodes start again while callers are served. A decider that takes this for the time before
+/// the first request stages everything at once, and each load takes many times as long.
+#[test]
+fn former_restart_loads_take_turns() {
+    let mut world = served();
+    let lost = world.members_of("small")[1].clone();
+    world.kill(&lost);
+    world.suspect(&lost);
+    world.run_ms(5_000);
+    world.traffic_seen = false;
+    world.replace_decider("entry-2");
+    // Those of the earlier decider go on.
+    let before = world.loads_under_way();
+    (10..18).for_each(|number| world.add(number));
+    for _ in 0..100 {
+        world.run_ms(100);
+        let new = world.loads_under_way().saturating_sub(before);
+        assert!(new <= 2, "{new} loads at once");
+    }
+}
+
+/// Losses leave three members of the large model and none of a small one, and empty targets come.
+/// One load makes the large replica whole, the small one needs two: staged in the order of models
+/// or of names alone, the large one would wait for loads that serve fewer callers.
+#[test]
+fn former_nearest_replica_loads_first() {
+    let mut world = served();
+    world.run_ms(20_000);
+    let spares: Vec<_> = world.toys.values().filter(|toy| toy.entry.membership.is_none()).collect();
+    let spares: Vec<_> = spares.into_iter().map(|toy| toy.entry.name.clone()).collect();
+    spares.iter().for_each(|target| world.kill(target));
+    world.run_ms(4_000);
+    for target in [&world.members_of("large")[3..], &world.members_of("small")[..]].concat() {
+        world.kill(&target);
+        world.suspect(&target);
+    }
+    (10..13).for_each(|number| world.add(number));
+    world.run_ms(1_500);
+    let staged: Vec<_> = (10..13)
+        .filter_map(|number| world.staged_last(&name(number)))
+        .map(ModelName::as_str)
+        .collect();
+    assert!(staged.contains(&"large"), "{staged:?}");
+    world.run_ms(19_000);
+    assert_eq!(world.serving()["large"], 1);
+}
+
+/// A large replica breaks while a small one is missing and no empty target is there. Its survivors
+/// leave one after another; a decider that looks at the first two alone sees a pair for the small
+/// model and loads it there, although the next target that comes would make the large one whole.
+#[test]
+fn former_survivors_keep_their_model() {
+    let mut world = served();
+    world.run_ms(20_000);
+    let spares: Vec<_> = world.toys.values().filter(|toy| toy.entry.membership.is_none()).collect();
+    let spares: Vec<_> = spares.into_iter().map(|toy| toy.entry.name.clone()).collect();
+    spares.iter().for_each(|target| world.kill(target));
+    world.run_ms(4_000);
+    let large = world.members_of("large");
+    for target in [&large[3..], &world.members_of("small")[..]].concat() {
+        world.kill(&target);
+        world.suspect(&target);
+    }
+    world.run_ms(10_000);
+    assert!(large.iter().all(|target| world.count_orders(target, "stage") == 0));
+    world.add(10);
+    world.run_ms(20_000);
+    assert_eq!(world.serving()["large"], 1);
+}
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -55,7 +55,11 @@
             true => BTreeSet::new(),
             false => all.iter().filter(|domain| self.is_decider(domain)).cloned().collect(),
         };
-        let settings = FormingSettings::default().with_loads(profile.loads_per_s, all.len());
+        let settings = FormingSettings::default().with_loads(
+            profile.loads_per_s,
+            profile.loads_at_once,
+            all.len(),
+        );
         if self.deciders.set(now, &self.parts.settings.node, &mine, settings) {
             self.parts.metrics.domains.set(mine.len() as i64);
             let names: Vec<_> = mine.iter().map(DomainName::as_str).collect();
