gateway: another node decides where the store turns the decider away

Change: a node whose calls for records or heartbeats are not served says so to the nodes that probe it, for one heartbeat and a timeout; the next one in the ranking that is served decides. Where nobody is served, nodes keep their domains. Ruled out: giving up a domain at the first failed call: with the store away for all, nobody would take apart what broke.

--- a/crates/gateway/src/control/carrying.rs
+++ b/crates/gateway/src/control/carrying.rs
@@ -2,7 +2,7 @@
 use celeryhaven_fleet::{OrderOutcome, TargetOrder};
 use celeryhaven_forming::{DomainRecord, FormingAction, FormingEvent, OrderCall, Reachability};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
-use celeryhaven_types::store::ObjectVersion;
+use celeryhaven_types::store::{ObjectVersion, StoreReply};
 use celeryhaven_types::{DomainName, ModelName, ReplicaName, VmName};
 use slog::info;
 
@@ -37,7 +37,7 @@
         let (client, events) = (self.parts.client.clone(), self.parts.events.0.clone());
         let read = async move {
             let reply = client.call(&read_record(&domain)).await;
-            tell_record(&events, domain, record_read(&reply)).await;
+            tell_record(&events, domain, &reply, record_read(&reply)).await;
         };
         self.executor.spawn(read).detach();
     }
@@ -48,7 +48,7 @@
         let Some(request) = write_record(&domain, version, record) else { return };
         let write = async move {
             let reply = client.call(&request).await;
-            tell_record(&events, domain, record_written(&reply)).await;
+            tell_record(&events, domain, &reply, record_written(&reply)).await;
         };
         self.executor.spawn(write).detach();
     }
@@ -95,8 +95,12 @@
 async fn tell_record(
     events: &Sender<ControlEvent>,
     domain: DomainName,
+    reply: &StoreReply,
     (event, version): (FormingEvent, Option<ObjectVersion>),
 ) {
+    if !reply.is_served() {
+        events.send(ControlEvent::NotServed).await.unwrap_or_default();
+    }
     let version = ControlEvent::RecordVersion(domain.clone(), version);
     events.send(version).await.unwrap_or_default();
     events.send(ControlEvent::Forming(domain, event)).await.unwrap_or_default();
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -63,6 +63,8 @@
     pub(super) traffic_seen: bool,
     pub(super) leaving: bool,
     pub(super) store_away: bool,
+    /// Until when this node counts as cut off from the store.
+    pub(super) cut_off_until: Option<TimeMs>,
     pub(super) nodes_listed: bool,
     pub(super) pace: Rc<FeedPace>,
     pub(super) relay: Relay,
@@ -85,6 +87,7 @@
             traffic_seen: false,
             leaving: false,
             store_away: false,
+            cut_off_until: None,
             nodes_listed: false,
             pace: Rc::default(),
             relay,
@@ -176,6 +179,10 @@
                 self.nodes.probed(now, &node, probe);
                 true
             }
+            ControlEvent::NotServed => {
+                self.cut_off(now);
+                true
+            }
             ControlEvent::Forming(domain, event) => {
                 self.forming(now, &domain, event);
                 false
@@ -221,7 +228,8 @@
         let others = self.nodes.live().filter(|record| record.caller_address != own).count();
         let sharers = others as u32 + 1;
         let routes = self.routes.clone();
-        let update = TrafficUpdate { routes, routables, addresses, sharers, ready };
+        let cut_off_until = self.cut_off_until;
+        let update = TrafficUpdate { routes, routables, addresses, sharers, ready, cut_off_until };
         self.parts.traffic.try_send(update).unwrap_or_default();
     }
 
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -24,6 +24,12 @@
 /// for a node does not grow with the fleet.
 const WATCHERS: usize = 2;
 
+/// How long a node that the store did not serve counts as cut off from it, in milliseconds.
+///
+/// A heartbeat and the time that one without an answer takes, so that a node which stays cut off
+/// says so all the while.
+const CUT_OFF_MS: u64 = 4_500;
+
 impl<A: Adapter> Control<A> {
     /// The service whose targets form replicas, and its profile.
     pub(super) fn engine(&self) -> Option<(ServiceName, EngineProfile)> {
@@ -53,7 +59,7 @@
         // A node that has not read the others' records would take every domain for its own.
         let mine: BTreeSet<_> = match self.leaving || !self.nodes_listed {
             true => BTreeSet::new(),
-            false => all.iter().filter(|domain| self.is_decider(domain)).cloned().collect(),
+            false => all.iter().filter(|domain| self.is_decider(now, domain)).cloned().collect(),
         };
         let settings = FormingSettings::default().with_loads(
             profile.loads_per_s,
@@ -94,12 +100,26 @@
         self.pace.relay.replace(first);
     }
 
-    /// Whether every node that comes before this one is gone.
-    pub(super) fn is_decider(&self, domain: &DomainName) -> bool {
+    /// Whether no node that comes before this one can decide, and this one can.
+    pub(super) fn is_decider(&self, now: TimeMs, domain: &DomainName) -> bool {
         let own = &self.parts.settings.node;
-        let before = self.nodes.ranking(domain, own);
-        let live: BTreeSet<&NodeName> = self.nodes.live().map(|record| &record.node).collect();
-        before.iter().take_while(|name| *name != own).all(|name| !live.contains(name))
+        let ranking = self.nodes.ranking(domain, own);
+        let is_cut_off = self.is_cut_off(now);
+        let deciding = self.nodes.deciding(own, !is_cut_off);
+        let mut before = ranking.iter().take_while(|name| *name != own);
+        let is_first = before.all(|name| !deciding.contains(name));
+        let others_decide = is_cut_off && self.nodes.is_any_served(own);
+        is_first && !others_decide
+    }
+
+    /// Whether the store has turned away or not answered a call of this node lately.
+    pub(super) fn is_cut_off(&self, now: TimeMs) -> bool {
+        self.cut_off_until.is_some_and(|until| until > now)
+    }
+
+    /// Takes over that the store did not serve a call.
+    pub(super) fn cut_off(&mut self, now: TimeMs) {
+        self.cut_off_until = Some(now.after(CUT_OFF_MS));
     }
 
     /// Asks the nodes that callers are told of, and those that decide before this one.
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -44,6 +44,8 @@
     Nodes(Vec<NodeRecord>),
     /// What a probe of another node showed.
     Probed { node: NodeName, probe: NodeProbe },
+    /// The store turned a call away or did not answer it.
+    NotServed,
     /// Something about the forming of a domain's replicas.
     Forming(DomainName, FormingEvent),
     /// A domain's record is at this version.
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -37,7 +37,11 @@
                     Some(version) => StoreRequest::Update { key: key.clone(), version, value },
                     None => StoreRequest::Create { key: key.clone(), value },
                 };
-                version = match client.call(&request).await {
+                let written = client.call(&request).await;
+                if !written.is_served() {
+                    events.send(ControlEvent::NotServed).await.unwrap_or_default();
+                }
+                version = match written {
                     StoreReply::Written { version } => Some(version),
                     // Another start of this node has written it, or an answer was lost.
                     _ => match client.call(&StoreRequest::Get { key: key.clone() }).await {
--- a/crates/gateway/src/control/nodes.rs
+++ b/crates/gateway/src/control/nodes.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use celeryhaven_derives::data;
@@ -66,6 +66,8 @@
 pub(crate) enum NodeProbe {
     /// It takes requests.
     Ready,
+    /// It takes requests, and the store does not serve it: it can write no plan.
+    CutOff,
     /// It lives and takes none: it starts or leaves.
     NotReady,
     /// It did not answer.
@@ -127,7 +129,7 @@
         let Some(seen) = self.seen.get_mut(node) else { return };
         match probe {
             NodeProbe::Silent => seen.failures = seen.failures.saturating_add(1),
-            NodeProbe::Ready | NodeProbe::NotReady => {
+            NodeProbe::Ready | NodeProbe::CutOff | NodeProbe::NotReady => {
                 seen.failures = 0;
                 seen.answered_at = Some(now);
                 seen.last = Some(probe);
@@ -140,6 +142,24 @@
         self.seen.values().filter(|seen| seen.is_live()).map(|seen| &seen.record)
     }
 
+    /// Other nodes that can decide.
+    ///
+    /// Guards against a domain whose decider is the one that the store turns away: it could write no
+    /// plan, and what broke stayed broken for as long. With the store away for all, nodes keep their
+    /// domains, and take apart what can be formed anew on its return.
+    pub(crate) fn deciding(&self, own: &NodeName, own_is_served: bool) -> BTreeSet<&NodeName> {
+        let any_served = own_is_served || self.is_any_served(own);
+        let others = self.seen.values().filter(|seen| seen.record.node != *own && seen.is_live());
+        let able = others.filter(|seen| !any_served || seen.last != Some(NodeProbe::CutOff));
+        able.map(|seen| &seen.record.node).collect()
+    }
+
+    /// Whether the store serves another node, as far as probes show.
+    pub(crate) fn is_any_served(&self, own: &NodeName) -> bool {
+        let others = self.seen.values().filter(|seen| seen.record.node != *own);
+        others.filter(|seen| seen.is_live()).any(|seen| seen.last == Some(NodeProbe::Ready))
+    }
+
     /// Nodes to name to callers: those that this one probes and that answered lately.
     pub(crate) fn named(&self, now: TimeMs, own: &NodeName) -> Vec<&NodeRecord> {
         let probed = self.to_probe(own);
--- a/crates/gateway/src/control/targets.rs
+++ b/crates/gateway/src/control/targets.rs
@@ -7,12 +7,14 @@
 use celeryhaven_http::{ChannelError, ChannelPool};
 use celeryhaven_types::VmName;
 use http::header::{CONTENT_TYPE, HOST};
+use http::response::Parts;
 use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::Full;
 use smol::Timer;
 
 use crate::adapter::Adapter;
 use crate::control::nodes::NodeProbe;
+use crate::http::CUT_OFF;
 
 /// How long an order may take to be answered.
 ///
@@ -48,7 +50,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         self.adapter.expect_target(headers, name);
         match self.exchange(address, request, ORDER_TIMEOUT).await {
-            Some(Ok(status)) => self.adapter.order_outcome(status),
+            Some(Ok(answer)) => self.adapter.order_outcome(answer.status),
             Some(Err(ChannelError::Connect { source })) if is_refused(&source) => {
                 OrderOutcome::Gone
             }
@@ -74,8 +76,9 @@
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
         match self.exchange(address, request, PROBE_TIMEOUT).await {
-            Some(Ok(StatusCode::OK)) => NodeProbe::Ready,
-            Some(Ok(_)) => NodeProbe::NotReady,
+            Some(Ok(answer)) if answer.status != StatusCode::OK => NodeProbe::NotReady,
+            Some(Ok(answer)) if answer.headers.contains_key(CUT_OFF) => NodeProbe::CutOff,
+            Some(Ok(_)) => NodeProbe::Ready,
             Some(Err(_)) | None => NodeProbe::Silent,
         }
     }
@@ -86,7 +89,7 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Option<Result<StatusCode, ChannelError>> {
+    ) -> Option<Result<Parts, ChannelError>> {
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
@@ -109,9 +112,9 @@
             };
             Some(match answer.await {
                 Ok((channel, response)) => {
-                    let status = response.status();
-                    self.finish(address, channel, response).await;
-                    Ok(status)
+                    let (parts, body) = response.into_parts();
+                    self.finish(address, channel, &parts, body).await;
+                    Ok(parts)
                 }
                 Err(error) => Err(error),
             })
@@ -124,10 +127,11 @@
         &self,
         address: SocketAddr,
         mut channel: celeryhaven_http::Channel,
-        response: http::Response<hyper::body::Incoming>,
+        head: &Parts,
+        body: hyper::body::Incoming,
     ) {
-        let closes = self.adapter.answer_head(response.status(), response.headers()).closes;
-        let whole = http_body_util::BodyExt::collect(response.into_body()).await.is_ok();
+        let closes = self.adapter.answer_head(head.status, &head.headers).closes;
+        let whole = http_body_util::BodyExt::collect(body).await.is_ok();
         if whole && !closes && channel.settle().await {
             self.channels.put(address, channel, None);
         }
--- a/crates/gateway/src/http/small.rs
+++ b/crates/gateway/src/http/small.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::adapter::{Adapter, AddressAnswer};
@@ -10,6 +10,9 @@
 /// Addresses that one answer names at most.
 const ADDRESSES_MAX: usize = 64;
 
+/// Header by which a node tells others that the store does not serve it.
+pub(crate) const CUT_OFF: HeaderName = HeaderName::from_static("celeryhaven-cut-off");
+
 /// Tells the platform and other nodes whether this node takes requests.
 pub(crate) async fn answer_ready<A: Adapter>(
     gate: Rc<Gate<A>>,
@@ -22,7 +25,11 @@
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
     };
-    plain(status, "")
+    let mut response = plain(status, "");
+    if state.cut_off_until.is_some_and(|until| until > gate.now()) {
+        response.headers_mut().insert(CUT_OFF, HeaderValue::from_static("1"));
+    }
+    response
 }
 
 /// Tells a caller which addresses to use.
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -61,6 +61,7 @@
             state.routes = update.routes;
             state.addresses = update.addresses;
             state.ready = update.ready;
+            state.cut_off_until = update.cut_off_until;
             state.set_sharers(now, update.sharers);
             state.set_routables(now, update.routables);
         }
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -3,7 +3,7 @@
 
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{ReplicaKey, RouteTable};
-use celeryhaven_types::{ModelName, ServiceName, VmName};
+use celeryhaven_types::{ModelName, ServiceName, TimeMs, VmName};
 
 state! {
     /// Something that requests can be sent to.
@@ -46,6 +46,8 @@
     pub(crate) sharers: u32,
     /// Whether this node takes requests.
     pub(crate) ready: bool,
+    /// Until when this node counts as cut off from the store.
+    pub(crate) cut_off_until: Option<TimeMs>,
 }
 
 /// What traffic tells the control thread.
--- a/crates/types/src/store/reply.rs
+++ b/crates/types/src/store/reply.rs
@@ -38,3 +38,10 @@
         Unknown,
     }
 }
+
+impl StoreReply {
+    /// Whether the store answered and did not turn the call away.
+    pub const fn is_served(&self) -> bool {
+        !matches!(self, Self::NotDone | Self::Unknown)
+    }
+}
