forming: a refused read of the record pauses before the next

Change: half a second between a read that failed and the next; a write that met a newer record is still followed by a read at once. Test: former_refused_reads_pause, red before (48 reads in five seconds).

--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -41,6 +41,8 @@
     pub(crate) node: NodeName,
     pub(crate) settings: FormingSettings,
     pub(crate) record: RecordState,
+    /// When the record is read again after a read that failed.
+    pub(crate) read_again_at: TimeMs,
     pub(crate) formations: BTreeMap<ReplicaKey, Formation>,
     pub(crate) dissolving: BTreeMap<ReplicaKey, Dissolving>,
     /// Targets that have left a replica which the list still shows them in.
@@ -73,6 +75,7 @@
             node,
             settings,
             record: RecordState::Unknown,
+            read_again_at: now,
             formations: BTreeMap::new(),
             dissolving: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -103,7 +106,7 @@
 
     /// Looks at the list of targets and appends what is to be done.
     pub fn step(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
-        if self.record == RecordState::Unknown {
+        if self.record == RecordState::Unknown && self.read_again_at <= now {
             self.record = RecordState::Reading;
             out.push(FormingAction::ReadRecord);
         }
@@ -137,7 +140,7 @@
                     self.unconfirmed.clear();
                 }
             }
-            FormingEvent::RecordFailed => self.record = RecordState::Unknown,
+            FormingEvent::RecordFailed => self.record_failed(now),
             FormingEvent::Ordered { call, outcome } => self.ordered(now, call, outcome, out),
             FormingEvent::Probed { target, reachability } => {
                 self.probed(now, target, reachability);
@@ -158,6 +161,17 @@
         out.push(FormingAction::Note { replica, change, target });
     }
 
+    /// Reads the record anew: at once after a write that met a newer one, later after a read.
+    ///
+    /// Load: the store turns calls away at once. Harm: each refused read led to the next, some 950
+    /// calls a second from eight nodes, all of which count against the rate. Limit: a pause.
+    fn record_failed(&mut self, now: TimeMs) {
+        if self.record == RecordState::Reading {
+            self.read_again_at = now.after(self.settings.read_again_ms);
+        }
+        self.record = RecordState::Unknown;
+    }
+
     /// Takes over the record, and goes on with own plans whose write got no answer.
     ///
     /// Guards against two plans for the same targets: those of another decider show in the record
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -10,6 +10,10 @@
         pub order_retry_ms: u64,
         /// Tries of one join without an answer, after which the target counts as unreachable.
         pub join_tries_max: u32,
+        /// Time from a read of the record that failed to the next, in milliseconds.
+        ///
+        /// As long as a feed pauses, and as short as what a caller would notice of a late plan.
+        pub read_again_ms: u64,
         /// How long another decider's unfinished replica is left alone, in milliseconds.
         ///
         /// A live decider opens a ready replica within some hundred milliseconds.
@@ -49,6 +53,7 @@
         Self {
             order_retry_ms: 300,
             join_tries_max: 4,
+            read_again_ms: 500,
             adopt_after_ms: 1_500,
             announced_ms: 1_500,
             stage_again_ms: 3_000,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -62,6 +62,8 @@
     hidden: BTreeSet<VmName>,
     /// Probes sent so far.
     pub probes: usize,
+    /// Reads of the record so far.
+    pub reads: usize,
     listed: FleetView,
     opened: BTreeMap<(ReplicaName, Generation), Vec<VmName>>,
 }
@@ -113,6 +115,7 @@
             refuses_stage: BTreeSet::new(),
             hidden: BTreeSet::new(),
             probes: 0,
+            reads: 0,
             listed: FleetView::new(),
             opened: BTreeMap::new(),
         };
@@ -318,6 +321,7 @@
     }
 
     fn read_record(&mut self, index: usize) {
+        self.reads += 1;
         if !self.store_answers {
             return self.hear(index, FormingEvent::RecordFailed);
         }
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -266,3 +266,21 @@
     world.run_ms(20_000);
     assert_eq!(world.serving()["large"], 1);
 }
+
+/// The store turns every call away at once while a replica is to be formed. A decider that asks
+/// again as soon as it is refused makes hundreds of calls a second, which count against the rate
+/// that all nodes share, and delay the store's return.
+#[test]
+fn former_refused_reads_pause() {
+    let mut world = served();
+    world.store_answers = false;
+    let lost = world.members_of("large")[1].clone();
+    world.kill(&lost);
+    world.suspect(&lost);
+    let before = world.reads;
+    world.run_ms(5_000);
+    assert!(world.reads - before <= 10, "{} reads in five seconds", world.reads - before);
+    world.store_answers = true;
+    world.run_ms(4_000);
+    assert_eq!(world.serving()["large"], 1);
+}
