gateway: fewer heartbeats and relays among many nodes

Change: heartbeats are 3 s apart or 150 ms for each node, whichever is more; records are still read each 3 s, which also tells a node that the store does not serve it; one relay for twenty nodes; relays gather changes for 60 ms. Ruled out: no heartbeats at all and probes alone, since nobody would know of gone nodes that it does not probe.

--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -27,8 +27,8 @@
 
 /// How long a node that the store did not serve counts as cut off from it, in milliseconds.
 ///
-/// A heartbeat, and the time that its write and read without an answer take, so that a node which
-/// stays cut off says so all the while.
+/// The time between two reads of all records, and that which a write and a read without an answer
+/// take, so that a node which stays cut off says so all the while.
 const CUT_OFF_MS: u64 = 5_500;
 
 impl<A: Adapter> Control<A> {
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -28,10 +28,12 @@
 const GATHER_MS_MIN: u64 = 200;
 const GATHER_MS_MAX: u64 = 1_000;
 
-/// The same while this node forms replicas, each step of which waits for the last one to show, and
-/// on a relay, whose followers wait for it.
+/// The same while this node forms replicas, each step of which waits for the last one to show.
 const GATHER_FORMING: Duration = Duration::from_millis(20);
 
+/// The same on a relay, whose followers wait for it; some form replicas.
+const GATHER_RELAY: Duration = Duration::from_millis(60);
+
 /// How long a watch of a relay waits at the store, in milliseconds.
 ///
 /// A relay that is cut off from the store vouches for its followers until one of its watches should
@@ -158,9 +160,10 @@
 
     fn gather(&self) -> Duration {
         let for_all_ms = self.pace.nodes.get() * GATHER_MS_PER_NODE;
-        match self.pace.is_forming.get() || self.pace.is_relay.get() {
-            true => GATHER_FORMING,
-            false => Duration::from_millis(for_all_ms.clamp(GATHER_MS_MIN, GATHER_MS_MAX)),
+        match (self.pace.is_relay.get(), self.pace.is_forming.get()) {
+            (true, _) => GATHER_RELAY,
+            (false, true) => GATHER_FORMING,
+            _ => Duration::from_millis(for_all_ms.clamp(GATHER_MS_MIN, GATHER_MS_MAX)),
         }
     }
 
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -1,18 +1,20 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use celeryhaven_types::store::{Object, ObjectKey, StoreReply, StoreRequest};
+use async_channel::Sender;
+use celeryhaven_store::{StoreClient, StoreWire};
+use celeryhaven_types::store::{Object, ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::event::ControlEvent;
-use crate::control::nodes::{NODES_PREFIX, NodeRecord};
+use crate::control::nodes::{NODES_PREFIX, NodeRecord, heartbeat_ms};
 
-/// Time between two heartbeats of this node's record, and between two reads of all records.
+/// Time between two reads of all records.
 ///
-/// Load: every node writes and reads them. Harm: at one a second, 340 nodes would spend most of
-/// the store's writes. Limit: deciders that die are noticed by probes, not by this.
-const HEARTBEAT: Duration = Duration::from_millis(3_000);
+/// Load: every node reads them. Harm: one call for each, though a cheap one. Limit: deciders that die
+/// are noticed by probes, not by this.
+const READ_EVERY: Duration = Duration::from_millis(3_000);
 
 /// Heartbeats after a start that read the newest records, and the time between them.
 ///
@@ -20,50 +22,34 @@
 const FIRST_READS: u64 = 3;
 const FIRST_HEARTBEAT: Duration = Duration::from_millis(300);
 
+/// What writes this node's record.
+struct Heartbeat<W> {
+    client: StoreClient<W>,
+    events: Sender<ControlEvent>,
+    record: NodeRecord,
+    key: ObjectKey,
+    version: Option<ObjectVersion>,
+    /// When the next one is due.
+    due: Instant,
+}
+
 impl<A: Adapter> Control<A> {
     /// Writes this node's record and reads all of them, for ever.
     pub(super) fn heartbeats(&self) -> impl Future<Output = ()> + 'static {
-        let client = self.parts.client.clone();
-        let events = self.parts.events.0.clone();
-        let mut record = self.own_record();
+        let record = self.own_record();
+        let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
+        let (client, events) = (self.parts.client.clone(), self.parts.events.0.clone());
+        let due = Instant::now();
+        let mut heartbeat = Heartbeat { client, events, record, key, version: None, due };
+        let pace = self.pace.clone();
         async move {
-            let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
-            let prefix = ObjectKey::new(NODES_PREFIX);
-            let mut version = None;
             loop {
-                record.heartbeat += 1;
-                let value = serde_json::to_string(&record).unwrap_or_default().into();
-                let request = match version {
-                    Some(version) => StoreRequest::Update { key: key.clone(), version, value },
-                    None => StoreRequest::Create { key: key.clone(), value },
-                };
-                let written = client.call(&request).await;
-                if !written.is_served() {
-                    events.send(ControlEvent::NotServed).await.unwrap_or_default();
+                let first = heartbeat.record.heartbeat < FIRST_READS;
+                if first || heartbeat.due <= Instant::now() {
+                    heartbeat.write(pace.nodes.get()).await;
                 }
-                version = match written {
-                    StoreReply::Written { version } => Some(version),
-                    // The same write again; if this one took effect, it meets its own version.
-                    ref reply if !reply.is_served() => version,
-                    // Another start of this node has written it, or an answer was lost.
-                    _ => match client.call(&StoreRequest::Get { key: key.clone() }).await {
-                        StoreReply::Found(object) => Some(object.version),
-                        _ => None,
-                    },
-                };
-                let list = StoreRequest::List { prefix: prefix.clone() };
-                let first = record.heartbeat <= FIRST_READS;
-                let reply = match first {
-                    true => client.call(&list).await,
-                    false => client.read_stale(&list).await,
-                };
-                if let StoreReply::Listed { objects, .. } = reply {
-                    let read =
-                        |object: &Object| serde_json::from_str::<NodeRecord>(&object.value).ok();
-                    let records = objects.iter().filter_map(read).collect();
-                    events.send(ControlEvent::Nodes(records)).await.unwrap_or_default();
-                }
-                Timer::after(if first { FIRST_HEARTBEAT } else { HEARTBEAT }).await;
+                heartbeat.read_all(first).await;
+                Timer::after(if first { FIRST_HEARTBEAT } else { READ_EVERY }).await;
             }
         }
     }
@@ -83,3 +69,53 @@
         }
     }
 }
+
+impl<W: StoreWire> Heartbeat<W> {
+    async fn write(&mut self, nodes: u64) {
+        self.record.heartbeat += 1;
+        let (key, value) = (self.key.clone(), serde_json::to_string(&self.record));
+        let value = value.unwrap_or_default().into();
+        let request = match self.version {
+            Some(version) => StoreRequest::Update { key, version, value },
+            None => StoreRequest::Create { key, value },
+        };
+        self.version = match self.client.call(&request).await {
+            StoreReply::Written { version } => {
+                self.due = Instant::now() + Duration::from_millis(heartbeat_ms(nodes));
+                Some(version)
+            }
+            // The same write again; if this one took effect, it meets its own version.
+            reply if !reply.is_served() => {
+                self.tell(ControlEvent::NotServed).await;
+                self.version
+            }
+            // Another start of this node has written it, or an answer was lost.
+            _ => match self.client.call(&StoreRequest::Get { key: self.key.clone() }).await {
+                StoreReply::Found(object) => Some(object.version),
+                _ => None,
+            },
+        };
+    }
+
+    /// Reads the records of all nodes; the newest ones, or some that may be seconds old.
+    async fn read_all(&self, newest: bool) {
+        let list = StoreRequest::List { prefix: ObjectKey::new(NODES_PREFIX) };
+        let reply = match newest {
+            true => self.client.call(&list).await,
+            false => self.client.read_stale(&list).await,
+        };
+        match reply {
+            StoreReply::Listed { objects, .. } => {
+                let read = |object: &Object| serde_json::from_str::<NodeRecord>(&object.value).ok();
+                self.tell(ControlEvent::Nodes(objects.iter().filter_map(read).collect())).await;
+            }
+            reply if !reply.is_served() => self.tell(ControlEvent::NotServed).await,
+            _ => {}
+        }
+    }
+
+    /// The control thread lives as long as its heartbeats.
+    async fn tell(&self, event: ControlEvent) {
+        self.events.send(event).await.unwrap_or_default();
+    }
+}
--- a/crates/gateway/src/control/nodes.rs
+++ b/crates/gateway/src/control/nodes.rs
@@ -7,11 +7,18 @@
 /// Prefix of the nodes' records in the store.
 pub(crate) const NODES_PREFIX: &str = "nodes/";
 
-/// How long a record may go without a new heartbeat before its node counts as gone, in
-/// milliseconds.
+/// Heartbeats that a record may miss before its node counts as gone, and the age of a stale read,
+/// in milliseconds.
+const HEARTBEATS_MISSED: u64 = 2;
+const STALE_MS: u64 = 4_000;
+
+/// Shortest time between two heartbeats of one node, and for each node, in milliseconds.
 ///
-/// Three heartbeats and the age of a stale read.
-const RECORD_LIFE_MS: u64 = 10_000;
+/// Load: every node writes its record. Harm: at one write each three seconds 63 nodes spent half of
+/// their calls on it, and 340 would spend a quarter of the store's writes. Limit: all nodes together
+/// write seven times a second; probes tell sooner who is gone.
+const HEARTBEAT_MS_MIN: u64 = 3_000;
+const HEARTBEAT_MS_PER_NODE: u64 = 150;
 
 /// How long a node is named to callers after its last good probe, in milliseconds.
 ///
@@ -23,7 +30,10 @@
 const SILENT_PROBES: u32 = 2;
 
 /// Nodes for which there is one relay, and the least number of relays.
-const NODES_PER_RELAY: usize = 10;
+///
+/// A relay with twenty followers took no more of a core than another node; with ten, relays made
+/// twice the calls.
+const NODES_PER_RELAY: usize = 20;
 const RELAYS_MIN: usize = 2;
 
 /// Nodes below which each asks the store itself.
@@ -116,7 +126,8 @@
                 }
             }
         }
-        self.seen.retain(|_, seen| now.since(seen.changed_at) < RECORD_LIFE_MS);
+        let life_ms = STALE_MS + HEARTBEATS_MISSED * heartbeat_ms(self.seen.len() as u64);
+        self.seen.retain(|_, seen| now.since(seen.changed_at) < life_ms);
     }
 
     /// Whether a node has never been probed.
@@ -218,6 +229,11 @@
     }
 }
 
+/// Time between two heartbeats of a node among so many, in milliseconds.
+pub(crate) fn heartbeat_ms(nodes: u64) -> u64 {
+    HEARTBEAT_MS_MIN.max(nodes * HEARTBEAT_MS_PER_NODE)
+}
+
 fn is_newer(record: &NodeRecord, before: &NodeRecord) -> bool {
     (record.boot, record.heartbeat) > (before.boot, before.heartbeat)
 }
