explain: a tool that takes the logs of gateways apart; gateway: a request's end names its target

Purpose: from a run's logs to what was lost: requests by span and route, losses of members until a replica serves again, what every target was for, loads at once, and all lines about one request and the targets that it met. The line of a request's end now names the last target and how that attempt ended.

--- /dev/null
+++ b/crates/explain/src/main.rs
@@ -0,0 +1,97 @@
+//! Prints what gateways' logs say of a time, or of one request.
+
+use std::ffi::OsString;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::process::ExitCode;
+
+use celeryhaven_explain::{Log, Mending, RequestTable, TargetTable, story};
+use pico_args::Arguments;
+use snafu::{ResultExt, Snafu};
+
+/// Shown for `--help` and after a mistake on the command line.
+const USAGE: &str = "\
+usage: celeryhaven-explain [--request ID] [--span-s N] [--load-ms N] [FILE]...
+
+Reads logs of gateways, one JSON line each, from files or from standard input; what stands before the
+first brace of a line is left out. Prints what became of requests, how fast losses were mended and what
+targets were for.
+
+  --request  prints only the lines about this request and about the targets that it met
+  --span-s   seconds of a row; default 10
+  --load-ms  time that a load from the weights store takes; default 16000
+
+Exit status: 0, 1 if a log cannot be read, or 2 on a mistake.";
+
+#[derive(Debug, Snafu)]
+enum ExplainError {
+    #[snafu(display("{source}; see --help"))]
+    Option { source: pico_args::Error },
+    #[snafu(display("{file}: {source}; name a file that can be read"))]
+    Read { file: String, source: io::Error },
+}
+
+struct Options {
+    request: Option<String>,
+    span_s: u64,
+    load_ms: u64,
+    files: Vec<OsString>,
+}
+
+fn main() -> ExitCode {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        println!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    match options(args).and_then(|options| explain(&options)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("celeryhaven-explain: {error}");
+            match error {
+                ExplainError::Option { .. } => ExitCode::from(2),
+                ExplainError::Read { .. } => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn options(mut args: Arguments) -> Result<Options, ExplainError> {
+    Ok(Options {
+        request: args.opt_value_from_str("--request").context(OptionSnafu)?,
+        span_s: args.opt_value_from_str("--span-s").context(OptionSnafu)?.unwrap_or(10),
+        load_ms: args.opt_value_from_str("--load-ms").context(OptionSnafu)?.unwrap_or(16_000),
+        files: args.finish(),
+    })
+}
+
+fn explain(options: &Options) -> Result<(), ExplainError> {
+    let log = read(&options.files)?;
+    if let Some(request) = &options.request {
+        story(&log, request).iter().for_each(|line| println!("{}", line.text));
+        return Ok(());
+    }
+    println!("{}", RequestTable::new(&log, options.span_s));
+    println!("{}", Mending::new(&log));
+    print!("{}", TargetTable::new(&log, options.span_s, options.load_ms));
+    if log.unread > 0 {
+        eprintln!("{} lines were not of a gateway", log.unread);
+    }
+    Ok(())
+}
+
+fn read(files: &[OsString]) -> Result<Log, ExplainError> {
+    if files.is_empty() {
+        return Log::read(io::stdin().lock()).context(ReadSnafu { file: "standard input" });
+    }
+    let mut log = Log::default();
+    for path in files {
+        let file = path.to_string_lossy().into_owned();
+        let opened = File::open(path).and_then(|source| Log::read(BufReader::new(source)));
+        let one = opened.context(ReadSnafu { file })?;
+        log.lines.extend(one.lines);
+        log.unread += one.unread;
+    }
+    log.lines.sort_by_key(|line| line.at_ms);
+    Ok(log)
+}
--- /dev/null
+++ b/crates/explain/src/requests/mod.rs
@@ -0,0 +1,5 @@
+//! What became of requests.
+
+mod request_table;
+
+pub use request_table::{RequestRow, RequestTable};
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
-use celeryhaven_types::{Refusal, RefusalCode, Verdict};
+use celeryhaven_types::{Refusal, RefusalCode, Verdict, VmName};
 use http::StatusCode;
 use slog::info;
 use smol::Timer;
@@ -39,6 +39,10 @@
     pub(crate) sink: Sink,
     pub(crate) splitter: EventSplitter,
     pub(crate) attempts: u32,
+    /// Where the last attempt went.
+    target: Option<VmName>,
+    /// How the last attempt ended, if not with an answer.
+    attempt_end: Option<&'static str>,
     pub(crate) may_have_run: bool,
     /// A failure that a target answered, for the caller if no other attempt does better.
     pub(crate) failure: Option<(AnswerParts, Bytes)>,
@@ -68,6 +72,8 @@
             sink,
             splitter,
             attempts: 0,
+            target: None,
+            attempt_end: None,
             may_have_run: false,
             failure: None,
             ticket,
@@ -91,6 +97,7 @@
                 }
                 Instruction::Send(routable) => {
                     self.attempts += 1;
+                    self.target = Some(routable.target.clone());
                     let end = Attempt::new(&mut self, &routable).run().await;
                     if self.settle(end).await {
                         return;
@@ -135,6 +142,12 @@
 
     /// Takes over how an attempt ended; true if the exchange is over.
     async fn settle(&mut self, end: AttemptEnd) -> bool {
+        self.attempt_end = match end {
+            AttemptEnd::Answered => None,
+            AttemptEnd::Interrupted(Interrupt::Deadline) => Some("deadline"),
+            AttemptEnd::Interrupted(Interrupt::Cancelled) => Some("taken off its target"),
+            AttemptEnd::Broken(_) => Some("broken"),
+        };
         match end {
             AttemptEnd::Answered => {
                 self.gate.finished(self.ticket, self.splitter.events());
@@ -218,6 +231,8 @@
             "organisation" => self.ask.organisation.as_ref().map(celeryhaven_types::OrganisationName::as_str),
             "outcome" => outcome,
             "attempts" => self.attempts,
+            "target" => self.target.as_ref().map(VmName::as_str),
+            "attempt_end" => self.attempt_end,
             "prompt_tokens" => self.ask.caller.prompt_tokens,
             "output_tokens" => self.ask.caller.output_tokens_max,
             "events" => events,
