--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -160,6 +160,7 @@
                 true
             }
             AttemptEnd::Interrupted(Interrupt::Cancelled) => {
+                self.note_taken_off();
                 self.may_have_run = true;
                 self.broke(Verdict::MayHaveRun).await
             }
@@ -217,6 +218,16 @@
         self.end(if self.may_have_run { "may have run" } else { "not run" }, 0);
     }
 
+    /// The other ends of an attempt are noted where they are seen.
+    fn note_taken_off(&self) {
+        info!(self.gate.log, "attempt ended";
+            "request_id" => self.ask.id(),
+            "target" => self.target.as_ref().map(VmName::as_str),
+            "attempt" => self.attempts,
+            "why" => self.attempt_end,
+        );
+    }
+
     fn end(&mut self, outcome: &'static str, events: u32) {
         self.over = true;
         self.note(outcome, events);
