--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -2,11 +2,11 @@
 //!
 //! | module | what it holds |
 //! |---|---|
-//! | [`line`] | one line of a log, and a whole log in the order of time |
+//! | [`mod@line`] | one line of a log, and a whole log in the order of time |
 //! | [`requests`] | what became of requests, by span of time and by route |
 //! | [`mending`] | from the loss of a member to a replica that serves again |
 //! | [`targets`] | what every target was for, and the loads that ran at once |
-//! | [`story`] | all that the logs say of one request and of the targets it met |
+//! | [`mod@story`] | all that the logs say of one request and of the targets it met |
 
 pub mod line;
 pub mod mending;
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -2,44 +2,22 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod toy;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{Ipv4Addr, SocketAddr};
 
-use celeryhaven_fleet::{
-    EngineProfile, FleetView, MemberState, Membership, ModelProfile, OrderOutcome, ReplicaKey,
-    TargetEntry, TargetOrder, TargetPhase,
-};
+use celeryhaven_fleet::{FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder};
 use celeryhaven_forming::{
     DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
     Reachability,
 };
-use celeryhaven_types::{
-    DataCentreName, DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs,
-    VmName,
-};
+use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
+
+use toy::{Toy, profile};
 
 /// Time of one step of the world.
 pub const STEP_MS: u64 = 100;
 
-/// How long a join takes where the model was served last.
-const REJOIN_MS: u64 = 200;
-
-/// One toy target.
-#[derive(Clone, Debug)]
-pub struct Toy {
-    pub entry: TargetEntry,
-    pub alive: bool,
-    /// Listed although it is dead, until then.
-    pub listed_until: Option<TimeMs>,
-    pub ready_at: Option<TimeMs>,
-    pub open_at: Option<TimeMs>,
-    /// What it stages, and how much of the load is left, in milliseconds at full speed.
-    pub staging: Option<(ModelName, f64)>,
-    pub highest: Generation,
-    /// Orders it got, in order.
-    pub orders: Vec<TargetOrder>,
-}
-
 /// The targets of one domain, the record in the store, and one decider or more.
 pub struct World {
     pub now: TimeMs,
@@ -70,34 +48,6 @@
     opened: BTreeMap<(ReplicaName, Generation), Vec<VmName>>,
 }
 
-pub fn model(name: &str, size: usize) -> ModelProfile {
-    ModelProfile {
-        name: ModelName::new(name),
-        size,
-        share: 0.5,
-        pace: 1.0,
-        load_ms: 16_000,
-        staged_load_ms: 1_600,
-    }
-}
-
-pub fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 17,
-        step_ms: 7.8,
-        step_ms_per_request: 0.1,
-        prefill_tokens_per_ms: 45.9,
-        tokens_per_event: 5,
-        loads_per_s: 5.0,
-        loads_at_once: 2.0,
-        models: vec![model("large", 4), model("small", 2)],
-    }
-}
-
-pub fn name(number: usize) -> VmName {
-    VmName::new(format!("vm-{number:02}"))
-}
-
 impl World {
     /// A domain of empty targets with one decider.
     pub fn new(targets: usize) -> Self {
@@ -129,30 +79,7 @@
 
     /// An empty target comes.
     pub fn add(&mut self, number: usize) {
-        let entry = TargetEntry {
-            name: name(number),
-            service: ServiceName::new("models"),
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + number as u16)),
-            data_centre: DataCentreName::new("a"),
-            domain: Some(DomainName::new("rack")),
-            slots: 17,
-            phase: TargetPhase::Ready,
-            started_at_ms: Some(1),
-            membership: None,
-            model: None,
-            staged: Vec::new(),
-        };
-        let toy = Toy {
-            entry,
-            alive: true,
-            listed_until: None,
-            ready_at: None,
-            open_at: None,
-            staging: None,
-            highest: Generation::new(0),
-            orders: Vec::new(),
-        };
-        self.toys.insert(name(number), toy);
+        self.toys.insert(toy::name(number), Toy::new(number));
     }
 
     pub fn add_decider(&mut self, node: &str) {
@@ -369,80 +296,11 @@
 
     fn apply(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
         self.check_join(target, order);
-        let now = self.now;
         let refuses = self.refuses_stage.contains(target);
-        let Some(toy) = self.toys.get_mut(target) else { return OrderOutcome::Gone };
-        if !toy.alive {
-            return OrderOutcome::Unanswered;
-        }
-        toy.orders.push(order.clone());
-        match order {
-            TargetOrder::Join { replica, generation, model, members } => {
-                if *generation < toy.highest {
-                    return OrderOutcome::Refused;
-                }
-                toy.highest = *generation;
-                let load_ms = if toy.entry.model.as_ref() == Some(model) {
-                    REJOIN_MS
-                } else if toy.entry.staged.contains(model) {
-                    1_600
-                } else {
-                    16_000
-                };
-                let rank = members.iter().position(|member| member == target).unwrap_or_default();
-                toy.entry.membership = Some(Membership {
-                    replica: replica.clone(),
-                    generation: *generation,
-                    rank: rank as u32,
-                    state: MemberState::Joining,
-                });
-                toy.entry.model = Some(model.clone());
-                toy.entry.staged = vec![model.clone()];
-                toy.ready_at = Some(now.after(load_ms));
-                toy.open_at = None;
-                OrderOutcome::Accepted
-            }
-            TargetOrder::Open { replica, generation } => {
-                let fits = toy.entry.membership.as_ref().is_some_and(|member| {
-                    member.replica == *replica
-                        && member.generation == *generation
-                        && member.state == MemberState::Ready
-                });
-                if fits {
-                    toy.open_at = Some(now.after(300));
-                }
-                if fits { OrderOutcome::Accepted } else { OrderOutcome::Refused }
-            }
-            TargetOrder::Close { replica, generation, .. } => {
-                let Some(member) = toy.entry.membership.as_mut() else {
-                    return OrderOutcome::Refused;
-                };
-                if member.replica != *replica || member.generation != *generation {
-                    return OrderOutcome::Refused;
-                }
-                member.state = MemberState::Closing;
-                OrderOutcome::Accepted
-            }
-            TargetOrder::Leave { replica, generation } => {
-                let member = toy.entry.membership.as_ref();
-                let fits = member.is_some_and(|member| {
-                    member.replica == *replica && member.generation == *generation
-                });
-                if !fits {
-                    return OrderOutcome::Refused;
-                }
-                toy.entry.membership = None;
-                toy.ready_at = None;
-                toy.open_at = None;
-                OrderOutcome::Accepted
-            }
-            TargetOrder::Stage { model } => {
-                if refuses {
-                    return OrderOutcome::Refused;
-                }
-                toy.staging = Some((model.clone(), 16_000.0));
-                OrderOutcome::Accepted
-            }
+        match self.toys.get_mut(target) {
+            None => OrderOutcome::Gone,
+            Some(toy) if !toy.alive => OrderOutcome::Unanswered,
+            Some(toy) => toy.apply(self.now, order, refuses),
         }
     }
 
@@ -473,7 +331,6 @@
     }
 
     fn advance_toys(&mut self) {
-        let now = self.now;
         // Loads beyond what the weights store can do at once share its speed.
         self.callers_came |= self.traffic_seen;
         let share = match self.callers_came {
@@ -481,23 +338,9 @@
             false => 1.0,
         };
         let loaded_ms = STEP_MS as f64 * share.min(1.0);
+        let now = self.now;
         for toy in self.toys.values_mut().filter(|toy| toy.alive) {
-            if let Some(member) = toy.entry.membership.as_mut() {
-                if toy.ready_at.is_some_and(|at| at <= now) {
-                    toy.ready_at = None;
-                    member.state = MemberState::Ready;
-                }
-                if toy.open_at.is_some_and(|at| at <= now) {
-                    toy.open_at = None;
-                    member.state = MemberState::Open;
-                }
-            }
-            if let Some((_, left_ms)) = toy.staging.as_mut() {
-                *left_ms -= loaded_ms;
-            }
-            if let Some((model, _)) = toy.staging.take_if(|(_, left_ms)| *left_ms <= 0.0) {
-                toy.entry.staged = vec![model];
-            }
+            toy.advance(now, loaded_ms);
         }
         self.note_opened();
     }
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use celeryhaven_types::ModelName;
-use common::{World, name};
+use common::World;
+use common::toy::name;
 
 fn served() -> World {
     let mut world = World::new(10);
