--- a/crates/gateway/src/control/suspicions.rs
+++ b/crates/gateway/src/control/suspicions.rs
@@ -10,10 +10,12 @@
 use crate::control::deciders::domain_of_target;
 use crate::control::relay::{RelayAddress, tell_peer};
 
-/// How long a suspicion is not followed up or passed on again, in milliseconds.
+/// How long none must have come before a suspicion is followed up or passed on again, in
+/// milliseconds.
 ///
 /// Load: every node with a stream at a replica sees it stand still in the same second. Harm: each
-/// would have all members probed anew. Limit: once in the time of some probes.
+/// would have all members probed anew. Limit: once in the time of some probes; those that come
+/// without a pause count as one.
 const ONCE_MS: u64 = 1_000;
 
 data! {
