forming: an old plan of the same name is not begun again

Change: only a plan that is newer than the record before the write counts as what the write planned; names of replicas hold a number that no decider of the node had before. Ruled out: handing domains over more rarely, which only hides it; names alone, since an old plan must not be begun whatever its name. Test: former_name_used_before, red without the first guard (generation 11 joined again).

--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_fleet::ReplicaKey;
-use celeryhaven_types::{DomainName, ModelName, NodeName, ReplicaName, TimeMs, VmName};
+use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
 
 use crate::domain::formation::{Dissolving, Formation, PendingOrder};
 use crate::domain::loads::Loads;
@@ -39,6 +39,8 @@
 pub struct DomainFormer {
     pub(crate) domain: DomainName,
     pub(crate) node: NodeName,
+    /// Tells this decider's names of replicas from those of one that the node had before.
+    pub(crate) instance: u64,
     pub(crate) settings: FormingSettings,
     pub(crate) record: RecordState,
     /// When the record is read again after a read that failed.
@@ -60,6 +62,8 @@
     pub(crate) loads: Loads,
     /// Plans of this decider whose write got no answer.
     pub(crate) unconfirmed: BTreeSet<ReplicaName>,
+    /// The highest generation of a plan in the record, as it was read or written last.
+    pub(crate) planned_generation: Generation,
     /// Plans of others that no member names yet, and until when their members count as taken.
     pub(crate) announced: BTreeMap<ReplicaName, (Vec<VmName>, TimeMs)>,
     pub(crate) next_call: OrderCall,
@@ -73,6 +77,7 @@
         Self {
             domain,
             node,
+            instance: 0,
             settings,
             record: RecordState::Unknown,
             read_again_at: now,
@@ -87,12 +92,22 @@
             pending: BTreeMap::new(),
             loads,
             unconfirmed: BTreeSet::new(),
+            planned_generation: Generation::default(),
             announced: BTreeMap::new(),
             next_call: OrderCall::default(),
             next_name: 0,
         }
     }
 
+    /// Puts a number into the names of its replicas that no decider of this node had before.
+    ///
+    /// Guards against a name that is used twice: a node that takes a domain back counts from one
+    /// again, and an old plan in the record, or a replica in the list, passes for the new one.
+    pub fn with_instance(mut self, instance: u64) -> Self {
+        self.instance = instance;
+        self
+    }
+
     /// Takes over settings that follow the configuration.
     pub fn set_settings(&mut self, settings: FormingSettings) {
         self.loads.set_rate(settings.loads_per_s);
@@ -138,6 +153,7 @@
                     self.record = RecordState::Known(record.clone().at(generation));
                     new.iter().for_each(|plan| self.begin(now, view, plan, generation, out));
                     self.unconfirmed.clear();
+                    self.planned_generation = generation;
                 }
             }
             FormingEvent::RecordFailed => self.record_failed(now),
@@ -187,14 +203,18 @@
     ) {
         let until = now.after(self.settings.announced_ms);
         let mut confirmed = Vec::new();
+        let newest = record.replicas.iter().filter_map(|plan| plan.generation).max();
         for plan in &record.replicas {
-            if self.unconfirmed.contains(&plan.replica) {
+            // One that was there before the write is not what the write has planned.
+            let is_new = plan.generation > Some(self.planned_generation);
+            if is_new && self.unconfirmed.contains(&plan.replica) {
                 confirmed.push(plan.clone());
             } else if !is_shown(view, plan) {
                 self.announced.insert(plan.replica.clone(), (plan.members.clone(), until));
             }
         }
         self.unconfirmed.clear();
+        self.planned_generation = newest.unwrap_or_default().max(self.planned_generation);
         self.record = RecordState::Known(record);
         for plan in &confirmed {
             let generation = plan.generation.unwrap_or_default();
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -120,8 +120,8 @@
 
     fn new_plan(&mut self, model: ModelName, members: Vec<VmName>) -> PlannedReplica {
         self.next_name += 1;
-        // The generation makes the name unique among deciders: no two write the same version.
-        let replica = ReplicaName::new(format!("{}-{}-{}", self.domain, self.node, self.next_name));
+        let Self { domain, node, instance, next_name, .. } = self;
+        let replica = ReplicaName::new(format!("{domain}-{node}-{instance:x}-{next_name}"));
         PlannedReplica { replica, generation: None, model, members }
     }
 
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -116,6 +116,16 @@
         self.add_decider(node);
     }
 
+    /// Another decider writes the record, and leaves its plans as they are.
+    pub fn write_by_another(&mut self) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.record = self
+            .record
+            .take()
+            .map(|(before, record)| (revision, record.at(Generation::new(before))));
+    }
+
     /// A target starts again under its name and holds nothing of before.
     pub fn restart(&mut self, target: &VmName) {
         if let Some(toy) = self.toys.get_mut(target) {
--- a/crates/forming/tests/former.rs
+++ b/crates/forming/tests/former.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use celeryhaven_fleet::TargetOrder;
 use celeryhaven_types::ModelName;
 use common::World;
 use common::toy::name;
@@ -303,3 +304,32 @@
     world.run_ms(500);
     assert!(world.toys[&members[1]].entry.membership.is_some(), "no plan yet");
 }
+
+/// A node gives up its domain and takes it back. Its first plan has the name of its first plan of
+/// before, the write meets a newer record, and the record that is read anew still holds the old plan.
+/// Taken for the new one, it was begun again: targets joined a replica that they had left, while its
+/// head, cut off, was still open, and were ordered into another one next.
+#[test]
+fn former_name_used_before() {
+    let mut world = served();
+    world.run_ms(20_000);
+    world.store_answers = false;
+    world.kill(&name(1));
+    world.suspect(&name(1));
+    world.run_ms(4_000);
+    world.store_answers = true;
+    world.replace_decider("entry-1");
+    world.run_ms(100);
+    world.write_by_another();
+    world.run_ms(5_000);
+    let joins = world.toys[&name(0)].orders.iter().filter_map(|order| match order {
+        TargetOrder::Join { replica, generation, .. } => Some((replica, generation)),
+        _ => None,
+    });
+    let mut formations: Vec<_> = joins.collect();
+    let count = formations.len();
+    formations.sort_unstable();
+    formations.dedup();
+    assert_eq!(formations.len(), count, "joined the same formation again: {formations:?}");
+    assert_eq!(world.serving()["small"], 2);
+}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -84,6 +84,7 @@
     /// Knows nothing yet.
     pub(crate) fn new(parts: ControlParts<A>, executor: Rc<LocalExecutor<'static>>) -> Self {
         let relay = Relay::new(&parts.token);
+        let deciders = Deciders::new(parts.boot);
         Self {
             parts,
             executor,
@@ -93,7 +94,7 @@
             replicas: BTreeMap::new(),
             shown: BTreeSet::new(),
             nodes: Nodes::default(),
-            deciders: Deciders::default(),
+            deciders,
             traffic_seen: false,
             leaving: false,
             store_away: false,
--- a/crates/gateway/src/control/deciders.rs
+++ b/crates/gateway/src/control/deciders.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Deciders {
     pub(crate) domains: BTreeMap<DomainName, Decider>,
+    /// Of the next decider; it begins with the start of the process, so that no two are the same.
+    next_instance: u64,
 }
 
 /// The domains of a service's targets.
@@ -31,6 +33,11 @@
 }
 
 impl Deciders {
+    /// Decides for nothing yet; `boot` tells this start of the process from others.
+    pub(crate) fn new(boot: u64) -> Self {
+        Self { domains: BTreeMap::new(), next_instance: boot }
+    }
+
     /// Decides for these domains and no others from now on; true if that is a change.
     pub(crate) fn set(
         &mut self,
@@ -46,6 +53,8 @@
             self.domains.entry(domain.clone()).or_insert_with(|| {
                 changed = true;
                 let former = DomainFormer::new(now, domain.clone(), node.clone(), settings);
+                let former = former.with_instance(self.next_instance);
+                self.next_instance += 1;
                 Decider { former, version: None }
             });
         }
