forming: targets stage a second model, and a model that lacks more gets targets of another

Survivors of a four waited for a last member that had to load; the domains decided each for itself; and a decider that began while few domains were listed kept their part of the loads for ever, so that up to 10 loads shared what the weights store does for 6.

Tests: conversion.rs, each seen red without its part. In former.rs a domain of ten holds three small replicas where it held two and a spare, since no target is kept idle: the tests that need one that is free have eleven. former_stage_refused_not_hammered keeps its bound; refusals now double the pause. former_loads_take_turns waits until second models are staged as well, former_name_used_before looks for 25 s where it looked for 5. The toy keeps what it has staged when it joins without a load.

scripts/test: passed.

--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -56,8 +56,9 @@
     /// Members whose entry was removed, and when each is probed next; `true` once one answered.
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
-    /// Targets that have refused to stage, and until when they are not asked again.
-    pub(crate) unstageable: BTreeMap<VmName, TimeMs>,
+    /// Targets that have refused to stage, until when they are not asked again, and how long that
+    /// was, in milliseconds.
+    pub(crate) unstageable: BTreeMap<VmName, (TimeMs, u64)>,
     pub(crate) pending: BTreeMap<OrderCall, PendingOrder>,
     pub(crate) loads: Loads,
     /// Plans of this decider whose write got no answer.
@@ -66,6 +67,10 @@
     pub(crate) planned_generation: Generation,
     /// Plans of others that no member names yet, and until when their members count as taken.
     pub(crate) announced: BTreeMap<ReplicaName, (Vec<VmName>, TimeMs)>,
+    /// A model that another could be given up for, and since when.
+    pub(crate) short_since: Option<(ModelName, TimeMs)>,
+    /// The model that replicas were given up for last, and which.
+    pub(crate) converting: Option<(ModelName, Vec<ReplicaKey>)>,
     pub(crate) next_call: OrderCall,
     pub(crate) next_name: u64,
 }
@@ -94,6 +99,8 @@
             unconfirmed: BTreeSet::new(),
             planned_generation: Generation::default(),
             announced: BTreeMap::new(),
+            short_since: None,
+            converting: None,
             next_call: OrderCall::default(),
             next_name: 0,
         }
@@ -130,6 +137,7 @@
         self.send_again(now, out);
         self.judge_replicas(now, view, out);
         self.advance_dissolving(now, view, out);
+        self.convert(now, view, out);
         if matches!(self.record, RecordState::Known(_)) {
             self.plan(view, out);
         }
@@ -231,6 +239,7 @@
             view.fleet.known(name).is_some() && view.fleet.target(name).is_none()
         });
         self.staging.retain(|name, _| view.fleet.target(name).is_some());
+        self.unstageable.retain(|name, _| view.fleet.target(name).is_some());
         self.left.retain(|(name, key)| {
             let member = view.fleet.target(name).and_then(|entry| entry.membership.as_ref());
             member.is_some_and(|member| {
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -43,12 +43,15 @@
 
     /// Targets of the domain that can be members at all.
     pub(crate) fn usable_targets(&self, view: FormingView<'_>) -> usize {
-        view.fleet
-            .targets()
-            .filter(|entry| entry.domain.as_ref() == Some(&self.domain))
-            .filter(|entry| entry.phase == TargetPhase::Ready)
-            .filter(|entry| !self.unreachable.contains_key(&entry.name))
-            .count()
+        let own = view.fleet.targets().filter(|e| e.domain.as_ref() == Some(&self.domain));
+        own.filter(|entry| self.is_usable(view, entry)).count()
+    }
+
+    /// Whether a target of any domain can be a member at all.
+    pub(crate) fn is_usable(&self, view: FormingView<'_>, entry: &TargetEntry) -> bool {
+        entry.domain.as_ref().is_some_and(|d| *d == self.domain || view.domains.contains(d))
+            && entry.phase == TargetPhase::Ready
+            && !self.unreachable.contains_key(&entry.name)
     }
 
     fn is_in_no_replica(&self, entry: &TargetEntry) -> bool {
--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of one domain's decider.
 
+mod converting;
 mod dissolving;
 mod formation;
 mod former;
--- a/crates/forming/src/domain/needs.rs
+++ b/crates/forming/src/domain/needs.rs
@@ -1,5 +1,3 @@
-use std::collections::BTreeMap;
-
 use celeryhaven_fleet::EngineProfile;
 use celeryhaven_types::ModelName;
 
@@ -36,20 +34,17 @@
 }
 
 impl Needs {
-    /// The needs of a domain that wants and holds these replicas and has so many free targets.
+    /// The needs of a domain that wants these replicas, lacks some and has so many free targets.
     pub(crate) fn new(
         wanted: Vec<ModelCount>,
-        held: &BTreeMap<ModelName, usize>,
+        missing: impl Fn(&ModelCount) -> usize,
         profile: &EngineProfile,
         room: usize,
     ) -> Self {
-        let missing = |count: &ModelCount| {
-            count.replicas.saturating_sub(held.get(&count.model).copied().unwrap_or_default())
-        };
         let load_ms =
             |count: &ModelCount| profile.model(&count.model).map_or(1, |model| model.load_ms);
         Self {
-            missing: wanted.iter().map(missing).collect(),
+            missing: wanted.iter().map(&missing).collect(),
             load_ms: wanted.iter().map(load_ms).collect(),
             spares: vec![0; wanted.len()],
             wanted,
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -70,7 +70,9 @@
                 self.left(&key, &pending.target, outcome);
             }
             TargetOrder::Stage { .. } => {
-                if outcome != OrderOutcome::Accepted {
+                if outcome == OrderOutcome::Accepted {
+                    self.unstageable.remove(&pending.target);
+                } else {
                     self.stage_failed(now, &pending.target);
                 }
             }
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -74,8 +74,26 @@
         let missing = |count: &&ModelCount| {
             held.get(&count.model).copied().unwrap_or_default() < count.replicas
         };
-        let short = wanted.iter().filter(missing).chain(wanted.iter().rev());
-        let warm = short.clone().find_map(|count| pick(free, count, Warmth::Staged));
+        let warm = match self.serves_callers(view) {
+            Some(true) => {
+                let balance = self.balance_with(view, held);
+                let models: Vec<&ModelName> = balance.by_need().collect();
+                let fit = |(rank, model): (usize, &&ModelName)| {
+                    let count = wanted.iter().find(|count| count.model == **model)?;
+                    let needier = &models[..rank];
+                    let spared = free.iter().filter(|e| !is_spared(e, model, needier)).copied();
+                    let spared: Vec<&TargetEntry> = spared.collect();
+                    let may_form = self.converting_to().is_none_or(|to| to == *model);
+                    (may_form && balance.missing(model) > 0)
+                        .then(|| pick(&spared, count, Warmth::Staged))?
+                };
+                models.iter().enumerate().find_map(fit)
+            }
+            _ => {
+                let mut short = wanted.iter().filter(missing).chain(wanted.iter().rev());
+                short.find_map(|count| pick(free, count, Warmth::Staged))
+            }
+        };
         if warm.is_some() {
             return warm;
         }
@@ -132,6 +150,15 @@
     }
 }
 
+/// Whether a target is kept for a model that is provided for worse than this one.
+///
+/// A host keeps few models: one that served a model and joins another which it has staged must load
+/// the first again.
+fn is_spared(entry: &TargetEntry, model: &ModelName, needier: &[&ModelName]) -> bool {
+    let served = entry.model.as_ref();
+    served.is_some_and(|served| served != model && needier.contains(&served))
+}
+
 fn pick(
     free: &[&TargetEntry],
     count: &ModelCount,
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -151,7 +151,7 @@
                 match leaves {
                     _ if lost => self.take_apart(replica, out),
                     None => {}
-                    Some(true) => self.close(now, replica, out),
+                    Some(true) => self.close(now, replica, "member leaves", out),
                     Some(false) if whole => {}
                     Some(false) => self.take_apart(replica, out),
                 }
@@ -171,7 +171,7 @@
             }
             None => match self.leave_without_word(now, view, replica, out) {
                 None => {}
-                Some(true) => self.close(now, replica, out),
+                Some(true) => self.close(now, replica, "member leaves", out),
                 Some(false) => self.dissolve(&replica.key, members, out),
             },
         }
@@ -235,9 +235,15 @@
         members.all(|member| self.left.contains(&(member.clone(), replica.key.clone())))
     }
 
-    /// Lets the head of a replica finish its work, since a member leaves.
-    fn close(&mut self, now: TimeMs, replica: &Replica, out: &mut Vec<FormingAction>) {
-        self.note(&replica.key, "member leaves", None, out);
+    /// Lets the head of a replica finish its work before its members leave.
+    pub(crate) fn close(
+        &mut self,
+        now: TimeMs,
+        replica: &Replica,
+        why: &'static str,
+        out: &mut Vec<FormingAction>,
+    ) {
+        self.note(&replica.key, why, None, out);
         let waiting = replica.members.iter().flatten().cloned().collect();
         let dissolving = Dissolving { waiting, closed_at: Some(now) };
         self.dissolving.insert(replica.key.clone(), dissolving);
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -1,10 +1,13 @@
-use celeryhaven_fleet::{TargetEntry, TargetOrder, TargetPhase};
+use std::cmp::Reverse;
+
+use celeryhaven_fleet::{ModelProfile, TargetEntry, TargetOrder, TargetPhase};
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
 use crate::domain::DomainFormer;
 use crate::domain::free::{Warmth, warmth};
 use crate::domain::needs::Needs;
 use crate::interface::{FormingAction, FormingView};
+use crate::mix::ModelCount;
 
 impl DomainFormer {
     /// Stages a model on free targets, so that they join within two seconds when a replica breaks.
@@ -25,13 +28,15 @@
             let is_loading = |entry| warmth(entry, model) == Warmth::Cold;
             *until > now && is_sound && entry.is_some_and(is_loading)
         });
-        self.unstageable.retain(|_, until| *until > now);
         let Some(serves) = self.serves_callers(view) else { return };
         if !serves && !self.formations.is_empty() {
             return;
         }
-        for (target, model) in self.loads_wanted(view) {
-            let is_full = self.staging.len() >= self.settings.loads_under_way_max;
+        let under_way_max = self.loads_under_way_max(view);
+        let wanted = self.loads_wanted(now, view);
+        let second = self.second_loads_wanted(now, view);
+        for (target, model) in wanted.into_iter().chain(second) {
+            let is_full = self.staging.len() >= under_way_max;
             if serves && (is_full || !self.loads.take(now, 1)) {
                 return;
             }
@@ -42,20 +47,41 @@
         }
     }
 
+    /// Loads that may be under way in this domain: of those in all, its part of the empty targets.
+    ///
+    /// Load: empty targets come in some domains and not in others. Harm: with the same part for
+    /// each, three empty ones of one domain loaded one after another while the weights store had
+    /// nothing to do for the others. Limit: one at least, so that a domain is never without.
+    fn loads_under_way_max(&self, view: FormingView<'_>) -> usize {
+        let is_own = |entry: &&TargetEntry| entry.domain.as_ref() == Some(&self.domain);
+        let own = empty_targets(view).filter(is_own).count();
+        let part = own as f64 / empty_targets(view).count().max(1) as f64;
+        let most = self.settings.loads_under_way_max as f64 * part;
+        (most.round() as usize).max(1)
+    }
+
     /// Takes over that a target does not stage now, such as one that still stages another model.
     pub(crate) fn stage_failed(&mut self, now: TimeMs, target: &VmName) {
         self.staging.remove(target);
-        self.unstageable.insert(target.clone(), now.after(self.settings.stage_again_ms));
+        let pause_ms = match self.unstageable.get(target) {
+            Some((_, before_ms)) => (before_ms * 2).min(self.settings.stage_pause_max_ms),
+            None => self.settings.stage_again_ms,
+        };
+        self.unstageable.insert(target.clone(), (now.after(pause_ms), pause_ms));
+    }
+
+    fn may_stage(&self, now: TimeMs, target: &VmName) -> bool {
+        self.unstageable.get(target).is_none_or(|(until, _)| *until <= now)
     }
 
     /// Free targets that should stage a model, and which; what brings most for its load first.
-    fn loads_wanted(&self, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
+    fn loads_wanted(&self, now: TimeMs, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
         let free = self.free_targets(view);
         let (unmet, pool) = self.unmet_loads(view, &free);
         let is_host = |entry: &&TargetEntry| {
             free.iter().any(|free| free.name == entry.name)
                 && !self.staging.contains_key(&entry.name)
-                && !self.unstageable.contains_key(&entry.name)
+                && self.may_stage(now, &entry.name)
         };
         let models = &view.profile.models;
         let is_empty = |entry: &&TargetEntry| {
@@ -70,6 +96,57 @@
         unmet.into_iter().filter_map(pick).collect()
     }
 
+    /// Serving targets that should stage another model beside the one that they serve, and which.
+    ///
+    /// Load: a replica loses a member every few seconds, and its survivors are too few for another
+    /// of its size. Harm: they stand idle until a load of many seconds is over, while members of
+    /// other replicas nearby could complete them. Limit: the model that fewest targets of the domain
+    /// have; free targets come first.
+    fn second_loads_wanted(&self, now: TimeMs, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
+        if self.serves_callers(view) == Some(true) && empty_targets(view).next().is_some() {
+            return Vec::new();
+        }
+        let serving: Vec<&TargetEntry> = self.serving(view).collect();
+        let mut warm: Vec<(usize, &ModelProfile)> = view
+            .profile
+            .models
+            .iter()
+            .map(|model| {
+                let has = |entry: &&&TargetEntry| self.is_or_gets_warm(entry, &model.name);
+                (serving.iter().filter(has).count(), model)
+            })
+            .collect();
+        let mut loads = Vec::new();
+        for entry in serving {
+            if self.staging.contains_key(&entry.name) || !self.may_stage(now, &entry.name) {
+                continue;
+            }
+            let cold =
+                warm.iter_mut().filter(|(_, model)| warmth(entry, &model.name) == Warmth::Cold);
+            let Some((count, model)) =
+                cold.min_by_key(|(count, model)| (*count, Reverse(model.size)))
+            else {
+                continue;
+            };
+            // One that was told to load another model keeps what it staged first.
+            if entry.staged.iter().any(|staged| entry.model.as_ref() != Some(staged)) {
+                continue;
+            }
+            *count += 1;
+            loads.push((entry.name.clone(), model.name.clone()));
+        }
+        loads
+    }
+
+    /// Sound targets of the domain whose replica serves.
+    fn serving<'a>(&self, view: FormingView<'a>) -> impl Iterator<Item = &'a TargetEntry> {
+        let open = self.open_replicas(view);
+        let members = open.flat_map(|replica| replica.members.iter().flatten());
+        let sound = members.filter(|name| !self.unreachable.contains_key(*name));
+        let listed = sound.filter_map(move |name| view.fleet.target(name));
+        listed.filter(|entry| entry.phase == TargetPhase::Ready)
+    }
+
     /// Loads that the domain lacks, and the targets that nothing counts on.
     ///
     /// Members of replicas that are being taken apart count as there, since they are free in a
@@ -82,7 +159,16 @@
     ) -> (Vec<UnmetLoad>, Pool<'a>) {
         let mut pool = Pool(free.iter().copied().chain(self.soon_free(view)).collect());
         let held = self.held(view);
-        let mut needs = Needs::new(self.wanted(view), &held, view.profile, pool.0.len());
+        let balance = self.balance_with(view, &held);
+        let serves = self.serves_callers(view) == Some(true);
+        let missing = |count: &ModelCount| match serves {
+            true => balance.missing(&count.model),
+            false => {
+                let held = held.get(&count.model).copied().unwrap_or_default();
+                count.replicas.saturating_sub(held)
+            }
+        };
+        let mut needs = Needs::new(self.wanted(view), missing, view.profile, pool.0.len());
         let mut unmet = Vec::new();
         while let Some(need) = needs.next(|model| pool.warm(self, model)) {
             let lacking = need.targets - pool.take_warm(self, &need.model, need.targets);
@@ -107,6 +193,12 @@
     }
 }
 
+/// Targets of all domains that can serve no model without a load.
+fn empty_targets(view: FormingView<'_>) -> impl Iterator<Item = &TargetEntry> {
+    let in_domain = view.fleet.targets().filter(|entry| entry.domain.is_some());
+    in_domain.filter(|entry| entry.model.is_none() && entry.staged.is_empty())
+}
+
 /// A load that no target has or does.
 #[derive(Clone, Debug)]
 struct UnmetLoad {
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -27,6 +27,11 @@
         /// It mostly still stages for an earlier decider, which takes many seconds; without the
         /// pause it got 250 orders in a second.
         pub stage_again_ms: u64,
+        /// Longest time that one which has refused to stage again and again is left alone, in
+        /// milliseconds.
+        ///
+        /// As long as a load takes; each refusal before doubles the pause.
+        pub stage_pause_max_ms: u64,
         /// Time between two probes of an unreachable target, in milliseconds.
         pub probe_every_ms: u64,
         /// Longest time that a leaving member is waited for, in milliseconds.
@@ -39,7 +44,7 @@
         pub unlisted_wait_ms: u64,
         /// Loads from the weights store that this domain may begin each second.
         pub loads_per_s: f64,
-        /// Loads of this domain that may be under way at once.
+        /// Loads of all domains that may be under way at once.
         pub loads_under_way_max: usize,
         /// Loads that may be saved up.
         pub loads_saved_max: f64,
@@ -57,6 +62,7 @@
             adopt_after_ms: 1_500,
             announced_ms: 1_500,
             stage_again_ms: 3_000,
+            stage_pause_max_ms: 12_000,
             probe_every_ms: 1_000,
             drain_wait_ms: 10_000,
             unlisted_wait_ms: 4_000,
@@ -69,16 +75,15 @@
 }
 
 impl FormingSettings {
-    /// Spreads the loads that may start, and those that may run side by side, over all domains.
+    /// Spreads the loads that may start over all domains, and keeps how many may run side by side.
     ///
     /// Load: a fabric domain returns, or many empty targets come. Harm: beyond its rate the weights
     /// store makes every load slower, also those that mend a replica. Limit: nine tenths of the
-    /// rate, since deciders cannot see each other's last second; an equal part of the loads side by
-    /// side, and one at least, so that a domain is never without.
+    /// rate, since deciders cannot see each other's last second.
     pub fn with_loads(mut self, loads_per_s: f64, loads_at_once: f64, domains: usize) -> Self {
         let domains = domains.max(1) as f64;
         self.loads_per_s = loads_per_s * 0.9 / domains;
-        self.loads_under_way_max = (loads_at_once / domains).round().max(1.0) as usize;
+        self.loads_under_way_max = (loads_at_once as usize).max(1);
         self
     }
 }
--- a/crates/forming/src/lib.rs
+++ b/crates/forming/src/lib.rs
@@ -21,5 +21,5 @@
 pub use interface::{
     FormingAction, FormingEvent, FormingSettings, FormingView, OrderCall, Reachability,
 };
-pub use mix::{DomainPlace, ModelCount, wanted_replicas};
+pub use mix::{Balance, DomainPlace, ModelCount, wanted_replicas};
 pub use record::{DomainRecord, PlannedReplica};
--- a/crates/forming/src/mix/wanted.rs
+++ b/crates/forming/src/mix/wanted.rs
@@ -15,12 +15,6 @@
     }
 }
 
-/// Targets of a domain for each that is kept as a spare.
-///
-/// A lost member stops the whole replica; with a spare that has the model staged it serves again
-/// within two seconds, without one after a load of many.
-const TARGETS_PER_SPARE: usize = 10;
-
 /// Which of the service's domains one is, in the order of their names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DomainPlace {
@@ -53,7 +47,7 @@
 /// let large = |index| {
 ///     wanted_replicas(10, &models, DomainPlace { index, domains: 6 })[0].replicas
 /// };
-/// assert_eq!((0..6).map(large).collect::<Vec<_>>(), [1, 1, 1, 2, 1, 1]);
+/// assert_eq!((0..6).map(large).collect::<Vec<_>>(), [1, 2, 1, 1, 1, 2]);
 /// ```
 pub fn wanted_replicas(
     targets: usize,
@@ -62,12 +56,11 @@
 ) -> Vec<ModelCount> {
     let mut sorted: Vec<&ModelProfile> = models.iter().filter(|model| model.size > 0).collect();
     sorted.sort_by(|a, b| b.size.cmp(&a.size).then_with(|| a.name.cmp(&b.name)));
-    let usable = targets - targets / TARGETS_PER_SPARE;
     let shares: f64 = sorted.iter().map(|model| model.share).sum();
     let last = sorted.len().saturating_sub(1);
-    let mut left = usable;
+    let mut left = targets;
     let count = |(rank, model): (usize, &&ModelProfile)| {
-        let part = usable as f64 * model.share / shares.max(f64::EPSILON) / model.size as f64;
+        let part = targets as f64 * model.share / shares.max(f64::EPSILON) / model.size as f64;
         let wished = if rank == last { left / model.size } else { rounded(part, place.index) };
         let replicas = wished.min(left / model.size);
         left -= replicas * model.size;
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -144,6 +144,22 @@
         }
     }
 
+    /// Heads that finish their work before their replica is taken apart.
+    pub fn closing_heads(&self) -> Vec<VmName> {
+        let closing = |toy: &&Toy| {
+            let member = toy.entry.membership.as_ref();
+            toy.alive && member.is_some_and(|member| member.state == MemberState::Closing)
+        };
+        self.toys.values().filter(closing).map(|toy| toy.entry.name.clone()).collect()
+    }
+
+    /// Every closing head has finished its work.
+    pub fn finish_all_work(&mut self) {
+        for head in self.closing_heads() {
+            self.finish_work(&head);
+        }
+    }
+
     /// Lets this much time pass.
     pub fn run_ms(&mut self, span_ms: u64) {
         let end = self.now.after(span_ms);
--- a/crates/forming/tests/common/toy.rs
+++ b/crates/forming/tests/common/toy.rs
@@ -99,6 +99,7 @@
                 } else if self.entry.staged.contains(model) {
                     1_600
                 } else {
+                    self.entry.staged = vec![model.clone()];
                     16_000
                 };
                 let rank = members
@@ -112,7 +113,6 @@
                     state: MemberState::Joining,
                 });
                 self.entry.model = Some(model.clone());
-                self.entry.staged = vec![model.clone()];
                 self.ready_at = Some(now.after(load_ms));
                 self.open_at = None;
                 OrderOutcome::Accepted
--- a/crates/gateway/src/control/deciders.rs
+++ b/crates/gateway/src/control/deciders.rs
@@ -49,6 +49,8 @@
         let before = self.domains.len();
         self.domains.retain(|domain, _| domains.contains(domain));
         let mut changed = self.domains.len() != before;
+        // The first deciders begin when few of the domains are listed.
+        self.domains.values_mut().for_each(|decider| decider.former.set_settings(settings));
         for domain in domains {
             self.domains.entry(domain.clone()).or_insert_with(|| {
                 changed = true;
