gateway, policy: a request that breaks before its first event goes on elsewhere; a request's end tells its waits

A request's end now logs when it was first sent, its first piece and its longest pause: by that, of 230 requests at the large model with a late first event 190 had gone to a sound replica at once, and 83 streams paused for a loss.

--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -14,6 +14,7 @@
 use crate::adapter::Adapter;
 use crate::http::refusal_parts;
 use crate::traffic::attempt::{Attempt, AttemptEnd};
+use crate::traffic::delivery::Delivery;
 use crate::traffic::gate_state::Instruction;
 use crate::traffic::{AnswerParts, Ask, Gate, Sink};
 
@@ -39,6 +40,7 @@
     pub(crate) sink: Sink,
     pub(crate) splitter: EventSplitter,
     pub(crate) attempts: u32,
+    pub(crate) delivery: Delivery,
     /// Where the last attempt went.
     target: Option<VmName>,
     /// How the last attempt ended, if not with an answer.
@@ -72,6 +74,7 @@
             sink,
             splitter,
             attempts: 0,
+            delivery: Delivery::default(),
             target: None,
             attempt_end: None,
             may_have_run: false,
@@ -97,6 +100,7 @@
                 }
                 Instruction::Send(routable) => {
                     self.attempts += 1;
+                    self.delivery.sent(self.gate.now());
                     self.target = Some(routable.target.clone());
                     let end = Attempt::new(&mut self, &routable).run().await;
                     if self.settle(end).await {
@@ -247,6 +251,10 @@
             "prompt_tokens" => self.ask.caller.prompt_tokens,
             "output_tokens" => self.ask.caller.output_tokens_max,
             "events" => events,
+            "waited_ms" => self.delivery.sent_at.map(|at| at.since(self.ask.arrived_at)),
+            "first_ms" => self.delivery.first_at.map(|at| at.since(self.ask.arrived_at)),
+            "objective_ms" => self.ask.route.objective_ms,
+            "longest_pause_ms" => self.delivery.longest_pause_ms,
             "took_ms" => now.since(self.ask.arrived_at),
             "left_ms" => self.ask.deadline.since(now),
         );
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod attempt;
 mod body;
+mod delivery;
 mod exchange;
 mod gate;
 mod gate_state;
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -71,6 +71,7 @@
                 continue;
             };
             self.begin(&mut parts).await;
+            self.exchange.delivery.piece(self.exchange.gate.now());
             self.exchange.sink.piece(whole).await;
         }
     }
@@ -123,6 +124,7 @@
             self.exchange.failure = Some((parts, body));
             return AttemptEnd::Broken(Verdict::MayHaveRun);
         }
+        self.exchange.delivery.piece(self.exchange.gate.now());
         self.exchange.sink.begin(AnswerParts { whole: Some(body), ..parts }).await;
         AttemptEnd::Answered
     }
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -11,11 +11,12 @@
 /// at each. Limit: three that refuse in a row are no chance, and the deadline has mostly passed.
 pub(crate) const ATTEMPTS_MAX: u32 = 4;
 
-/// Time within which an answer that had begun must go on elsewhere, in milliseconds.
+/// Time within which a request that broke at its target must go on elsewhere, in milliseconds.
 ///
-/// Load: a replica that dies with its streams. Harm: counted from arrival, the time to be sent is
-/// over for every stream older than that, and none of them would go on. Limit: callers leave a
-/// stream that pauses for two seconds.
+/// Load: a replica that dies with its requests. Harm: counted from arrival, the time to be sent is
+/// over for every stream older than that, and none of them would go on; of 4,100 requests 48 that
+/// had waited there for their first event were given up for it. Limit: callers leave a stream that
+/// gives nothing for two seconds.
 const RESUME_MS: u64 = 1_500;
 
 /// Added to both sides of a ratio of first token delays, so that tiny ones do not look slow.
@@ -99,12 +100,10 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
-        let Phase::Running { target, cancelled, expected, started_at, .. } = request.phase else {
+        let Phase::Running { target, cancelled, expected, .. } = request.phase else {
             return;
         };
-        if started_at.is_some() {
-            request.send_by = request.send_by.map(|_| now.after(RESUME_MS));
-        }
+        request.send_by = request.send_by.map(|send_by| send_by.max(now.after(RESUME_MS)));
         let class = request.class;
         let not_run = verdict == Verdict::NotRun;
         request.may_have_run |= !not_run;
