--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -11,6 +11,7 @@
 mod planning;
 mod reach;
 mod replicas;
+mod second_models;
 mod staging;
 
 pub use former::DomainFormer;
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -63,7 +63,7 @@
         held
     }
 
-    /// The next replica worth forming, with its members; the warmest first.
+    /// The next replica worth forming, with its members.
     fn next_replica(
         &self,
         view: FormingView<'_>,
@@ -71,29 +71,14 @@
         held: &BTreeMap<ModelName, usize>,
         free: &[&TargetEntry],
     ) -> Option<(ModelName, Vec<VmName>)> {
+        if self.serves_callers(view) == Some(true) {
+            return self.next_by_need(view, wanted, held, free);
+        }
         let missing = |count: &&ModelCount| {
             held.get(&count.model).copied().unwrap_or_default() < count.replicas
         };
-        let warm = match self.serves_callers(view) {
-            Some(true) => {
-                let balance = self.balance_with(view, held);
-                let models: Vec<&ModelName> = balance.by_need().collect();
-                let fit = |(rank, model): (usize, &&ModelName)| {
-                    let count = wanted.iter().find(|count| count.model == **model)?;
-                    let needier = &models[..rank];
-                    let spared = free.iter().filter(|e| !is_spared(e, model, needier)).copied();
-                    let spared: Vec<&TargetEntry> = spared.collect();
-                    let may_form = self.converting_to().is_none_or(|to| to == *model);
-                    (may_form && balance.missing(model) > 0)
-                        .then(|| pick(&spared, count, Warmth::Staged))?
-                };
-                models.iter().enumerate().find_map(fit)
-            }
-            _ => {
-                let mut short = wanted.iter().filter(missing).chain(wanted.iter().rev());
-                short.find_map(|count| pick(free, count, Warmth::Staged))
-            }
-        };
+        let mut short = wanted.iter().filter(missing).chain(wanted.iter().rev());
+        let warm = short.find_map(|count| pick(free, count, Warmth::Staged));
         if warm.is_some() {
             return warm;
         }
@@ -111,6 +96,32 @@
         pick(free, cold, Warmth::Cold)
     }
 
+    /// A warm replica of the model that all domains together provide for worst, up to its share.
+    ///
+    /// Load: losses leave free targets that have more than one model. Harm: formed of whatever fits,
+    /// they are small replicas beyond their share, and the large model falls from six replicas to
+    /// two within half a minute of steady loss.
+    fn next_by_need(
+        &self,
+        view: FormingView<'_>,
+        wanted: &[ModelCount],
+        held: &BTreeMap<ModelName, usize>,
+        free: &[&TargetEntry],
+    ) -> Option<(ModelName, Vec<VmName>)> {
+        let balance = self.balance_with(view, held);
+        let freed_for = self.converting_to();
+        let models: Vec<&ModelName> = balance.by_need().collect();
+        models.iter().enumerate().find_map(|(rank, &model)| {
+            if balance.missing(model) == 0 || freed_for.is_some_and(|to| to != model) {
+                return None;
+            }
+            let needier = &models[..rank];
+            let candidates = free.iter().filter(|entry| !is_kept_for(entry, needier)).copied();
+            let count = wanted.iter().find(|count| count.model == *model)?;
+            pick(&candidates.collect::<Vec<_>>(), count, Warmth::Staged)
+        })
+    }
+
     /// Whether callers are served, so that loads take their whole time; `None` if that is not known.
     ///
     /// Guards against a restart of every node: none has seen a request yet, and each would load all
@@ -150,13 +161,12 @@
     }
 }
 
-/// Whether a target is kept for a model that is provided for worse than this one.
+/// Whether a target served one of these models last and is kept for it.
 ///
-/// A host keeps few models: one that served a model and joins another which it has staged must load
-/// the first again.
-fn is_spared(entry: &TargetEntry, model: &ModelName, needier: &[&ModelName]) -> bool {
-    let served = entry.model.as_ref();
-    served.is_some_and(|served| served != model && needier.contains(&served))
+/// Guards against a model that loses its targets for good: a host keeps few models, so one that
+/// joins a replica of another must load the former again.
+fn is_kept_for(entry: &TargetEntry, needier: &[&ModelName]) -> bool {
+    entry.model.as_ref().is_some_and(|served| needier.contains(&served))
 }
 
 fn pick(
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -1,6 +1,4 @@
-use std::cmp::Reverse;
-
-use celeryhaven_fleet::{ModelProfile, TargetEntry, TargetOrder, TargetPhase};
+use celeryhaven_fleet::{TargetEntry, TargetOrder, TargetPhase};
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
 use crate::domain::DomainFormer;
@@ -70,7 +68,7 @@
         self.unstageable.insert(target.clone(), (now.after(pause_ms), pause_ms));
     }
 
-    fn may_stage(&self, now: TimeMs, target: &VmName) -> bool {
+    pub(crate) fn may_stage(&self, now: TimeMs, target: &VmName) -> bool {
         self.unstageable.get(target).is_none_or(|(until, _)| *until <= now)
     }
 
@@ -96,57 +94,6 @@
         unmet.into_iter().filter_map(pick).collect()
     }
 
-    /// Serving targets that should stage another model beside the one that they serve, and which.
-    ///
-    /// Load: a replica loses a member every few seconds, and its survivors are too few for another
-    /// of its size. Harm: they stand idle until a load of many seconds is over, while members of
-    /// other replicas nearby could complete them. Limit: the model that fewest targets of the domain
-    /// have; free targets come first.
-    fn second_loads_wanted(&self, now: TimeMs, view: FormingView<'_>) -> Vec<(VmName, ModelName)> {
-        if self.serves_callers(view) == Some(true) && empty_targets(view).next().is_some() {
-            return Vec::new();
-        }
-        let serving: Vec<&TargetEntry> = self.serving(view).collect();
-        let mut warm: Vec<(usize, &ModelProfile)> = view
-            .profile
-            .models
-            .iter()
-            .map(|model| {
-                let has = |entry: &&&TargetEntry| self.is_or_gets_warm(entry, &model.name);
-                (serving.iter().filter(has).count(), model)
-            })
-            .collect();
-        let mut loads = Vec::new();
-        for entry in serving {
-            if self.staging.contains_key(&entry.name) || !self.may_stage(now, &entry.name) {
-                continue;
-            }
-            let cold =
-                warm.iter_mut().filter(|(_, model)| warmth(entry, &model.name) == Warmth::Cold);
-            let Some((count, model)) =
-                cold.min_by_key(|(count, model)| (*count, Reverse(model.size)))
-            else {
-                continue;
-            };
-            // One that was told to load another model keeps what it staged first.
-            if entry.staged.iter().any(|staged| entry.model.as_ref() != Some(staged)) {
-                continue;
-            }
-            *count += 1;
-            loads.push((entry.name.clone(), model.name.clone()));
-        }
-        loads
-    }
-
-    /// Sound targets of the domain whose replica serves.
-    fn serving<'a>(&self, view: FormingView<'a>) -> impl Iterator<Item = &'a TargetEntry> {
-        let open = self.open_replicas(view);
-        let members = open.flat_map(|replica| replica.members.iter().flatten());
-        let sound = members.filter(|name| !self.unreachable.contains_key(*name));
-        let listed = sound.filter_map(move |name| view.fleet.target(name));
-        listed.filter(|entry| entry.phase == TargetPhase::Ready)
-    }
-
     /// Loads that the domain lacks, and the targets that nothing counts on.
     ///
     /// Members of replicas that are being taken apart count as there, since they are free in a
@@ -187,14 +134,14 @@
         listed.filter(|entry| entry.phase == TargetPhase::Ready)
     }
 
-    fn is_or_gets_warm(&self, entry: &TargetEntry, model: &ModelName) -> bool {
+    pub(crate) fn is_or_gets_warm(&self, entry: &TargetEntry, model: &ModelName) -> bool {
         let stages = self.staging.get(&entry.name).is_some_and(|(staged, _)| staged == model);
         stages || warmth(entry, model) != Warmth::Cold
     }
 }
 
 /// Targets of all domains that can serve no model without a load.
-fn empty_targets(view: FormingView<'_>) -> impl Iterator<Item = &TargetEntry> {
+pub(crate) fn empty_targets(view: FormingView<'_>) -> impl Iterator<Item = &TargetEntry> {
     let in_domain = view.fleet.targets().filter(|entry| entry.domain.is_some());
     in_domain.filter(|entry| entry.model.is_none() && entry.staged.is_empty())
 }
