--- a/crates/forming/src/mix/balance.rs
+++ b/crates/forming/src/mix/balance.rs
@@ -5,8 +5,8 @@
 
 /// Part of another model's provision below which a model is worth replicas of it.
 ///
-/// A member that changes its model must load the former one again before it can go back. At three
-/// quarters 0.01 less of the worth was served on days of steady loss, at six tenths 0.02 to 0.035.
+/// A member that changes its model must load the former one again before it can go back. On days of
+/// steady loss three quarters served as well; at six tenths the mean worth was 0.02 to 0.035 lower.
 const UNEVEN_PART: f64 = 0.9;
 
 /// How well each model of a service is provided for, against its share of the work.
