--- a/crates/policy/tests/fair_load.rs
+++ b/crates/policy/tests/fair_load.rs
@@ -299,8 +299,8 @@
 #[test]
 fn pooled_node_with_twice_its_part_sends_at_once() {
     // Ninety-one nodes share sixteen replicas of thirty-four slots, and callers choose nodes by
-    // chance: this one has twice the usual number. Held to a quarter more than its part, it made a
-    // tenth of its callers wait or refused them, while the replicas had room.
+    // chance: this one has twice the usual number. Held to a quarter more than its part, it made
+    // callers wait or refused them, while the replicas had room.
     let settings = FairSettings::new(3).with_sharing(Sharing::Pooled);
     let mut toy = Toy::with_settings(settings, 16, 34);
     toy.policy.set_sharing(Sharing::Pooled);
