gateway, fleet: relays below the first two vouch by when the store was heard of

Cause: every relay, one for twenty nodes, watched the store each 60 ms while replicas form, so calls grew with the fleet. Change: two relays ask the store, the others ask those and vouch for as long as the first could; a relay that asks another is answered only by one that hears the store itself, so no two vouch for each other. How long the store has been back is told along the chain, so lapsed entries are not kept for a while after each hop.

--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -16,8 +16,8 @@
             version: ObjectVersion,
             /// The objects.
             objects: Vec<Object>,
-            /// Whether the store was away until just before.
-            after_outage: bool,
+            /// What is known of the store itself.
+            store: StoreHearing,
         },
         /// What has changed since the version asked for, perhaps nothing.
         Changes {
@@ -25,12 +25,28 @@
             version: ObjectVersion,
             /// The changes in order.
             changes: Vec<ObjectChange>,
-            /// Whether the store was away until just before.
-            after_outage: bool,
+            /// What is known of the store itself.
+            store: StoreHearing,
         },
-        /// The relay does not follow the store itself, or has not heard of it lately.
+        /// The relay has not heard of the store lately, or not as directly as was asked for.
         Stale,
     }
+
+    /// When a relay has heard of the store, and whether that was away.
+    #[derive(Copy, Default, Eq)]
+    pub struct StoreHearing {
+        /// How long ago the store was heard of, in milliseconds.
+        pub heard_ms_ago: u64,
+        /// How long ago the store came back, in milliseconds, if it was away just before.
+        pub returned_ms_ago: Option<u64>,
+    }
+}
+
+impl StoreHearing {
+    /// An answer of the store itself, which was away just before or not.
+    pub fn direct(after_outage: bool) -> Self {
+        Self { heard_ms_ago: 0, returned_ms_ago: after_outage.then_some(0) }
+    }
 }
 
 /// The objects of one kind and their last changes, as the store told them.
@@ -46,7 +62,8 @@
 /// let mut log = ChangeLog::new();
 /// let version = ObjectVersion::new(7);
 /// assert_eq!(log.since(TimeMs::new(0), None), Some(RelayAnswer::Stale));
-/// log.listed(TimeMs::new(0), version, &[]);
+/// log.listed(version, &[]);
+/// log.heard(TimeMs::new(0), Default::default());
 /// assert_eq!(log.since(TimeMs::new(1), Some(version)), None);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -57,7 +74,7 @@
     objects: BTreeMap<ObjectKey, Object>,
     changes: VecDeque<ObjectChange>,
     heard_at: Option<TimeMs>,
-    outage_over_at: Option<TimeMs>,
+    returned_at: Option<TimeMs>,
 }
 
 /// How long after the store's return its answers count as those after an outage, in milliseconds.
@@ -79,17 +96,15 @@
     }
 
     /// Takes over a whole list of the store.
-    pub fn listed(&mut self, now: TimeMs, version: ObjectVersion, objects: &[Object]) {
+    pub fn listed(&mut self, version: ObjectVersion, objects: &[Object]) {
         self.version = version;
         self.kept_from = version;
         self.changes.clear();
         self.objects = objects.iter().map(|object| (object.key.clone(), object.clone())).collect();
-        self.heard_at = Some(now);
     }
 
     /// Takes over what a watch of the store brought.
-    pub fn changed(&mut self, now: TimeMs, version: ObjectVersion, changes: &[ObjectChange]) {
-        self.heard_at = Some(now);
+    pub fn changed(&mut self, version: ObjectVersion, changes: &[ObjectChange]) {
         self.version = self.version.max(version);
         for change in changes {
             let (key, version) = (change.key.clone(), change.version);
@@ -111,16 +126,26 @@
         }
     }
 
-    /// Takes over that the store has just come back.
-    pub fn outage_over(&mut self, now: TimeMs) {
-        self.outage_over_at = Some(now);
+    /// Takes over when the store was heard of, by this node or by a relay that this one follows.
+    ///
+    /// Times add up along a chain of relays, so that the last one vouches no longer than the first.
+    pub fn heard(&mut self, now: TimeMs, store: StoreHearing) {
+        let at = now.before(store.heard_ms_ago);
+        self.heard_at = Some(self.heard_at.map_or(at, |before| before.max(at)));
+        if let Some(ago_ms) = store.returned_ms_ago {
+            self.returned_at = Some(now.before(ago_ms));
+        }
     }
 
-    fn is_after_outage(&self, now: TimeMs) -> bool {
-        self.outage_over_at.is_some_and(|at| now.since(at) < RETURN_MS)
+    fn store(&self, now: TimeMs) -> StoreHearing {
+        let returned_ms_ago = self.returned_at.map(|at| now.since(at));
+        StoreHearing {
+            heard_ms_ago: self.heard_at.map_or(u64::MAX, |at| now.since(at)),
+            returned_ms_ago: returned_ms_ago.filter(|&ago_ms| ago_ms < RETURN_MS),
+        }
     }
 
-    /// Forgets that the store was heard of: this node follows another relay.
+    /// Forgets that the store was heard of: this node relays no more.
     pub fn silence(&mut self) {
         self.heard_at = None;
     }
@@ -132,19 +157,19 @@
         }
         let Some(from) = from.filter(|from| *from >= self.kept_from) else {
             let objects = self.objects.values().cloned().collect();
-            let (version, after_outage) = (self.version, self.is_after_outage(now));
-            return Some(RelayAnswer::Listed { version, objects, after_outage });
+            let (version, store) = (self.version, self.store(now));
+            return Some(RelayAnswer::Listed { version, objects, store });
         };
         let new: Vec<ObjectChange> =
             self.changes.iter().filter(|change| change.version > from).cloned().collect();
-        let (version, after_outage) = (self.version, self.is_after_outage(now));
-        (!new.is_empty()).then_some(RelayAnswer::Changes { version, changes: new, after_outage })
+        let (version, store) = (self.version, self.store(now));
+        (!new.is_empty()).then_some(RelayAnswer::Changes { version, changes: new, store })
     }
 
     /// The answer to a node for which nothing new has come.
     pub fn nothing_new(&self, now: TimeMs, from: ObjectVersion) -> RelayAnswer {
-        let (version, after_outage) = (self.version.max(from), self.is_after_outage(now));
-        let nothing = RelayAnswer::Changes { version, changes: Vec::new(), after_outage };
+        let (version, store) = (self.version.max(from), self.store(now));
+        let nothing = RelayAnswer::Changes { version, changes: Vec::new(), store };
         self.since(now, Some(from)).unwrap_or(nothing)
     }
 }
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use celeryhaven_fleet::{ChangeLog, RelayAnswer};
+use celeryhaven_fleet::{ChangeLog, RelayAnswer, StoreHearing};
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::{Object, ObjectChange, ObjectKey, ObjectVersion};
 use quickcheck::{Arbitrary, Gen};
@@ -19,6 +19,14 @@
     }
 }
 
+/// A log that has just heard a list without objects from the store.
+fn listed(version: u64) -> ChangeLog {
+    let mut log = ChangeLog::new();
+    log.listed(ObjectVersion::new(version), &[]);
+    log.heard(NOW, StoreHearing::direct(false));
+    log
+}
+
 /// A node that follows relays, and what it believes.
 #[derive(Default)]
 struct Follower {
@@ -54,10 +62,9 @@
 fn relay_followers_agree_with_store() {
     for seed in 0..200 {
         let mut random = Gen::from_size_and_seed(20, seed);
-        let (mut logs, mut pending) = ([ChangeLog::new(), ChangeLog::new()], [vec![], vec![]]);
+        let (mut logs, mut pending) = ([listed(1), listed(1)], [vec![], vec![]]);
         let mut store: BTreeMap<ObjectKey, String> = BTreeMap::new();
         let mut follower = Follower::default();
-        logs.iter_mut().for_each(|log| log.listed(NOW, ObjectVersion::new(1), &[]));
         for version in 2..1_200_u64 {
             let key = ["a", "b", "c", "d"][usize::arbitrary(&mut random) % 4];
             let value = bool::arbitrary(&mut random).then(|| version.to_string());
@@ -69,7 +76,7 @@
             for (log, pending) in logs.iter_mut().zip(&mut pending) {
                 pending.push(change.clone());
                 if bool::arbitrary(&mut random) {
-                    log.changed(NOW, ObjectVersion::new(version), &std::mem::take(pending));
+                    log.changed(ObjectVersion::new(version), &std::mem::take(pending));
                 }
             }
             if u8::arbitrary(&mut random) < 40 {
@@ -80,7 +87,7 @@
             }
         }
         for (log, pending) in logs.iter_mut().zip(&mut pending) {
-            log.changed(NOW, ObjectVersion::new(1_199), &std::mem::take(pending));
+            log.changed(ObjectVersion::new(1_199), &std::mem::take(pending));
         }
         if let Some(answer) = logs[0].since(NOW, follower.from) {
             follower.take(answer);
@@ -92,8 +99,7 @@
 /// A relay is cut off from the store. It must not hold its followers, who may reach the store.
 #[test]
 fn relay_cut_off_vouches_for_nothing() {
-    let mut log = ChangeLog::new();
-    log.listed(NOW, ObjectVersion::new(5), &[]);
+    let log = listed(5);
     let later = NOW.after(4_000);
     assert_eq!(log.since(later, Some(ObjectVersion::new(5))), Some(RelayAnswer::Stale));
     assert_eq!(log.nothing_new(later, ObjectVersion::new(5)), RelayAnswer::Stale);
@@ -102,9 +108,8 @@
 /// A follower was at a relay that is ahead of this one. It keeps its place and gets nothing twice.
 #[test]
 fn relay_behind_its_follower() {
-    let mut log = ChangeLog::new();
-    log.listed(NOW, ObjectVersion::new(5), &[]);
-    log.changed(NOW, ObjectVersion::new(6), &[change("a", 6, Some("1"))]);
+    let mut log = listed(5);
+    log.changed(ObjectVersion::new(6), &[change("a", 6, Some("1"))]);
     let ahead = ObjectVersion::new(9);
     assert_eq!(log.since(NOW, Some(ahead)), None);
     let RelayAnswer::Changes { version, changes, .. } = log.nothing_new(NOW, ahead) else {
@@ -117,16 +122,52 @@
 /// it with the removals, or it drops targets that are back two seconds later.
 #[test]
 fn relay_tells_of_outage() {
-    let mut log = ChangeLog::new();
-    log.listed(NOW, ObjectVersion::new(5), &[]);
-    log.outage_over(NOW);
-    log.changed(NOW, ObjectVersion::new(6), &[change("a", 6, None)]);
+    let mut log = listed(5);
+    log.heard(NOW, StoreHearing::direct(true));
+    log.changed(ObjectVersion::new(6), &[change("a", 6, None)]);
     let told = |log: &ChangeLog, at| match log.since(at, Some(ObjectVersion::new(5))).unwrap() {
-        RelayAnswer::Changes { after_outage, .. } => after_outage,
+        RelayAnswer::Changes { store, .. } => store.returned_ms_ago,
         _ => panic!("not the changes"),
     };
-    assert!(told(&log, NOW.after(1_000)));
+    assert_eq!(told(&log, NOW.after(1_000)), Some(1_000));
     let later = NOW.after(3_000);
-    log.changed(later, ObjectVersion::new(6), &[]);
-    assert!(!told(&log, later));
+    log.heard(later, StoreHearing::direct(false));
+    assert_eq!(told(&log, later), None);
+}
+
+/// A relay follows another one, which is cut off from the store. Were each to vouch for a time of its
+/// own, a node at the end of the chain would hold a revoked key for the sum of them: what the last
+/// one vouches for ends when the first one's does.
+#[test]
+fn relay_chain_vouches_no_longer() {
+    let first = listed(5);
+    let mut second = ChangeLog::new();
+    let version = ObjectVersion::new(5);
+    let asked_at = NOW.after(1_000);
+    let RelayAnswer::Listed { objects, store, .. } = first.since(asked_at, None).unwrap() else {
+        panic!("not the list")
+    };
+    second.listed(version, &objects);
+    second.heard(asked_at, store);
+    assert_eq!(second.since(NOW.after(1_400), Some(version)), None);
+    assert_eq!(second.since(NOW.after(1_600), Some(version)), Some(RelayAnswer::Stale));
+}
+
+/// The store comes back and a chain of relays tells so. Entries that lapsed are kept for a while
+/// after its return, and not for that while after each hop, or requests go to targets that are gone.
+#[test]
+fn relay_chain_tells_when_store_returned() {
+    let mut first = listed(5);
+    first.heard(NOW, StoreHearing::direct(true));
+    let mut second = ChangeLog::new();
+    let RelayAnswer::Changes { store, .. } =
+        first.nothing_new(NOW.after(1_200), ObjectVersion::new(5))
+    else {
+        panic!("not the changes")
+    };
+    second.listed(ObjectVersion::new(5), &[]);
+    second.heard(NOW.after(1_200), store);
+    let told = second.nothing_new(NOW.after(1_400), ObjectVersion::new(5));
+    let RelayAnswer::Changes { store, .. } = told else { panic!("not the changes") };
+    assert_eq!(store.returned_ms_ago, Some(1_400));
 }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,3 +1,4 @@
+use celeryhaven_fleet::StoreHearing;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_peers::{NodeProbe, NodeRecord};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
@@ -28,10 +29,10 @@
 /// What a feed from the store brings.
 #[derive(Clone, Debug)]
 pub(crate) enum FeedNews {
-    /// The whole list; `after_outage` if the store was away just before.
-    Listed { objects: Vec<Object>, after_outage: bool },
+    /// The whole list.
+    Listed { objects: Vec<Object>, store: StoreHearing },
     /// What has changed since, perhaps nothing.
-    Changed { changes: Vec<ObjectChange>, after_outage: bool },
+    Changed { changes: Vec<ObjectChange>, store: StoreHearing },
     /// The store gave no answer.
     Failed,
 }
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -3,14 +3,16 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use celeryhaven_fleet::RelayAnswer;
+use celeryhaven_fleet::{RelayAnswer, StoreHearing};
 use celeryhaven_http::ChannelPool;
 use celeryhaven_store::{StoreClient, StoreWire};
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::control::event::{ControlEvent, Fed, FeedNews};
-use crate::control::relay::{ANSWER_SLACK_MS, Relay, RelayAddress, ask_relay};
+use crate::control::relay::{
+    ANSWER_SLACK_MS, Question, Relay, RelayAddress, Source, Until, ask_relay,
+};
 
 /// Pause after a call that the store did not answer or refused.
 ///
@@ -104,17 +106,22 @@
         }
     }
 
+    /// Asks a relay; a node that is one itself hears through it of the store.
     async fn ask_relay(&mut self, relay: &RelayAddress) {
-        self.relay.silence(self.fed);
-        let answer = ask_relay(&self.channels, relay, self.fed, self.from, RELAY_WAIT_MS).await;
-        match answer {
-            Some(RelayAnswer::Listed { version, objects, after_outage }) => {
-                let after_outage = self.succeeded() || after_outage;
-                self.take(version, FeedNews::Listed { objects, after_outage }).await;
+        let is_relay = self.pace.is_relay.get();
+        let (until, wait_ms) = match is_relay {
+            true => (Until::Heard, RELAY_WATCH_MS),
+            false => (Until::News, RELAY_WAIT_MS),
+        };
+        let question = Question { fed: self.fed, from: self.from, wait_ms, until };
+        match ask_relay(&self.channels, relay, &question).await {
+            Some(RelayAnswer::Listed { version, objects, store }) => {
+                let store = self.succeeded(store);
+                self.hear(version, FeedNews::Listed { objects, store }, Source::Relay).await;
             }
-            Some(RelayAnswer::Changes { version, changes, after_outage }) => {
-                let after_outage = self.succeeded() || after_outage;
-                self.take(version, FeedNews::Changed { changes, after_outage }).await;
+            Some(RelayAnswer::Changes { version, changes, store }) => {
+                let store = self.succeeded(store);
+                self.hear(version, FeedNews::Changed { changes, store }, Source::Relay).await;
             }
             Some(RelayAnswer::Stale) | None => {
                 self.direct_until = Some(Instant::now() + DIRECT);
@@ -132,18 +139,14 @@
         };
         match self.client.call(&request).await {
             StoreReply::Listed { version, objects } => {
-                let after_outage = self.succeeded();
-                let news = FeedNews::Listed { objects, after_outage };
-                self.relay.hear(self.fed, version, &news);
-                self.take(version, news).await;
+                let store = self.succeeded(StoreHearing::default());
+                self.hear(version, FeedNews::Listed { objects, store }, Source::Store).await;
             }
             StoreReply::Changes { version, changes } => {
-                let after_outage = self.succeeded();
+                let store = self.succeeded(StoreHearing::default());
                 let version = self.from.map_or(version, |from| from.max(version));
                 let is_new = !changes.is_empty();
-                let news = FeedNews::Changed { changes, after_outage };
-                self.relay.hear(self.fed, version, &news);
-                self.take(version, news).await;
+                self.hear(version, FeedNews::Changed { changes, store }, Source::Store).await;
                 if is_new {
                     Timer::after(self.gather()).await;
                 }
@@ -153,7 +156,12 @@
         }
     }
 
-    async fn take(&mut self, version: ObjectVersion, news: FeedNews) {
+    /// Keeps what was heard for nodes that follow this one, and tells the control thread.
+    async fn hear(&mut self, version: ObjectVersion, news: FeedNews, source: Source) {
+        match self.pace.is_relay.get() {
+            true => self.relay.hear(self.fed, version, &news, source),
+            false => self.relay.silence(self.fed),
+        }
         self.from = Some(version);
         self.tell(news).await;
     }
@@ -167,10 +175,12 @@
         }
     }
 
-    fn succeeded(&mut self) -> bool {
-        let after_outage = self.failures >= FAILURES_OF_OUTAGE;
+    /// What was heard of the store, this node's own failures before included.
+    fn succeeded(&mut self, told: StoreHearing) -> StoreHearing {
+        let was_away = self.failures >= FAILURES_OF_OUTAGE;
         self.failures = 0;
-        after_outage
+        let returned_ms_ago = told.returned_ms_ago.or(was_away.then_some(0));
+        StoreHearing { returned_ms_ago, ..told }
     }
 
     async fn failed(&mut self) {
--- a/crates/gateway/src/control/hearing.rs
+++ b/crates/gateway/src/control/hearing.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use celeryhaven_fleet::{RouteTable, TargetEntry};
+use celeryhaven_fleet::{RouteTable, StoreHearing, TargetEntry};
 use celeryhaven_types::store::{Object, ObjectKey};
 use celeryhaven_types::{TimeMs, VmName};
 use slog::{info, warn};
@@ -24,8 +24,8 @@
         }
         match news {
             FeedNews::Failed => Changes::NONE,
-            FeedNews::Listed { objects, after_outage } => {
-                self.grace(now, after_outage);
+            FeedNews::Listed { objects, store } => {
+                self.grace(now, store);
                 match fed {
                     Fed::Configuration => {
                         let key = self.parts.adapter.configuration_key();
@@ -41,8 +41,8 @@
                     }
                 }
             }
-            FeedNews::Changed { changes, after_outage } => {
-                self.grace(now, after_outage);
+            FeedNews::Changed { changes, store } => {
+                self.grace(now, store);
                 let changed = changes.iter().fold(false, |changed, change| {
                     changed | self.changed(now, fed, &change.key, change.value.as_deref())
                 });
@@ -74,9 +74,10 @@
         }
     }
 
-    pub(super) fn grace(&mut self, now: TimeMs, after_outage: bool) {
-        if after_outage {
-            self.fleet.grant_grace(now.after(GRACE_MS));
+    /// Keeps entries that lapsed while the store was away until they should be back.
+    pub(super) fn grace(&mut self, now: TimeMs, store: StoreHearing) {
+        if let Some(ago_ms) = store.returned_ms_ago {
+            self.fleet.grant_grace(now.before(ago_ms).after(GRACE_MS));
         }
     }
 
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,9 +39,32 @@
 #[derive(Debug, Default)]
 struct RelayLog {
     log: RefCell<ChangeLog>,
+    /// Whether it was heard from the store itself.
+    is_direct: Cell<bool>,
     waiting: RefCell<Vec<Sender<()>>>,
 }
 
+/// Whom a relay has heard from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The store itself.
+    Store,
+    /// Another relay.
+    Relay,
+}
+
+/// When a relay is to answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Until {
+    /// As soon as something has changed.
+    News,
+    /// As soon as it has heard of the store anew: the asker is a relay and vouches for that itself.
+    ///
+    /// Guards against two relays that follow each other, after each has seen the other live and the
+    /// rest silent: they would vouch for one another for ever. Only who asks the store answers this.
+    Heard,
+}
+
 /// A relay as its record names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RelayAddress {
@@ -61,6 +84,29 @@
         self.waiting.borrow_mut().push(sender);
         woken
     }
+
+    /// Waits for what a follower asks for.
+    async fn answer(&self, question: &Question) -> RelayAnswer {
+        loop {
+            if question.until == Until::Heard && !self.is_direct.get() {
+                return RelayAnswer::Stale;
+            }
+            let new = self.log.borrow().since(BootClock.now(), question.from);
+            if let Some(answer) = new {
+                return answer;
+            }
+            self.wait().recv().await.unwrap_or_default();
+            if question.until == Until::Heard && self.is_direct.get() {
+                return self.nothing_new(question);
+            }
+        }
+    }
+
+    /// The answer to a follower that has waited, or that asked to hear of the store.
+    fn nothing_new(&self, question: &Question) -> RelayAnswer {
+        let from = question.from.unwrap_or_default();
+        self.log.borrow().nothing_new(BootClock.now(), from)
+    }
 }
 
 impl Relay {
@@ -69,40 +115,38 @@
         Self { token: token.into(), configuration: Rc::default(), targets: Rc::default() }
     }
 
-    /// Takes over what this node's own feed from the store has brought.
-    pub(crate) fn hear(&self, fed: Fed, version: ObjectVersion, news: &FeedNews) {
-        let (now, log) = (BootClock.now(), self.log(fed));
+    /// Takes over what a feed of this node has brought.
+    pub(crate) fn hear(&self, fed: Fed, version: ObjectVersion, news: &FeedNews, source: Source) {
+        let log = self.log(fed);
         let mut kept = log.log.borrow_mut();
-        let after_outage = match news {
-            FeedNews::Listed { objects, after_outage } => {
-                kept.listed(now, version, objects);
-                *after_outage
+        let store = match news {
+            FeedNews::Listed { objects, store } => {
+                kept.listed(version, objects);
+                *store
             }
-            FeedNews::Changed { changes, after_outage } => {
-                kept.changed(now, version, changes);
-                *after_outage
+            FeedNews::Changed { changes, store } => {
+                kept.changed(version, changes);
+                *store
             }
             FeedNews::Failed => return,
         };
-        if after_outage {
-            kept.outage_over(now);
-        }
+        kept.heard(BootClock.now(), store);
         drop(kept);
+        log.is_direct.set(source == Source::Store);
         log.wake();
     }
 
-    /// Vouches for nothing any more, since this node follows a relay itself.
+    /// Vouches for nothing any more, since no node is to follow this one.
     pub(crate) fn silence(&self, fed: Fed) {
         self.log(fed).log.borrow_mut().silence();
     }
 
     /// Answers a node that follows this one.
-    async fn answer(self, asked: Asked) -> Response<AnswerBody> {
-        let log = self.log(asked.fed);
-        let answer = smol::future::or(new_for(log, asked.from), async {
-            Timer::after(Duration::from_millis(asked.wait_ms)).await;
-            let from = asked.from.unwrap_or_default();
-            log.log.borrow().nothing_new(BootClock.now(), from)
+    async fn answer(self, question: Question) -> Response<AnswerBody> {
+        let log = self.log(question.fed);
+        let answer = smol::future::or(log.answer(&question), async {
+            Timer::after(Duration::from_millis(question.wait_ms)).await;
+            log.nothing_new(&question)
         });
         match postcard::to_allocvec(&answer.await) {
             Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
@@ -125,39 +169,53 @@
     }
 }
 
-async fn new_for(log: &RelayLog, from: Option<ObjectVersion>) -> RelayAnswer {
-    loop {
-        let new = log.log.borrow().since(BootClock.now(), from);
-        if let Some(answer) = new {
-            return answer;
-        }
-        log.wait().recv().await.unwrap_or_default();
-    }
-}
-
 /// What a follower asks.
-struct Asked {
-    fed: Fed,
-    from: Option<ObjectVersion>,
-    wait_ms: u64,
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    pub(crate) fed: Fed,
+    /// The version up to which it has everything; it has nothing yet without one.
+    pub(crate) from: Option<ObjectVersion>,
+    pub(crate) wait_ms: u64,
+    pub(crate) until: Until,
 }
 
 /// Longest wait that a follower may ask for, in milliseconds.
 const WAIT_MS_MAX: u64 = 30_000;
 
-impl Asked {
-    /// Reads a path such as `/v1/targets/120/2000`; a first question has `-` for its version.
+/// Where followers ask; the number changes with the form of the answers.
+const QUESTION_PREFIX: &str = "/v2/";
+
+impl Until {
+    /// The word used between nodes.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::News => "news",
+            Self::Heard => "heard",
+        }
+    }
+}
+
+impl Question {
+    /// Reads a path such as `/v2/targets/120/2000/news`; a first question has `-` for its version.
     fn read(request: &Request<Incoming>) -> Option<Self> {
-        let mut words = request.uri().path().strip_prefix("/v1/")?.split('/');
-        let fed = [Fed::Configuration, Fed::Targets];
+        let mut words = request.uri().path().strip_prefix(QUESTION_PREFIX)?.split('/');
         let word = words.next()?;
-        let fed = fed.into_iter().find(|fed| fed.as_str() == word)?;
+        let fed =
+            [Fed::Configuration, Fed::Targets].into_iter().find(|fed| fed.as_str() == word)?;
         let from = match words.next()? {
             "-" => None,
             version => Some(ObjectVersion::new(version.parse().ok()?)),
         };
         let wait_ms: u64 = words.next()?.parse().ok()?;
-        Some(Self { fed, from, wait_ms: wait_ms.min(WAIT_MS_MAX) })
+        let word = words.next()?;
+        let until = [Until::News, Until::Heard].into_iter().find(|until| until.as_str() == word)?;
+        Some(Self { fed, from, wait_ms: wait_ms.min(WAIT_MS_MAX), until })
+    }
+
+    fn path(&self) -> String {
+        let from = self.from.map_or_else(|| "-".to_owned(), |version| version.to_string());
+        let Self { fed, wait_ms, until, .. } = self;
+        format!("{QUESTION_PREFIX}{}/{from}/{wait_ms}/{}", fed.as_str(), until.as_str())
     }
 }
 
@@ -177,8 +235,8 @@
         events.send(ControlEvent::Suspicion(suspicion)).await.unwrap_or_default();
         return plain(StatusCode::OK);
     }
-    match Asked::read(&request) {
-        Some(asked) => relay.answer(asked).await,
+    match Question::read(&request) {
+        Some(question) => relay.answer(question).await,
         None => plain(StatusCode::NOT_FOUND),
     }
 }
@@ -192,13 +250,10 @@
 pub(crate) async fn ask_relay(
     channels: &ChannelPool,
     relay: &RelayAddress,
-    fed: Fed,
-    from: Option<ObjectVersion>,
-    wait_ms: u64,
+    question: &Question,
 ) -> Option<RelayAnswer> {
-    let from = from.map_or_else(|| "-".to_owned(), |version| version.to_string());
-    let path = format!("/v1/{}/{from}/{wait_ms}", fed.as_str());
-    let answer = call_peer(channels, relay, &path, Bytes::new(), wait_ms).await?;
+    let path = question.path();
+    let answer = call_peer(channels, relay, &path, Bytes::new(), question.wait_ms).await?;
     postcard::from_bytes(&answer).ok()
 }
 
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -90,7 +90,7 @@
 
     /// Takes over a report and forgets what it already shows; true total at that instant.
     pub(crate) fn reported(&mut self, now: TimeMs, load: &TargetLoad) -> u32 {
-        let at = TimeMs::new(now.get().saturating_sub(load.age_ms));
+        let at = now.before(load.age_ms);
         self.sends.retain(|&sent| sent > at);
         self.ends.retain(|&ended| ended > at);
         if let Some(before) = self.last_report.replace(now) {
@@ -119,7 +119,7 @@
 
     /// Takes over the adapters of a report, and keeps those expected since it was made.
     pub(crate) fn report_adapters(&mut self, now: TimeMs, age_ms: u64, keys: &[AdapterKey]) {
-        let at = TimeMs::new(now.get().saturating_sub(age_ms));
+        let at = now.before(age_ms);
         self.adapters.retain(|held| held.since >= at || keys.contains(&held.key));
         for &key in keys {
             self.expect_adapter(TimeMs::new(0), key);
--- a/crates/types/src/time/time_ms.rs
+++ b/crates/types/src/time/time_ms.rs
@@ -21,6 +21,11 @@
         Self(self.0.saturating_add(span_ms))
     }
 
+    /// The instant this many milliseconds earlier, but not before the first one.
+    pub const fn before(self, span_ms: u64) -> Self {
+        Self(self.0.saturating_sub(span_ms))
+    }
+
     /// Milliseconds from `earlier` to this instant, zero if `earlier` is later.
     pub const fn since(self, earlier: Self) -> u64 {
         self.0.saturating_sub(earlier.0)
