policy: where nodes are many, old reports of load fade and full replicas are not overfilled

A node of 91 hears of a replica every few seconds. One that was full when it was heard of last stayed full for that node for ever, since nothing was sent there; one that had just come looked empty to all nodes at once. So the state held itself up after its cause was over: from 16 s to the end half of all answers were late.

Change, for pooled slots: a report fades to what is usual in the class within the time of a request; a node keeps to its even part while reports say that targets are full on the mean; with nothing under way it asks with one request though none shows room. Relays gather changes for 100 ms in place of 60.

Ruled out: suspicions (415 of 444 were of replicas that had lost a member), waits at the nodes (median 0).

--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -34,7 +34,7 @@
 const GATHER_FORMING: Duration = Duration::from_millis(20);
 
 /// The same on a relay, whose followers wait for it; some form replicas.
-const GATHER_RELAY: Duration = Duration::from_millis(60);
+const GATHER_RELAY: Duration = Duration::from_millis(100);
 
 /// How long a watch of a relay waits at the store, in milliseconds.
 ///
--- a/crates/policy/src/estimate/mod.rs
+++ b/crates/policy/src/estimate/mod.rs
@@ -2,8 +2,10 @@
 
 mod mean;
 mod output_tokens;
+mod recent;
 mod service_times;
 
 pub(crate) use mean::Mean;
 pub(crate) use output_tokens::OutputTokens;
+pub(crate) use recent::Recent;
 pub(crate) use service_times::ServiceTimes;
--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -39,8 +39,9 @@
             .copied()
             .filter(|&target| class.available.contains(target))
             .collect();
+        let drawn = if class.available.is_empty() { &class.sound } else { &class.available };
         for _ in 0..RANDOM_CANDIDATES {
-            candidates.extend(class.available.sample(&mut self.rng));
+            candidates.extend(drawn.sample(&mut self.rng));
         }
         if candidates.iter().any(|&target| Some(target) != request.avoid) {
             candidates.retain(|&target| Some(target) != request.avoid);
@@ -60,7 +61,7 @@
         let held = class.prefixes.held_by(target_key, &request.blocks) as f64;
         let cached = held / request.blocks.len().max(1) as f64;
         let uncached = f64::from(request.prompt_tokens) * (1.0 - cached);
-        let fill = target.fill();
+        let fill = target.fill(now, class.usual());
         let prefill_tokens = uncached + target.prefill_tokens_queued as f64;
         let queued_ms = class.times.prefill_ms(fill, prefill_tokens);
         let adapter_load_ms = class.adapter_load_ms.value();
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -4,11 +4,11 @@
 use celeryhaven_types::{Map, TimeMs};
 
 use crate::affinity::PrefixIndex;
-use crate::estimate::{Mean, OutputTokens, ServiceTimes};
+use crate::estimate::{Mean, OutputTokens, Recent, ServiceTimes};
 use crate::fair::{AdapterKey, FairSettings};
 use crate::interface::{TargetKey, Ticket};
 use crate::retry::ReturnTimes;
-use crate::targets::{Available, InFlight};
+use crate::targets::{Available, InFlight, Usual};
 
 /// Targets that serve one model or one plain service, and what waits for them.
 #[derive(Clone, Debug)]
@@ -17,6 +17,8 @@
     /// Targets that are up.
     pub(crate) members: BTreeSet<TargetKey>,
     pub(crate) available: Available,
+    /// Targets that are up and take more than probes, full or not.
+    pub(crate) sound: Available,
     pub(crate) prefixes: PrefixIndex,
     pub(crate) adapter_holders: Map<AdapterKey, Vec<TargetKey>>,
     pub(crate) times: ServiceTimes,
@@ -26,6 +28,8 @@
     /// Time in a slot of late, and what was expected of it when it was queued.
     pub(crate) took_ms: Mean,
     pub(crate) expected_ms: Mean,
+    /// Part of its slots that a member reports to be taken.
+    pub(crate) reported_fill: Recent,
     wait_feedback: bool,
     pub(crate) outputs: OutputTokens,
     pub(crate) return_times: ReturnTimes,
@@ -45,20 +49,28 @@
     pooled: bool,
 }
 
-/// Times its even part that a node may have of pooled slots.
+/// Times its even part that a node may have of pooled slots, while targets have room on the mean.
 ///
 /// Load: callers spread unevenly over nodes. Harm: held near its part, a node makes callers wait or
-/// refuses them while others have room: with a quarter more, 19.0 in 100 answers of 91 nodes were
-/// late and 0.5 refused, with twice the part 13.0 and 0.1 (one busy span of 12 s; two others alike).
-/// Limit: twice; a target takes no more than shows room in its last report in any case.
+/// refuses them while others have room. Limit: twice; a target takes no more than shows room in its
+/// last report in any case.
 const POOLED_PART: f64 = 2.0;
 
+/// Mean part of their slots that targets report to be taken, from which a node keeps to its even part.
+///
+/// Load: more work than a model's replicas can do. Harm: let in at twice its part by every node, it
+/// waits at the replicas instead, where each request delays all others: everyone is let in and
+/// everyone is late, for as long as the load lasts and longer. Limit: full; below it a slot is free
+/// on the mean.
+const FULL: f64 = 1.0;
+
 impl ClassState {
     pub(crate) fn new(settings: &FairSettings) -> Self {
         Self {
             queue: FairQueue::new(settings.queue_entries_max),
             members: BTreeSet::new(),
             available: Available::default(),
+            sound: Available::default(),
             prefixes: PrefixIndex::default(),
             adapter_holders: Map::default(),
             times: ServiceTimes::new(
@@ -70,6 +82,7 @@
             prefix_hits: Mean::new(1.0),
             took_ms: Mean::new(1_000.0),
             expected_ms: Mean::new(1_000.0),
+            reported_fill: Recent::new(0.0),
             wait_feedback: settings.wait_feedback,
             outputs: OutputTokens::default(),
             return_times: ReturnTimes::new(),
@@ -83,6 +96,11 @@
         }
     }
 
+    /// What is usual among the members.
+    pub(crate) fn usual(&self) -> Usual {
+        Usual { fill: self.reported_fill.value(), request_ms: self.took_ms.value() }
+    }
+
     /// Bounds this node's requests at all members together, or not.
     pub(crate) fn set_pooled(&mut self, pooled: bool) {
         self.pooled = pooled;
@@ -90,9 +108,23 @@
 
     /// Whether a member may take a request of this node now.
     pub(crate) fn has_room(&self, sharers: u32) -> bool {
+        if !self.pooled {
+            return !self.available.is_empty();
+        }
         let part = f64::from(self.slots) / f64::from(sharers.max(1));
-        let most = (part * POOLED_PART).ceil() as u32;
-        !self.available.is_empty() && (!self.pooled || self.in_flight.count < most)
+        let is_full = self.reported_fill.value() >= FULL;
+        let most = if is_full { part } else { part * POOLED_PART };
+        let within = self.in_flight.count < most.ceil() as u32;
+        within && (!self.available.is_empty() || self.may_ask())
+    }
+
+    /// Whether a request may go to a member although none shows room.
+    ///
+    /// Guards against a node that refuses for ever: loads are told with answers, so one that sends
+    /// nothing hears nothing, and all members stay as full as they were when it heard last. One
+    /// request at a time tells.
+    fn may_ask(&self) -> bool {
+        self.in_flight.count == 0 && !self.sound.is_empty()
     }
 
     /// Slots that drain this node's queue: its even part, or what it has borrowed if more.
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::fair::request::{Phase, Pick, RequestState};
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::{Decision, TargetKey, Ticket};
-use crate::targets::Expected;
+use crate::targets::{Expected, Standing};
 
 /// Uncached prompt tokens from which another request is looked for.
 ///
@@ -19,6 +19,7 @@
     /// Sends what waits while a target may take it.
     pub(crate) fn pump(&mut self, now: TimeMs, class_key: ClassKey, out: &mut Vec<Decision>) {
         let (look_ahead, sharers) = (self.settings.look_ahead, self.sharers);
+        self.refresh_full(now, class_key);
         while self.class(class_key).has_room(sharers) {
             let few = self.class(class_key).queue.next_few(look_ahead);
             let Some(&(first, waiting)) = few.first() else { return };
@@ -121,7 +122,7 @@
         let class = state.class;
         self.class(class).in_flight.begin(expected);
         self.class(class).ends.insert((expected.end_ms(), ticket));
-        self.refresh(target);
+        self.refresh(now, target);
     }
 
     /// Counts the end of an attempt at a target.
@@ -139,17 +140,29 @@
         self.class(class).ends.remove(&(expected.end_ms(), ticket));
         if up {
             self.class(class).in_flight.end(expected);
-            self.refresh(target);
+            self.refresh(now, target);
         } else if empty {
             self.targets.remove(&target);
         }
     }
 
+    /// Looks anew at targets that took no more when they were looked at last, since reports fade.
+    fn refresh_full(&mut self, now: TimeMs, class_key: ClassKey) {
+        let class = self.class(class_key);
+        if class.queue.is_empty() || class.available.len() == class.members.len() {
+            return;
+        }
+        let full = class.members.iter().filter(|&&target| !class.available.contains(target));
+        let full: Vec<TargetKey> = full.copied().collect();
+        full.into_iter().for_each(|target| self.refresh(now, target));
+    }
+
     /// Brings the list of targets that may take requests up to date for one of them.
-    pub(crate) fn refresh(&mut self, target: TargetKey) {
+    pub(crate) fn refresh(&mut self, now: TimeMs, target: TargetKey) {
         let Some(state) = self.targets.get(&target) else { return };
-        let available = state.may_take(self.settings.sharing);
-        let class = state.class;
-        self.class(class).available.set(target, available);
+        let class = &mut self.classes[state.class.get() as usize];
+        let available = state.may_take(now, self.settings.sharing, class.usual());
+        class.available.set(target, available);
+        class.sound.set(target, state.up && state.health.standing == Standing::Healthy);
     }
 }
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -42,7 +42,7 @@
         class.slots += profile.slots;
         class.in_flight.join(in_flight);
         class.ratio_sum += ratio;
-        self.refresh(target);
+        self.refresh(now, target);
         self.pump(now, class_key, out);
     }
 
@@ -66,6 +66,7 @@
         class.ratio_sum -= ratio;
         class.ejected -= usize::from(ejected);
         class.available.set(target, false);
+        class.sound.set(target, false);
         class.prefixes.forget(target);
         for held in adapters {
             drop_holder(&mut class.adapter_holders, held.key, target);
@@ -88,6 +89,7 @@
         let lent_random: f64 = self.rng.random();
         let Some(state) = self.targets.get_mut(&target) else { return };
         let total = state.reported(now, load);
+        let fill = f64::from(total) / f64::from(state.slots.max(1));
         let silent_at = now.after(state.silence_ms());
         if let Some(before) = state.silent_at.replace(silent_at) {
             self.timers.remove(&(before, Timer::Silence(target)));
@@ -98,13 +100,14 @@
         let before = state.adapters.clone();
         state.report_adapters(now, load.age_ms, &adapters);
         let class = &mut self.classes[class_key.get() as usize];
+        class.reported_fill.add(now, fill);
         for held in before {
             drop_holder(&mut class.adapter_holders, held.key, target);
         }
         for held in &state.adapters {
             class.adapter_holders.entry(held.key).or_default().push(target);
         }
-        self.refresh(target);
+        self.refresh(now, target);
         self.pump(now, class_key, out);
     }
 
@@ -129,7 +132,7 @@
                 if let Some(state) = self.targets.get_mut(&target) {
                     state.share = share;
                 }
-                self.refresh(target);
+                self.refresh(now, target);
             }
             self.pump(now, crate::fair::ClassKey::new(index as u32), out);
         }
@@ -156,7 +159,7 @@
         state.health.probe();
         let after = state.health.ratio();
         self.class(class_key).ratio_sum += after - before;
-        self.refresh(target);
+        self.refresh(now, target);
         self.pump(now, class_key, out);
     }
 
@@ -187,7 +190,7 @@
                 self.move_off(now, target, out);
             }
         }
-        self.refresh(target);
+        self.refresh(now, target);
         self.pump(now, class_key, out);
     }
 
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -3,7 +3,6 @@
 use crate::fair::FairPolicy;
 use crate::fair::request::{CancelReason, Phase, RequestState};
 use crate::interface::{Decision, TargetKey, Ticket};
-use crate::targets::TargetState;
 
 /// Attempts of one request at most.
 ///
@@ -39,7 +38,7 @@
         let class_key = request.class;
         self.watch_rest(now, ticket, out);
         let class = &mut self.classes[class_key.get() as usize];
-        let fill = self.targets.get(&target).map_or(1.0, TargetState::fill);
+        let fill = self.targets.get(&target).map_or(1.0, |state| state.fill(now, class.usual()));
         let expected_ms = class.times.first_token_ms(fill, uncached);
         // Harm of one mean for both: a load counted as prefill makes every prompt look slow, and
         // then no target looks better for holding the adapter.
@@ -72,7 +71,8 @@
         } = request.phase
         {
             let class = &mut self.classes[request.class.get() as usize];
-            let fill = self.targets.get(&target).map_or(1.0, TargetState::fill);
+            let fill =
+                self.targets.get(&target).map_or(1.0, |state| state.fill(now, class.usual()));
             let output = f64::from(output_tokens);
             let load_ms = if loads_adapter { class.adapter_load_ms.value() } else { 0.0 };
             let expected_ms = load_ms + class.times.service_ms(fill, uncached_tokens, output);
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -27,8 +27,9 @@
         let class = &self.classes[request.class.get() as usize];
         let Some(target) = self.targets.get(&target) else { return request.deadline };
         let prefill_tokens = uncached_tokens + target.prefill_tokens_queued as f64;
+        let fill = target.fill(now, class.usual());
         let load_ms = if loads_adapter { class.adapter_load_ms.high() } else { 0.0 };
-        let expected_ms = load_ms + class.times.first_token_ms(target.fill(), prefill_tokens);
+        let expected_ms = load_ms + class.times.first_token_ms(fill, prefill_tokens);
         now.after((expected_ms * self.settings.stuck_ratio).max(STUCK_MIN_MS) as u64)
             .min(request.deadline)
     }
--- a/crates/policy/src/targets/mod.rs
+++ b/crates/policy/src/targets/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use available::Available;
 pub(crate) use health::{Health, Standing};
 pub(crate) use in_flight::{Expected, InFlight};
-pub(crate) use target_state::TargetState;
+pub(crate) use target_state::{TargetState, Usual};
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -34,14 +34,33 @@
         pub(crate) prefill_tokens_queued: u64,
         /// When its silence is looked at.
         pub(crate) silent_at: Option<TimeMs>,
-        last_report: Option<TimeMs>,
         report_interval_ms: Mean,
-        reported: Option<u32>,
+        reported: Option<Reported>,
         sends: VecDeque<TimeMs>,
         ends: VecDeque<TimeMs>,
     }
 }
 
+state! {
+    /// The last report of a target's load.
+    #[derive(Copy)]
+    struct Reported {
+        total: u32,
+        /// When it was made.
+        at: TimeMs,
+        heard_at: TimeMs,
+    }
+
+    /// What is usual among the targets of a class.
+    #[derive(Copy)]
+    pub(crate) struct Usual {
+        /// Part of a target's slots that is taken.
+        pub(crate) fill: f64,
+        /// Time of a request in a slot, in milliseconds.
+        pub(crate) request_ms: f64,
+    }
+}
+
 /// Time between reports supposed before any was seen, in milliseconds.
 const REPORT_INTERVAL_MS: f64 = 1_000.0;
 
@@ -68,7 +87,6 @@
             adapters: Vec::new(),
             prefill_tokens_queued: 0,
             silent_at: None,
-            last_report: None,
             report_interval_ms: Mean::new(REPORT_INTERVAL_MS),
             reported: None,
             sends: VecDeque::new(),
@@ -93,11 +111,10 @@
         let at = now.before(load.age_ms);
         self.sends.retain(|&sent| sent > at);
         self.ends.retain(|&ended| ended > at);
-        if let Some(before) = self.last_report.replace(now) {
-            self.report_interval_ms.add(now.since(before) as f64);
-        }
         let total = load.running + load.waiting;
-        self.reported = Some(total);
+        if let Some(before) = self.reported.replace(Reported { total, heard_at: now, at }) {
+            self.report_interval_ms.add(now.since(before.heard_at) as f64);
+        }
         self.prefill_tokens_queued = load.prefill_tokens_queued;
         total
     }
@@ -136,24 +153,38 @@
         self.sends.len() as u32
     }
 
-    /// Requests at the target now: the last report plus own sends less own ends since.
-    pub(crate) fn load(&self) -> u32 {
-        let reported = self.reported.unwrap_or(0) + self.sends.len() as u32;
-        reported.saturating_sub(self.ends.len() as u32).max(self.in_flight.count)
+    /// Requests at the target now: the last report plus own sends less own ends since, or what is
+    /// usual where that report is old.
+    ///
+    /// Load: many nodes before many targets, so that a node hears of each every few seconds. Harm: a
+    /// target that was full when it was heard of last counts as full until it is heard of again,
+    /// which never happens, since nothing is sent there; and one that has just come counts as empty
+    /// for every node at once. Limit: a report fades within the time that a request takes, since by
+    /// then other requests run there than those it told of.
+    pub(crate) fn load(&self, now: TimeMs, usual: Usual) -> f64 {
+        let usual_load = usual.fill * f64::from(self.slots);
+        let heard = self.reported.map_or(usual_load, |reported| {
+            let since = self.sends.len() as f64 - self.ends.len() as f64;
+            let told = (f64::from(reported.total) + since).max(0.0);
+            let age = now.since(reported.at) as f64 / usual.request_ms.max(1.0);
+            let weight = (-age).exp();
+            told * weight + usual_load * (1.0 - weight)
+        });
+        heard.max(f64::from(self.in_flight.count))
     }
 
     /// Its load as a part of its slots.
-    pub(crate) fn fill(&self) -> f64 {
-        f64::from(self.load()) / f64::from(self.slots.max(1))
+    pub(crate) fn fill(&self, now: TimeMs, usual: Usual) -> f64 {
+        self.load(now, usual) / f64::from(self.slots.max(1))
     }
 
-    pub(crate) fn may_take(&self, sharing: Sharing) -> bool {
+    pub(crate) fn may_take(&self, now: TimeMs, sharing: Sharing, usual: Usual) -> bool {
+        let is_full = || self.load(now, usual) >= f64::from(self.slots);
         let room = match sharing {
             Sharing::Shares | Sharing::Owner { .. } => self.in_flight.count < self.share,
-            Sharing::Sampling | Sharing::Pooled => self.load() < self.slots,
+            Sharing::Sampling | Sharing::Pooled => !is_full(),
             Sharing::Borrowing => {
-                self.in_flight.count < self.share
-                    || (self.in_flight.count < self.cap && self.load() < self.slots)
+                self.in_flight.count < self.share || (self.in_flight.count < self.cap && !is_full())
             }
         };
         match self.health.standing {
