--- a/crates/forming/src/mix/balance.rs
+++ b/crates/forming/src/mix/balance.rs
@@ -3,10 +3,12 @@
 use celeryhaven_fleet::ModelProfile;
 use celeryhaven_types::ModelName;
 
+use crate::mix::Demand;
+
 /// Part of another model's provision below which a model is worth replicas of it.
 ///
-/// A member that changes its model must load the former one again before it can go back. On days of
-/// steady loss three quarters served as well; at six tenths the mean worth was 0.02 to 0.035 lower.
+/// A member that changes its model must load the former one again before it can go back, so a small
+/// difference is left as it is.
 const UNEVEN_PART: f64 = 0.9;
 
 /// How well each model of a service is provided for, against its share of the work.
@@ -20,7 +22,7 @@
 /// use std::collections::BTreeMap;
 ///
 /// use celeryhaven_fleet::ModelProfile;
-/// use celeryhaven_forming::Balance;
+/// use celeryhaven_forming::{Balance, Demand};
 /// use celeryhaven_types::ModelName;
 ///
 /// let model = |name: &str, size, share| ModelProfile {
@@ -33,7 +35,7 @@
 /// };
 /// let models = [model("small", 2, 0.25), model("large", 4, 0.75)];
 /// let held = BTreeMap::from([(ModelName::new("small"), 4), (ModelName::new("large"), 4)]);
-/// let balance = Balance::new(&models, 32, &held);
+/// let balance = Balance::new(&models, 32, &held, &Demand::new());
 /// assert_eq!(balance.by_need().next(), Some(&ModelName::new("large")));
 /// assert_eq!(balance.missing(&ModelName::new("large")), 2);
 /// ```
@@ -49,7 +51,7 @@
 struct ModelPart {
     model: ModelName,
     size: usize,
-    /// Part of the work, of one.
+    /// Part of the targets that it should have, of one.
     share: f64,
     replicas: usize,
 }
@@ -69,15 +71,23 @@
 
 impl Balance {
     /// The balance of these models on so many targets with so many replicas of each.
-    pub fn new(models: &[ModelProfile], targets: usize, held: &BTreeMap<ModelName, usize>) -> Self {
-        let shares: f64 = models.iter().map(|model| model.share).sum();
-        let part = |model: &ModelProfile| ModelPart {
+    ///
+    /// Each model is to have the part of the targets that the work observed for it takes.
+    pub fn new(
+        models: &[ModelProfile],
+        targets: usize,
+        held: &BTreeMap<ModelName, usize>,
+        demand: &Demand,
+    ) -> Self {
+        let part = |(model, share): (&ModelProfile, f64)| ModelPart {
             model: model.name.clone(),
             size: model.size,
-            share: model.share / shares.max(f64::EPSILON),
+            share,
             replicas: held.get(&model.name).copied().unwrap_or_default(),
         };
-        let parts = models.iter().filter(|model| model.size > 0).map(part).collect();
+        let shares = demand.parts(models);
+        let parts = models.iter().zip(shares).filter(|(model, _)| model.size > 0).map(part);
+        let parts = parts.collect();
         let mut balance = Self { parts, targets };
         balance.sort();
         balance
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{FleetView, RouteTable};
+use celeryhaven_forming::Demand;
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
 use celeryhaven_settings::GatewaySettings;
@@ -62,6 +63,7 @@
     pub(super) published: Option<TrafficUpdate>,
     pub(super) peers: Peers,
     pub(super) deciders: Deciders,
+    pub(super) demand: Demand,
     pub(super) traffic_seen: bool,
     pub(super) leaving: bool,
     pub(super) store_away: bool,
@@ -90,6 +92,7 @@
             published: None,
             peers,
             deciders,
+            demand: Demand::new(),
             traffic_seen: false,
             leaving: false,
             store_away: false,
@@ -199,10 +202,7 @@
                 }
                 Changes::NONE
             }
-            ControlEvent::Traffic(news) => {
-                self.traffic(now, news);
-                Changes::FORMING
-            }
+            ControlEvent::Traffic(news) => self.traffic(now, news),
             ControlEvent::Tick => {
                 self.probe_nodes(now);
                 let expired = Changes::targets(self.fleet.expire(now));
@@ -231,13 +231,18 @@
         }
     }
 
-    fn traffic(&mut self, now: TimeMs, news: TrafficNews) {
+    fn traffic(&mut self, now: TimeMs, news: TrafficNews) -> Changes {
         match news {
             TrafficNews::FirstRequest => self.traffic_seen = true,
             TrafficNews::Suspected(replica) => {
                 self.suspect(now, Suspicion::StandsStill(replica));
             }
             TrafficNews::Accused(target) => self.suspect(now, Suspicion::Accused(target)),
+            TrafficNews::Fills(fills) => {
+                self.observe_demand(now, &fills);
+                return Changes::NONE;
+            }
         }
+        Changes::FORMING
     }
 }
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -18,6 +18,9 @@
 /// Time between two looks at queues and at replicas that stand still.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Looks after which the control thread is told how full replicas are: once a second.
+const TICKS_OF_FILLS: u32 = 40;
+
 /// What every exchange of the process shares; it lives on the traffic thread.
 pub(crate) struct Gate<A> {
     pub(crate) adapter: A,
@@ -69,8 +72,12 @@
 
     /// Lets time pass, for ever.
     pub(crate) async fn tick(self: Rc<Self>) {
-        loop {
+        for ticks in 1_u32.. {
             smol::Timer::after(TICK).await;
+            if ticks.is_multiple_of(TICKS_OF_FILLS) {
+                let fills = self.state.borrow().fills();
+                self.tell_control(TrafficNews::Fills(fills));
+            }
             let still = self.state.borrow_mut().tick(self.now());
             for name in still {
                 self.suspected(&name, "streams stand still");
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -75,4 +75,6 @@
     Suspected(ReplicaKey),
     /// A target is named as lost, or refuses connections.
     Accused(VmName),
+    /// How full the replicas of each model are.
+    Fills(Vec<(ModelName, f64)>),
 }
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -96,9 +96,11 @@
         }
     }
 
-    /// What is usual among the members.
-    pub(crate) fn usual(&self) -> Usual {
-        Usual { fill: self.reported_fill.value(), request_ms: self.took_ms.value() }
+    /// What is usual among the members, for those heard of long ago; `None` where each is heard of
+    /// often.
+    pub(crate) fn usual(&self) -> Option<Usual> {
+        let usual = Usual { fill: self.reported_fill.value(), request_ms: self.took_ms.value() };
+        self.pooled.then_some(usual)
     }
 
     /// Bounds this node's requests at all members together, or not.
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -149,7 +149,7 @@
     /// Looks anew at targets that took no more when they were looked at last, since reports fade.
     fn refresh_full(&mut self, now: TimeMs, class_key: ClassKey) {
         let class = self.class(class_key);
-        if class.queue.is_empty() || class.available.len() == class.members.len() {
+        if class.queue.is_empty() || class.usual().is_none() {
             return;
         }
         let full = class.members.iter().filter(|&&target| !class.available.contains(target));
--- a/crates/policy/src/targets/available.rs
+++ b/crates/policy/src/targets/available.rs
@@ -32,10 +32,6 @@
         self.places.contains_key(&target)
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.targets.len()
-    }
-
     pub(crate) fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -160,25 +160,33 @@
     /// target that was full when it was heard of last counts as full until it is heard of again,
     /// which never happens, since nothing is sent there; and one that has just come counts as empty
     /// for every node at once. Limit: a report fades within the time that a request takes, since by
-    /// then other requests run there than those it told of.
-    pub(crate) fn load(&self, now: TimeMs, usual: Usual) -> f64 {
-        let usual_load = usual.fill * f64::from(self.slots);
-        let heard = self.reported.map_or(usual_load, |reported| {
+    /// then other requests run there than those it told of. Without `usual` it holds until the next.
+    pub(crate) fn load(&self, now: TimeMs, usual: Option<Usual>) -> f64 {
+        let told = self.reported.map(|reported| {
             let since = self.sends.len() as f64 - self.ends.len() as f64;
-            let told = (f64::from(reported.total) + since).max(0.0);
-            let age = now.since(reported.at) as f64 / usual.request_ms.max(1.0);
-            let weight = (-age).exp();
-            told * weight + usual_load * (1.0 - weight)
+            (f64::from(reported.total) + since).max(0.0)
         });
-        heard.max(f64::from(self.in_flight.count))
+        let load = match usual {
+            Some(usual) => self.faded(now, told, usual),
+            None => told.unwrap_or(self.sends.len() as f64 - self.ends.len() as f64),
+        };
+        load.max(f64::from(self.in_flight.count))
+    }
+
+    fn faded(&self, now: TimeMs, told: Option<f64>, usual: Usual) -> f64 {
+        let usual_load = usual.fill * f64::from(self.slots);
+        let (Some(told), Some(reported)) = (told, self.reported) else { return usual_load };
+        let age = now.since(reported.at) as f64 / usual.request_ms.max(1.0);
+        let weight = (-age).exp();
+        told * weight + usual_load * (1.0 - weight)
     }
 
     /// Its load as a part of its slots.
-    pub(crate) fn fill(&self, now: TimeMs, usual: Usual) -> f64 {
+    pub(crate) fn fill(&self, now: TimeMs, usual: Option<Usual>) -> f64 {
         self.load(now, usual) / f64::from(self.slots.max(1))
     }
 
-    pub(crate) fn may_take(&self, now: TimeMs, sharing: Sharing, usual: Usual) -> bool {
+    pub(crate) fn may_take(&self, now: TimeMs, sharing: Sharing, usual: Option<Usual>) -> bool {
         let is_full = || self.load(now, usual) >= f64::from(self.slots);
         let room = match sharing {
             Sharing::Shares | Sharing::Owner { .. } => self.in_flight.count < self.share,
