gateway, fleet: nodes tell each other through relays what targets report of their load

Cause: with 91 or 195 nodes each hears of a replica every few seconds, so even a fading report tells little. Change: a follower tells its relay the loads that it has heard since it asked last, and gets those that the relay has heard, each target once, no more often than each 0.6 s; relays below tell the first two. Only pools whose slots are shared by many nodes tell and listen.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -6,7 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
-use celeryhaven_fleet::{FleetView, RouteTable};
+use celeryhaven_fleet::{FleetView, LoadSource, RouteTable, ToldLoad};
 use celeryhaven_forming::Demand;
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
@@ -45,11 +45,18 @@
     /// Shown by nodes that follow this one.
     pub(crate) token: String,
     pub(crate) events: (Sender<ControlEvent>, Receiver<ControlEvent>),
-    pub(crate) traffic: Sender<TrafficUpdate>,
+    pub(crate) traffic: ToTraffic,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
 }
 
+/// What the control thread tells traffic.
+pub(crate) struct ToTraffic {
+    pub(crate) updates: Sender<TrafficUpdate>,
+    /// Loads that other nodes have told.
+    pub(crate) loads: Sender<Vec<ToldLoad>>,
+}
+
 /// The control thread's state.
 pub(crate) struct Control<A: Adapter> {
     pub(super) parts: ControlParts<A>,
@@ -163,6 +170,8 @@
             from: None,
             direct_until: None,
             failures: 0,
+            asked_at: TimeMs::new(0),
+            told_at: TimeMs::new(0),
         };
         self.executor.spawn(feed.follow()).detach();
     }
@@ -184,6 +193,11 @@
             ControlEvent::Probed { node, probe } => {
                 Changes::nodes(self.peers.probed(now, &node, probe))
             }
+            ControlEvent::Loads(loads) => {
+                // The channel is without a bound, and traffic lives as long as this thread.
+                self.parts.traffic.loads.try_send(loads).unwrap_or_default();
+                Changes::NONE
+            }
             ControlEvent::Suspicion(suspicion) => {
                 self.look_into(now, suspicion);
                 Changes::FORMING
@@ -238,6 +252,10 @@
                 self.suspect(now, Suspicion::StandsStill(replica));
             }
             TrafficNews::Accused(target) => self.suspect(now, Suspicion::Accused(target)),
+            TrafficNews::Loads(loads) => {
+                self.relay.loads.borrow_mut().note(now, &loads, LoadSource::Below);
+                return Changes::NONE;
+            }
             TrafficNews::Fills(fills) => {
                 self.observe_demand(now, &fills);
                 return Changes::NONE;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,9 +1,9 @@
-use celeryhaven_fleet::{EngineProfile, ModelProfile};
+use celeryhaven_fleet::{EngineProfile, ModelProfile, ToldLoad};
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
     TargetProfile, Ticket,
 };
-use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
+use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
 use crate::adapter::ReportedLoad;
 use crate::traffic::{Routable, RoutableName};
@@ -35,6 +35,7 @@
     policy: FairPolicy,
     keys: Map<RoutableName, TargetKey>,
     routables: Map<TargetKey, Routable>,
+    by_target: Map<VmName, TargetKey>,
     next_key: TargetKey,
     sharers: u32,
     /// Tokens that one event of a stream holds.
@@ -78,6 +79,7 @@
             policy: FairPolicy::new(settings),
             keys: Map::default(),
             routables: Map::default(),
+            by_target: Map::default(),
             next_key: TargetKey::default(),
             sharers: 1,
             tokens_per_event,
@@ -103,7 +105,9 @@
         let gone: Vec<_> = gone.map(|routable| routable.name.clone()).collect();
         for name in &gone {
             if let Some(key) = self.keys.remove(name) {
-                self.routables.remove(&key);
+                if let Some(gone) = self.routables.remove(&key) {
+                    self.by_target.remove(&gone.target);
+                }
                 self.policy.handle(now, PolicyEvent::TargetDown { target: key }, out);
             }
         }
@@ -115,11 +119,15 @@
     }
 
     fn choose_sharing(&mut self) {
+        self.policy.set_sharing(self.sharing());
+    }
+
+    fn sharing(&self) -> Sharing {
         let slots = self.routables.values().map(|routable| routable.slots).max().unwrap_or(0);
-        self.policy.set_sharing(match slots / self.sharers < SLOTS_PER_NODE_MIN {
+        match slots / self.sharers < SLOTS_PER_NODE_MIN {
             true => Sharing::Pooled,
             false => Sharing::Borrowing,
-        });
+        }
     }
 
     fn target_up(&mut self, now: TimeMs, routable: &Routable, out: &mut Vec<Decision>) {
@@ -127,6 +135,7 @@
         self.next_key = target.next();
         self.keys.insert(routable.name.clone(), target);
         self.routables.insert(target, routable.clone());
+        self.by_target.insert(routable.target.clone(), target);
         self.choose_sharing();
         let profile =
             TargetProfile { serves: self.serves.clone(), slots: routable.slots, distance_us: 0 };
@@ -194,15 +203,7 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(&target) = self.keys.get(name) else { return };
-        let load = TargetLoad {
-            age_ms: LOAD_AGE_MS,
-            running: load.running,
-            waiting: load.waiting,
-            prefill_tokens_queued: 0,
-            kv_used_permille: 0,
-            tokens_generated: 0,
-            adapters_loaded: Vec::new(),
-        };
+        let load = load_of(load.running, load.waiting);
         self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
     }
 
@@ -215,6 +216,23 @@
         self.policy.handle(now, PolicyEvent::Tick, out);
     }
 
+    /// Whether this node has a part of all targets' slots together.
+    pub(crate) fn is_pooled(&self) -> bool {
+        self.sharing() == Sharing::Pooled
+    }
+
+    /// The target that takes the requests of a routable.
+    pub(crate) fn target_of(&self, name: &RoutableName) -> Option<&VmName> {
+        self.routables.get(self.keys.get(name)?).map(|routable| &routable.target)
+    }
+
+    /// Takes over what a target has told another node.
+    pub(crate) fn told(&mut self, now: TimeMs, load: &ToldLoad, out: &mut Vec<Decision>) {
+        let Some(&target) = self.by_target.get(&load.target) else { return };
+        let load = TargetLoad { age_ms: load.ms_ago, ..load_of(load.requests, 0) };
+        self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
+    }
+
     /// Part of their slots that its targets have reported to be taken of late, on the mean.
     pub(crate) fn reported_fill(&self) -> Option<f64> {
         self.policy.reported_fill(&self.serves)
@@ -225,3 +243,16 @@
         self.policy.queued()
     }
 }
+
+/// A load that came with an answer; the rest of what a report may hold is not told.
+fn load_of(running: u32, waiting: u32) -> TargetLoad {
+    TargetLoad {
+        age_ms: LOAD_AGE_MS,
+        running,
+        waiting,
+        prefill_tokens_queued: 0,
+        kv_used_permille: 0,
+        tokens_generated: 0,
+        adapters_loaded: Vec::new(),
+    }
+}
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -97,10 +97,11 @@
     }
 
     /// Part of their slots that targets have reported to be taken of late, on the mean of a class, what
-    /// waits there included; `None` without a target.
+    /// waits there included; `None` without a target, or while few reports have come.
     pub fn reported_fill(&self, serves: &RequestClass) -> Option<f64> {
         let class = &self.classes[self.find_class(serves)?.get() as usize];
-        (!class.members.is_empty()).then(|| class.reported_fill.value())
+        let is_known = !class.members.is_empty() && class.reported_fill.is_seen();
+        is_known.then(|| class.reported_fill.value())
     }
 
     /// Requests that wait for a target.
