--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -149,7 +149,7 @@
         for (model, replicas) in held_elsewhere(view, self) {
             *held.entry(model).or_default() += replicas;
         }
-        Balance::new(&view.profile.models, self.usable_everywhere(view), &held, view.demand)
+        Balance::new(&view.profile.models, self.usable_everywhere(view), &held)
     }
 }
 
--- a/crates/forming/src/interface/view.rs
+++ b/crates/forming/src/interface/view.rs
@@ -3,8 +3,6 @@
 use celeryhaven_fleet::{DomainTargets, EngineProfile, FleetView, Replica, ReplicaKey};
 use celeryhaven_types::DomainName;
 
-use crate::mix::Demand;
-
 /// What a decider looks at in one step.
 #[derive(Clone, Copy, Debug)]
 pub struct FormingView<'a> {
@@ -18,8 +16,6 @@
     pub profile: &'a EngineProfile,
     /// Domains of the service, by name.
     pub domains: &'a [ListedDomain<'a>],
-    /// How many targets the work of each model keeps busy.
-    pub demand: &'a Demand,
     /// Whether callers have sent requests yet; loads are free of limits before.
     pub traffic_seen: bool,
 }
--- a/crates/forming/src/lib.rs
+++ b/crates/forming/src/lib.rs
@@ -22,5 +22,5 @@
     FormingAction, FormingEvent, FormingSettings, FormingView, ListedDomain, OrderCall,
     Reachability,
 };
-pub use mix::{Balance, Demand, DomainPlace, ModelCount, wanted_replicas};
+pub use mix::{Balance, DomainPlace, ModelCount, wanted_replicas};
 pub use record::{DomainRecord, PlannedReplica};
--- a/crates/forming/src/mix/balance.rs
+++ b/crates/forming/src/mix/balance.rs
@@ -3,8 +3,6 @@
 use celeryhaven_fleet::ModelProfile;
 use celeryhaven_types::ModelName;
 
-use crate::mix::Demand;
-
 /// Part of another model's provision below which a model is worth replicas of it.
 ///
 /// A member that changes its model must load the former one again before it can go back, so a small
@@ -22,7 +20,7 @@
 /// use std::collections::BTreeMap;
 ///
 /// use celeryhaven_fleet::ModelProfile;
-/// use celeryhaven_forming::{Balance, Demand};
+/// use celeryhaven_forming::Balance;
 /// use celeryhaven_types::ModelName;
 ///
 /// let model = |name: &str, size, share| ModelProfile {
@@ -35,7 +33,7 @@
 /// };
 /// let models = [model("small", 2, 0.25), model("large", 4, 0.75)];
 /// let held = BTreeMap::from([(ModelName::new("small"), 4), (ModelName::new("large"), 4)]);
-/// let balance = Balance::new(&models, 32, &held, &Demand::new());
+/// let balance = Balance::new(&models, 32, &held);
 /// assert_eq!(balance.by_need().next(), Some(&ModelName::new("large")));
 /// assert_eq!(balance.missing(&ModelName::new("large")), 2);
 /// ```
@@ -51,7 +49,7 @@
 struct ModelPart {
     model: ModelName,
     size: usize,
-    /// Part of the targets that it should have, of one.
+    /// Part of the work, of one.
     share: f64,
     replicas: usize,
 }
@@ -71,23 +69,15 @@
 
 impl Balance {
     /// The balance of these models on so many targets with so many replicas of each.
-    ///
-    /// Each model is to have the part of the targets that the work observed for it takes.
-    pub fn new(
-        models: &[ModelProfile],
-        targets: usize,
-        held: &BTreeMap<ModelName, usize>,
-        demand: &Demand,
-    ) -> Self {
-        let part = |(model, share): (&ModelProfile, f64)| ModelPart {
+    pub fn new(models: &[ModelProfile], targets: usize, held: &BTreeMap<ModelName, usize>) -> Self {
+        let shares: f64 = models.iter().map(|model| model.share).sum();
+        let part = |model: &ModelProfile| ModelPart {
             model: model.name.clone(),
             size: model.size,
-            share,
+            share: model.share / shares.max(f64::EPSILON),
             replicas: held.get(&model.name).copied().unwrap_or_default(),
         };
-        let shares = demand.parts(models);
-        let parts = models.iter().zip(shares).filter(|(model, _)| model.size > 0).map(part);
-        let parts = parts.collect();
+        let parts = models.iter().filter(|model| model.size > 0).map(part).collect();
         let mut balance = Self { parts, targets };
         balance.sort();
         balance
--- a/crates/forming/src/mix/mod.rs
+++ b/crates/forming/src/mix/mod.rs
@@ -1,9 +1,7 @@
 //! How many replicas of each model a domain of some size should hold.
 
 mod balance;
-mod demand;
 mod wanted;
 
 pub use balance::Balance;
-pub use demand::Demand;
 pub use wanted::{DomainPlace, ModelCount, wanted_replicas};
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 use celeryhaven_fleet::{FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder};
 use celeryhaven_forming::{
-    Demand, DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
+    DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
     ListedDomain, Reachability,
 };
 use celeryhaven_types::{
@@ -40,8 +40,6 @@
     /// Targets that refuse to stage.
     pub refuses_stage: BTreeSet<VmName>,
     hidden: BTreeSet<VmName>,
-    /// What the deciders know of the work of each model.
-    pub demand: Demand,
     /// Replicas that the list has shown so far.
     shown: BTreeSet<ReplicaKey>,
     /// Probes sent so far.
@@ -70,7 +68,6 @@
             delayed: Vec::new(),
             refuses_stage: BTreeSet::new(),
             hidden: BTreeSet::new(),
-            demand: Demand::new(),
             shown: BTreeSet::new(),
             probes: 0,
             reads: 0,
@@ -249,7 +246,6 @@
             shown: &self.shown,
             profile: &profile,
             domains: &domains,
-            demand: &self.demand,
             traffic_seen: self.traffic_seen,
         };
         act(&mut self.deciders[index], self.now, view);
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -7,7 +7,6 @@
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{FleetView, LoadSource, RouteTable, ToldLoad};
-use celeryhaven_forming::Demand;
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
 use celeryhaven_settings::GatewaySettings;
@@ -70,7 +69,6 @@
     pub(super) published: Option<TrafficUpdate>,
     pub(super) peers: Peers,
     pub(super) deciders: Deciders,
-    pub(super) demand: Demand,
     pub(super) traffic_seen: bool,
     pub(super) leaving: bool,
     pub(super) store_away: bool,
@@ -99,7 +97,6 @@
             published: None,
             peers,
             deciders,
-            demand: Demand::new(),
             traffic_seen: false,
             leaving: false,
             store_away: false,
@@ -256,10 +253,6 @@
                 self.relay.loads.borrow_mut().note(now, &loads, LoadSource::Below);
                 return Changes::NONE;
             }
-            TrafficNews::Fills(fills) => {
-                self.observe_demand(now, &fills);
-                return Changes::NONE;
-            }
         }
         Changes::FORMING
     }
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -2,15 +2,14 @@
 
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{EngineProfile, FleetView, RouteTable};
-use celeryhaven_forming::{Demand, FormingEvent, FormingSettings, FormingView, ListedDomain};
-use celeryhaven_types::{DomainName, Map, ModelName, NodeName, ServiceName, TimeMs};
+use celeryhaven_forming::{FormingEvent, FormingSettings, FormingView, ListedDomain};
+use celeryhaven_types::{DomainName, NodeName, ServiceName, TimeMs};
 use slog::info;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::event::ControlEvent;
 use crate::control::relay::RelayAddress;
-use crate::traffic::RoutableName;
 
 /// Time between two probes of a node, in milliseconds.
 ///
@@ -18,12 +17,6 @@
 /// one left.
 const PROBE_NODES_MS: u64 = 700;
 
-/// Fullest that a replica counts as, in times of its slots.
-///
-/// What waits there is work that the model lacks targets for; beyond this much its callers have
-/// mostly left.
-const FILL_MAX: f64 = 1.5;
-
 /// How long a node that the store did not serve counts as cut off from it, in milliseconds.
 ///
 /// The time between two reads of all records, and that which a write and a read without an answer
@@ -35,7 +28,7 @@
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine(&routes) else { return };
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, profile, &domains, &self.demand, self.traffic_seen);
+        let view = forming_view(&self.fleet, profile, &domains, self.traffic_seen);
         let actions = self.deciders.hear(now, view, domain, event);
         self.carry_out(domain, actions);
     }
@@ -70,34 +63,13 @@
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine(&routes) else { return };
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, profile, &domains, &self.demand, self.traffic_seen);
+        let view = forming_view(&self.fleet, profile, &domains, self.traffic_seen);
         for (domain, actions) in self.deciders.step(BootClock.now(), view) {
             self.carry_out(&domain, actions);
         }
         self.pace.is_forming.set(!self.deciders.are_idle());
     }
 
-    /// Takes over how full replicas are: so many of the targets that serve a model are busy with it.
-    pub(super) fn observe_demand(&mut self, now: TimeMs, fills: &[(ModelName, f64)]) {
-        if self.deciders.domains.is_empty() {
-            return;
-        }
-        let whole = self.routables.iter().filter_map(|routable| match &routable.name {
-            RoutableName::Replica(key) => self.fleet.replicas().get(key),
-            RoutableName::Plain(_) => None,
-        });
-        let mut serving: Map<&ModelName, usize> = Map::default();
-        for replica in whole {
-            if let Some(model) = &replica.model {
-                *serving.entry(model).or_default() += replica.members.len();
-            }
-        }
-        for (model, fill) in fills {
-            let targets = serving.get(model).copied().unwrap_or_default() as f64;
-            self.demand.observe(now, model, targets * fill.min(FILL_MAX));
-        }
-    }
-
     /// Chooses whom the feeds ask.
     pub(super) fn choose_relay(&self) {
         self.pace.nodes.set(self.peers.live() as u64 + 1);
@@ -157,9 +129,8 @@
     fleet: &'a FleetView,
     profile: &'a EngineProfile,
     domains: &'a [ListedDomain<'a>],
-    demand: &'a Demand,
     traffic_seen: bool,
 ) -> FormingView<'a> {
     let (replicas, shown) = (fleet.replicas(), fleet.shown());
-    FormingView { fleet, replicas, shown, profile, domains, demand, traffic_seen }
+    FormingView { fleet, replicas, shown, profile, domains, traffic_seen }
 }
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -22,9 +22,6 @@
 /// Looks after which the control thread is told the loads that were heard: four times a second.
 const TICKS_OF_LOADS: u32 = 10;
 
-/// Looks after which the control thread is told how full replicas are: once a second.
-const TICKS_OF_FILLS: u32 = 40;
-
 /// What every exchange of the process shares; it lives on the traffic thread.
 pub(crate) struct Gate<A> {
     pub(crate) adapter: A,
@@ -93,10 +90,6 @@
                     self.tell_control(TrafficNews::Loads(loads));
                 }
             }
-            if ticks.is_multiple_of(TICKS_OF_FILLS) {
-                let fills = self.state.borrow().fills();
-                self.tell_control(TrafficNews::Fills(fills));
-            }
             let still = self.state.borrow_mut().tick(self.now());
             for name in still {
                 self.suspected(&name, "streams stand still");
--- a/crates/gateway/src/traffic/gate_state.rs
+++ b/crates/gateway/src/traffic/gate_state.rs
@@ -226,13 +226,6 @@
         }
     }
 
-    /// How full the replicas of each model are, as they have told this node.
-    pub(crate) fn fills(&self) -> Vec<(ModelName, f64)> {
-        let of_models =
-            self.pools.iter().filter_map(|(key, pool)| Some((key.model.as_ref()?, pool)));
-        of_models.filter_map(|(model, pool)| Some((model.clone(), pool.reported_fill()?))).collect()
-    }
-
     /// Requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -233,11 +233,6 @@
         self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
     }
 
-    /// Part of their slots that its targets have reported to be taken of late, on the mean.
-    pub(crate) fn reported_fill(&self) -> Option<f64> {
-        self.policy.reported_fill(&self.serves)
-    }
-
     /// Requests that wait.
     pub(crate) fn queued(&self) -> usize {
         self.policy.queued()
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -77,6 +77,4 @@
     Accused(VmName),
     /// What targets have told of their loads since this was told last.
     Loads(Vec<ToldLoad>),
-    /// How full the replicas of each model are.
-    Fills(Vec<(ModelName, f64)>),
 }
--- a/crates/policy/src/estimate/recent.rs
+++ b/crates/policy/src/estimate/recent.rs
@@ -12,23 +12,19 @@
 const WEIGHT_MIN: f64 = 1.0 / 16.0;
 const WEIGHT_MAX: f64 = 1.0 / 3.0;
 
-/// Samples of which little is left of the value that it started from.
-const SAMPLES_MIN: u32 = 8;
-
 state! {
     /// A mean of the last seconds, however many samples they have.
     #[derive(Copy)]
     pub(crate) struct Recent {
         value: f64,
         at: TimeMs,
-        samples: u32,
     }
 }
 
 impl Recent {
     /// Starts from a value that the first samples soon outweigh.
     pub(crate) fn new(prior: f64) -> Self {
-        Self { value: prior, at: TimeMs::new(0), samples: 0 }
+        Self { value: prior, at: TimeMs::new(0) }
     }
 
     pub(crate) fn add(&mut self, now: TimeMs, sample: f64) {
@@ -36,12 +32,6 @@
         let weight = faded.clamp(WEIGHT_MIN, WEIGHT_MAX);
         self.value += (sample - self.value) * weight;
         self.at = now;
-        self.samples = self.samples.saturating_add(1);
-    }
-
-    /// Whether it is of samples rather than of the value that it started from.
-    pub(crate) fn is_seen(&self) -> bool {
-        self.samples >= SAMPLES_MIN
     }
 
     pub(crate) fn value(&self) -> f64 {
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -96,14 +96,6 @@
         }
     }
 
-    /// Part of their slots that targets have reported to be taken of late, on the mean of a class, what
-    /// waits there included; `None` without a target, or while few reports have come.
-    pub fn reported_fill(&self, serves: &RequestClass) -> Option<f64> {
-        let class = &self.classes[self.find_class(serves)?.get() as usize];
-        let is_known = !class.members.is_empty() && class.reported_fill.is_seen();
-        is_known.then(|| class.reported_fill.value())
-    }
-
     /// Requests that wait for a target.
     pub fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
