--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -35,9 +35,7 @@
     ///
     /// Load: a large replica loses a member, and the domain has no other that is free. Harm: its
     /// survivors wait until an empty target has come and loaded, while the small model has replicas
-    /// to spare. With this and second models, 90.1 in 100 of the worth asked for was served on days of
-    /// steady loss where 85.1 were, and 0.7 in 100 requests were refused where 1.9 were (fifteen
-    /// days). Limit: only where the model that is provided for worst has more afterwards, one at a
+    /// to spare. Limit: only where the model that is provided for worst has more afterwards, one at a
     /// time in all domains, and the heads that go finish their work first.
     pub(crate) fn convert(
         &mut self,
--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -188,8 +188,7 @@
     /// Reads the record anew: at once after a write that met a newer one, later after a read.
     ///
     /// Load: the store turns calls away at once. Harm: each refused read led to the next, and all
-    /// count against the rate: eight nodes made 8,953 calls on a day of 50 s, 2,161 with the pause.
-    /// Limit: half a second.
+    /// count against the rate that the nodes share. Limit: half a second.
     fn record_failed(&mut self, now: TimeMs) {
         if self.record == RecordState::Reading {
             self.read_again_at = now.after(self.settings.read_again_ms);
--- a/crates/forming/src/domain/needs.rs
+++ b/crates/forming/src/domain/needs.rs
@@ -5,7 +5,8 @@
 
 /// Members that a domain may lose while a load of many seconds is under way.
 ///
-/// Seen on days of steady loss: two targets of a data centre's twenty every three seconds.
+/// A load takes as long as it takes for one or two of a domain's targets to be lost where losses are
+/// steady.
 const LOSSES_PER_LOAD: f64 = 1.5;
 
 /// So many free targets should have this model.
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -97,7 +97,7 @@
     ///
     /// Members of replicas that are being taken apart count as there, since they are free in a
     /// moment: without them, survivors of one broken replica were told to load another model before
-    /// they joined their own again. With them a day of steady loss took 12 loads in place of 25.
+    /// they joined their own again, at twice the loads.
     fn unmet_loads<'a>(
         &self,
         view: FormingView<'a>,
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -24,8 +24,8 @@
         pub announced_ms: u64,
         /// How long a target that refused to stage is left alone, in milliseconds.
         ///
-        /// It mostly still stages for an earlier decider, which takes many seconds; without the
-        /// pause it got 250 orders in a second.
+        /// It mostly still stages for an earlier decider, which takes many seconds, and
+        /// without a pause it would be asked at each step.
         pub stage_again_ms: u64,
         /// Longest time that one which has refused to stage again and again is left alone, in
         /// milliseconds.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -25,9 +25,9 @@
 /// Pause between two answers of a watch, so that changes that come together are fetched together.
 ///
 /// Load: replicas that form, with several changes each. Harm: a call for each change from every
-/// node; 63 nodes spent 13,900 calls on a day of 48 s. Limit: for each node this much, so that all
-/// nodes together make some forty calls a second, within bounds: a few hundred milliseconds are
-/// seen at once, and a target that leaves must be known within two seconds.
+/// node. Limit: for each node this much, so that all nodes together make some forty calls a second,
+/// within bounds: a few hundred milliseconds are seen at once, and a target that leaves must be known
+/// within two seconds.
 const GATHER_MS_PER_NODE: u64 = 25;
 const GATHER_MS_MIN: u64 = 200;
 const GATHER_MS_MAX: u64 = 1_000;
--- a/crates/gateway/src/control/suspicions.rs
+++ b/crates/gateway/src/control/suspicions.rs
@@ -56,8 +56,8 @@
     /// Looks into a suspicion of this node's own traffic, or tells the node that decides.
     ///
     /// Guards against a loss that only other nodes see: a decider has a stream at few of its
-    /// replicas where many nodes share the callers, and learnt of a loss from the list alone, 3.3 s
-    /// after it.
+    /// replicas where many nodes share the callers, and learnt of a loss from the list alone,
+    /// seconds after it.
     pub(super) fn suspect(&mut self, now: TimeMs, suspicion: Suspicion) {
         let Some(domain) = self.domain_of(&suspicion) else { return };
         if self.deciders.domains.contains_key(&domain) {
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -13,9 +13,8 @@
 /// Time within which a request that broke at its target must go on elsewhere, in milliseconds.
 ///
 /// Load: a replica that dies with its requests. Harm: counted from arrival, the time to be sent is
-/// over for every stream older than that, and none of them would go on; of 4,100 requests up to 48
-/// that had waited there for their first event were given up for it. Limit: callers leave a stream that
-/// gives nothing for two seconds.
+/// over for every stream older than that, and none of them would go on. Limit: callers leave a stream
+/// that gives nothing for two seconds.
 const RESUME_MS: u64 = 1_500;
 
 /// Added to both sides of a ratio of first token delays, so that tiny ones do not look slow.
