--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
     CallerLimits, Configuration, EngineProfile, KeyHolder, ModelProfile, Route, RouteKind, Service,
     ServiceShare,
 };
-pub use relay::{ChangeLog, LoadBoard, LoadSource, RelayAnswer, StoreHearing, ToldLoad};
+pub use relay::{ChangeLog, RelayAnswer, StoreHearing};
 pub use routes::{RouteKey, RouteTable};
 pub use target::{
     CloseMode, MemberState, Membership, OrderOutcome, TargetEntry, TargetOrder, TargetPhase,
--- a/crates/fleet/src/relay/mod.rs
+++ b/crates/fleet/src/relay/mod.rs
@@ -1,7 +1,5 @@
 //! What a relay keeps of a kind of object, for nodes that ask it instead of the store.
 
 mod change_log;
-mod load_board;
 
 pub use change_log::{ChangeLog, RelayAnswer, StoreHearing};
-pub use load_board::{LoadBoard, LoadSource, ToldLoad};
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -6,7 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
-use celeryhaven_fleet::{FleetView, LoadSource, RouteTable, ToldLoad};
+use celeryhaven_fleet::{FleetView, RouteTable};
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
 use celeryhaven_settings::GatewaySettings;
@@ -44,18 +44,11 @@
     /// Shown by nodes that follow this one.
     pub(crate) token: String,
     pub(crate) events: (Sender<ControlEvent>, Receiver<ControlEvent>),
-    pub(crate) traffic: ToTraffic,
+    pub(crate) traffic: Sender<TrafficUpdate>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
 }
 
-/// What the control thread tells traffic.
-pub(crate) struct ToTraffic {
-    pub(crate) updates: Sender<TrafficUpdate>,
-    /// Loads that other nodes have told.
-    pub(crate) loads: Sender<Vec<ToldLoad>>,
-}
-
 /// The control thread's state.
 pub(crate) struct Control<A: Adapter> {
     pub(super) parts: ControlParts<A>,
@@ -167,8 +160,6 @@
             from: None,
             direct_until: None,
             failures: 0,
-            asked_at: TimeMs::new(0),
-            told_at: TimeMs::new(0),
         };
         self.executor.spawn(feed.follow()).detach();
     }
@@ -190,11 +181,6 @@
             ControlEvent::Probed { node, probe } => {
                 Changes::nodes(self.peers.probed(now, &node, probe))
             }
-            ControlEvent::Loads(loads) => {
-                // The channel is without a bound, and traffic lives as long as this thread.
-                self.parts.traffic.loads.try_send(loads).unwrap_or_default();
-                Changes::NONE
-            }
             ControlEvent::Suspicion(suspicion) => {
                 self.look_into(now, suspicion);
                 Changes::FORMING
@@ -213,7 +199,10 @@
                 }
                 Changes::NONE
             }
-            ControlEvent::Traffic(news) => self.traffic(now, news),
+            ControlEvent::Traffic(news) => {
+                self.traffic(now, news);
+                Changes::FORMING
+            }
             ControlEvent::Tick => {
                 self.probe_nodes(now);
                 let expired = Changes::targets(self.fleet.expire(now));
@@ -242,18 +231,13 @@
         }
     }
 
-    fn traffic(&mut self, now: TimeMs, news: TrafficNews) -> Changes {
+    fn traffic(&mut self, now: TimeMs, news: TrafficNews) {
         match news {
             TrafficNews::FirstRequest => self.traffic_seen = true,
             TrafficNews::Suspected(replica) => {
                 self.suspect(now, Suspicion::StandsStill(replica));
             }
             TrafficNews::Accused(target) => self.suspect(now, Suspicion::Accused(target)),
-            TrafficNews::Loads(loads) => {
-                self.relay.loads.borrow_mut().note(now, &loads, LoadSource::Below);
-                return Changes::NONE;
-            }
         }
-        Changes::FORMING
     }
 }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,4 +1,4 @@
-use celeryhaven_fleet::{StoreHearing, ToldLoad};
+use celeryhaven_fleet::StoreHearing;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_peers::{NodeProbe, NodeRecord};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
@@ -46,8 +46,6 @@
     Nodes(Vec<NodeRecord>),
     /// What a probe of another node showed.
     Probed { node: NodeName, probe: NodeProbe },
-    /// Other nodes tell loads that are news here.
-    Loads(Vec<ToldLoad>),
     /// Another node tells a suspicion.
     Suspicion(Suspicion),
     /// The store turned a call away or did not answer it.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -3,11 +3,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
-use celeryhaven_clock::BootClock;
-use celeryhaven_fleet::{LoadSource, RelayAnswer, StoreHearing, ToldLoad};
+use celeryhaven_fleet::{RelayAnswer, StoreHearing};
 use celeryhaven_http::ChannelPool;
 use celeryhaven_store::{StoreClient, StoreWire};
-use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
@@ -91,9 +89,6 @@
     pub(crate) relay: Relay,
     pub(crate) from: Option<ObjectVersion>,
     pub(crate) failures: u32,
-    /// When a relay was asked last, and when one told loads last.
-    pub(crate) asked_at: TimeMs,
-    pub(crate) told_at: TimeMs,
     /// Until when the store is asked although there is a relay.
     pub(crate) direct_until: Option<Instant>,
 }
@@ -118,16 +113,8 @@
             true => (Until::Heard, RELAY_WATCH_MS),
             false => (Until::News, RELAY_WAIT_MS),
         };
-        let now = BootClock.now();
-        let unheard_ms = now.since(self.told_at);
-        let question = Question { fed: self.fed, from: self.from, wait_ms, until, unheard_ms };
-        let loads = self.loads_to_tell(now);
-        self.asked_at = now;
-        let reply = ask_relay(&self.channels, relay, &question, &loads).await;
-        if let Some(reply) = reply.as_ref().filter(|_| question.wants_loads()) {
-            self.hear_loads(&reply.loads).await;
-        }
-        match reply.map(|reply| reply.answer) {
+        let question = Question { fed: self.fed, from: self.from, wait_ms, until };
+        match ask_relay(&self.channels, relay, &question).await {
             Some(RelayAnswer::Listed { version, objects, store }) => {
                 let store = self.succeeded(store);
                 self.hear(version, FeedNews::Listed { objects, store }, Source::Relay).await;
@@ -142,25 +129,6 @@
         }
     }
 
-    /// What this node and its followers have heard of targets since it asked last.
-    fn loads_to_tell(&self, now: TimeMs) -> Vec<ToldLoad> {
-        match self.fed {
-            Fed::Configuration => Vec::new(),
-            Fed::Targets => {
-                self.relay.loads.borrow().told_since(now, self.asked_at, LoadSource::Below)
-            }
-        }
-    }
-
-    async fn hear_loads(&mut self, told: &[ToldLoad]) {
-        let now = BootClock.now();
-        self.told_at = now;
-        let news = self.relay.loads.borrow_mut().note(now, told, LoadSource::Above);
-        if !news.is_empty() {
-            self.events.send(ControlEvent::Loads(news)).await.unwrap_or_default();
-        }
-    }
-
     async fn ask_store(&mut self) {
         let request = match self.from {
             None => StoreRequest::List { prefix: self.prefix.clone() },
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -14,6 +14,6 @@
 mod suspicions;
 mod targets;
 
-pub(crate) use control_loop::{Control, ControlParts, ToTraffic};
+pub(crate) use control_loop::{Control, ControlParts};
 pub(crate) use event::ControlEvent;
 pub(crate) use targets::TargetCalls;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -36,7 +36,7 @@
         if !self.published.as_ref().is_some_and(|told| told.is_same_as(&update)) {
             self.published = Some(update.clone());
             // The channel is without a bound, and traffic lives as long as this thread.
-            self.parts.traffic.updates.try_send(update).unwrap_or_default();
+            self.parts.traffic.try_send(update).unwrap_or_default();
         }
     }
 
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -6,14 +6,13 @@
 use async_channel::{Receiver, Sender, bounded};
 use bytes::Bytes;
 use celeryhaven_clock::BootClock;
-use celeryhaven_fleet::{ChangeLog, LoadBoard, LoadSource, RelayAnswer, ToldLoad};
+use celeryhaven_fleet::{ChangeLog, RelayAnswer};
 use celeryhaven_http::ChannelPool;
 use celeryhaven_types::store::ObjectVersion;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
 use smol::Timer;
 
 use crate::control::event::{ControlEvent, Fed, FeedNews};
@@ -29,16 +28,12 @@
 const SUSPICION_PATH: &str = "/v1/suspicion";
 const SUSPICION_BYTES_MAX: usize = 2 * 1024;
 
-/// Longest list of loads that a follower may tell: some thousand targets.
-const LOADS_BYTES_MAX: usize = 64 * 1024;
-
 /// What this node keeps for those that follow it, one log for each kind.
 #[derive(Clone, Debug)]
 pub(crate) struct Relay {
     token: Rc<str>,
     configuration: Rc<RelayLog>,
     targets: Rc<RelayLog>,
-    pub(crate) loads: Rc<RefCell<LoadBoard>>,
 }
 
 #[derive(Debug, Default)]
@@ -117,12 +112,7 @@
 impl Relay {
     /// Keeps nothing yet.
     pub(crate) fn new(token: &str) -> Self {
-        Self {
-            token: token.into(),
-            configuration: Rc::default(),
-            targets: Rc::default(),
-            loads: Rc::default(),
-        }
+        Self { token: token.into(), configuration: Rc::default(), targets: Rc::default() }
     }
 
     /// Takes over what a feed of this node has brought.
@@ -158,30 +148,12 @@
             Timer::after(Duration::from_millis(question.wait_ms)).await;
             log.nothing_new(&question)
         });
-        let answer = answer.await;
-        let loads = self.loads_for(&question);
-        match postcard::to_allocvec(&RelayReply { answer, loads }) {
+        match postcard::to_allocvec(&answer.await) {
             Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 
-    /// Loads that a follower has not been told yet.
-    fn loads_for(&self, question: &Question) -> Vec<ToldLoad> {
-        if !question.wants_loads() {
-            return Vec::new();
-        }
-        let now = BootClock.now();
-        let after = now.before(question.unheard_ms);
-        self.loads.borrow().told_since(now, after, LoadSource::Above)
-    }
-
-    /// Takes over the loads that a follower tells with its question; those that are news here.
-    fn note_loads(&self, body: &[u8]) -> Vec<ToldLoad> {
-        let told: Vec<ToldLoad> = postcard::from_bytes(body).unwrap_or_default();
-        self.loads.borrow_mut().note(BootClock.now(), &told, LoadSource::Below)
-    }
-
     /// Whether a node has shown that it reads the store.
     fn is_shown_token(&self, request: &Request<Incoming>) -> bool {
         let expected = format!("Bearer {}", self.token);
@@ -205,23 +177,6 @@
     pub(crate) from: Option<ObjectVersion>,
     pub(crate) wait_ms: u64,
     pub(crate) until: Until,
-    /// How long it has been told no loads, in milliseconds.
-    pub(crate) unheard_ms: u64,
-}
-
-/// Time between two answers that tell a follower of loads, in milliseconds.
-///
-/// Load: hundreds of replicas, each of which tells its load all the time. Harm: told with every
-/// answer while replicas form, loads would be most of what a node hears, beyond what it may spend on
-/// control. Limit: requests take a second or two, so a load is of use for about as long.
-const LOADS_EVERY_MS: u64 = 600;
-
-/// What a relay answers a follower.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(crate) struct RelayReply {
-    pub(crate) answer: RelayAnswer,
-    /// What targets have told of their loads since the follower was told last.
-    pub(crate) loads: Vec<ToldLoad>,
 }
 
 /// Longest wait that a follower may ask for, in milliseconds.
@@ -241,7 +196,7 @@
 }
 
 impl Question {
-    /// Reads a path such as `/v2/targets/120/2000/news/700`; a first question has `-` for its version.
+    /// Reads a path such as `/v2/targets/120/2000/news`; a first question has `-` for its version.
     fn read(request: &Request<Incoming>) -> Option<Self> {
         let mut words = request.uri().path().strip_prefix(QUESTION_PREFIX)?.split('/');
         let word = words.next()?;
@@ -254,20 +209,13 @@
         let wait_ms: u64 = words.next()?.parse().ok()?;
         let word = words.next()?;
         let until = [Until::News, Until::Heard].into_iter().find(|until| until.as_str() == word)?;
-        let unheard_ms = words.next()?.parse().ok()?;
-        Some(Self { fed, from, wait_ms: wait_ms.min(WAIT_MS_MAX), until, unheard_ms })
-    }
-
-    /// Whether its answer is to tell loads.
-    pub(crate) fn wants_loads(&self) -> bool {
-        self.fed == Fed::Targets && self.unheard_ms >= LOADS_EVERY_MS
+        Some(Self { fed, from, wait_ms: wait_ms.min(WAIT_MS_MAX), until })
     }
 
     fn path(&self) -> String {
         let from = self.from.map_or_else(|| "-".to_owned(), |version| version.to_string());
-        let Self { fed, wait_ms, until, unheard_ms, .. } = self;
-        let (fed, until) = (fed.as_str(), until.as_str());
-        format!("{QUESTION_PREFIX}{fed}/{from}/{wait_ms}/{until}/{unheard_ms}")
+        let Self { fed, wait_ms, until, .. } = self;
+        format!("{QUESTION_PREFIX}{}/{from}/{wait_ms}/{}", fed.as_str(), until.as_str())
     }
 }
 
@@ -287,34 +235,25 @@
         events.send(ControlEvent::Suspicion(suspicion)).await.unwrap_or_default();
         return plain(StatusCode::OK);
     }
-    let Some(question) = Question::read(&request) else { return plain(StatusCode::NOT_FOUND) };
-    // Without its loads a question is answered all the same.
-    if let Some(body) = read_body(request, LOADS_BYTES_MAX).await {
-        let news = relay.note_loads(&body);
-        events.send(ControlEvent::Loads(news)).await.unwrap_or_default();
+    match Question::read(&request) {
+        Some(question) => relay.answer(question).await,
+        None => plain(StatusCode::NOT_FOUND),
     }
-    relay.answer(question).await
-}
-
-async fn read_body(request: Request<Incoming>, bytes_max: usize) -> Option<Bytes> {
-    let body = Limited::new(request.into_body(), bytes_max).collect().await.ok()?;
-    Some(body.to_bytes())
 }
 
 async fn read_suspicion(request: Request<Incoming>) -> Option<Suspicion> {
-    postcard::from_bytes(&read_body(request, SUSPICION_BYTES_MAX).await?).ok()
+    let body = Limited::new(request.into_body(), SUSPICION_BYTES_MAX).collect().await.ok()?;
+    postcard::from_bytes(&body.to_bytes()).ok()
 }
 
-/// Asks a relay what is new and tells it what this node has heard; `None` if it does not answer.
+/// Asks a relay what is new; `None` if it does not answer.
 pub(crate) async fn ask_relay(
     channels: &ChannelPool,
     relay: &RelayAddress,
     question: &Question,
-    loads: &[ToldLoad],
-) -> Option<RelayReply> {
-    let body = postcard::to_allocvec(loads).unwrap_or_default();
-    let answer =
-        call_peer(channels, relay, &question.path(), body.into(), question.wait_ms).await?;
+) -> Option<RelayAnswer> {
+    let path = question.path();
+    let answer = call_peer(channels, relay, &path, Bytes::new(), question.wait_ms).await?;
     postcard::from_bytes(&answer).ok()
 }
 
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender, unbounded};
-use celeryhaven_fleet::ToldLoad;
 use celeryhaven_http::{ChannelPool, Listener, PoolSettings, ServerLimits, StopSignal};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
@@ -15,7 +14,7 @@
 use snafu::ResultExt;
 
 use crate::adapter::Adapter;
-use crate::control::{Control, ControlEvent, ControlParts, TargetCalls, ToTraffic};
+use crate::control::{Control, ControlEvent, ControlParts, TargetCalls};
 use crate::http::{answer_caller, answer_lookup, answer_metrics, answer_ready};
 use crate::process::ProcessError;
 use crate::process::error::{ListenSnafu, RandomSnafu, ThreadSnafu};
@@ -59,12 +58,6 @@
     events: Sender<ControlEvent>,
 }
 
-/// What traffic hears from the control thread.
-struct FromControl {
-    updates: Receiver<TrafficUpdate>,
-    loads: Receiver<Vec<ToldLoad>>,
-}
-
 /// Serves until the process is told to stop.
 ///
 /// # Errors
@@ -80,14 +73,12 @@
     let seed = getrandom::u64().context(RandomSnafu)?;
     let (events, heard) = unbounded();
     let (updates, followed) = unbounded();
-    let (loads, told) = unbounded();
     let parts = Parts { settings, adapter, metrics: GatewayMetrics::new(), log, events };
     let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
-    start_control(&parts, token, heard, ToTraffic { updates, loads })?;
+    start_control(&parts, token, heard, updates)?;
     let executor = Rc::new(LocalExecutor::new());
     let log = parts.log.clone();
-    let from_control = FromControl { updates: followed, loads: told };
-    let traffic = traffic(parts, settings_file, seed, from_control, executor.clone(), signals);
+    let traffic = traffic(parts, settings_file, seed, followed, executor.clone(), signals);
     let ended = smol::block_on(executor.run(traffic));
     info!(log, "stopped");
     ended
@@ -97,7 +88,7 @@
     parts: &Parts<A>,
     token: String,
     heard: Receiver<ControlEvent>,
-    traffic: ToTraffic,
+    traffic: Sender<TrafficUpdate>,
 ) -> Result<(), ProcessError> {
     let Parts { settings, adapter, metrics, log, events } = parts;
     let (settings, adapter, metrics) = (settings.clone(), adapter.clone(), metrics.clone());
@@ -136,7 +127,7 @@
     parts: Parts<A>,
     settings_file: &str,
     seed: u64,
-    from_control: FromControl,
+    updates: Receiver<TrafficUpdate>,
     executor: Rc<LocalExecutor<'static>>,
     signals: Signals,
 ) -> Result<(), ProcessError> {
@@ -150,8 +141,7 @@
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(FIRST_LIMITS));
     let open = listen(&settings, &gate, &stop, &limits)?;
-    executor.spawn(gate.clone().follow(from_control.updates)).detach();
-    executor.spawn(gate.clone().follow_loads(from_control.loads)).detach();
+    executor.spawn(gate.clone().follow(updates)).detach();
     executor.spawn(gate.clone().tick()).detach();
     executor.spawn(pass_news(heard, events.clone())).detach();
     executor.spawn(keep_limits(gate.clone(), limits)).detach();
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -4,7 +4,6 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
-use celeryhaven_fleet::ToldLoad;
 use celeryhaven_http::ChannelPool;
 use celeryhaven_policy::Ticket;
 use celeryhaven_telemetry::GatewayMetrics;
@@ -19,9 +18,6 @@
 /// Time between two looks at queues and at replicas that stand still.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Looks after which the control thread is told the loads that were heard: four times a second.
-const TICKS_OF_LOADS: u32 = 10;
-
 /// What every exchange of the process shares; it lives on the traffic thread.
 pub(crate) struct Gate<A> {
     pub(crate) adapter: A,
@@ -71,25 +67,10 @@
         }
     }
 
-    /// Takes over loads that other nodes have heard, for ever.
-    pub(crate) async fn follow_loads(self: Rc<Self>, told: Receiver<Vec<ToldLoad>>) {
-        while let Ok(loads) = told.recv().await {
-            let now = self.now();
-            self.state.borrow_mut().told_loads(now, &loads);
-        }
-    }
-
     /// Lets time pass, for ever.
     pub(crate) async fn tick(self: Rc<Self>) {
-        for ticks in 1_u32.. {
+        loop {
             smol::Timer::after(TICK).await;
-            if ticks.is_multiple_of(TICKS_OF_LOADS) {
-                let now = self.now();
-                let loads = self.state.borrow_mut().take_loads(now);
-                if !loads.is_empty() {
-                    self.tell_control(TrafficNews::Loads(loads));
-                }
-            }
             let still = self.state.borrow_mut().tick(self.now());
             for name in still {
                 self.suspected(&name, "streams stand still");
@@ -134,9 +115,7 @@
     /// A target has told its load.
     pub(crate) fn reported(&self, ticket: Ticket, name: &RoutableName, load: ReportedLoad) {
         let now = self.now();
-        let mut state = self.state.borrow_mut();
-        state.tell(ticket, |pool, out| pool.reported(now, name, load, out));
-        state.note_load(now, ticket, load);
+        self.state.borrow_mut().tell(ticket, |pool, out| pool.reported(now, name, load, out));
     }
 
     /// The caller has the whole answer.
--- a/crates/gateway/src/traffic/gate_state.rs
+++ b/crates/gateway/src/traffic/gate_state.rs
@@ -2,11 +2,10 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use celeryhaven_fleet::{RouteTable, ToldLoad};
+use celeryhaven_fleet::RouteTable;
 use celeryhaven_policy::{Decision, StandstillWatch, Ticket};
-use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs, VmName};
+use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
 
-use crate::adapter::ReportedLoad;
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::{Ask, Routable, RoutableName};
 
@@ -52,8 +51,6 @@
     pub(crate) progress: StandstillWatch<RoutableName>,
     pub(crate) present: Map<Ticket, Present>,
     pools: Map<PoolKey, Pool>,
-    /// What targets have told with answers, until the control thread takes it.
-    heard: Map<VmName, (u32, TimeMs)>,
     sharers: u32,
     next_ticket: Ticket,
     seed: u64,
@@ -74,7 +71,6 @@
             progress: StandstillWatch::new(),
             present: Map::default(),
             pools: Map::default(),
-            heard: Map::default(),
             sharers: 1,
             next_ticket: Ticket::default(),
             seed,
@@ -192,40 +188,6 @@
         self.refresh(now);
     }
 
-    /// Remembers what a target has told with an answer, for other nodes.
-    ///
-    /// Only where nodes are many before the targets; elsewhere each hears of them often enough.
-    pub(crate) fn note_load(&mut self, now: TimeMs, ticket: Ticket, load: ReportedLoad) {
-        let Some(present) = self.present.get(&ticket) else { return };
-        let Some(pool) = self.pools.get(&present.pool).filter(|pool| pool.is_pooled()) else {
-            return;
-        };
-        if let Some(target) = present.at.as_ref().and_then(|name| pool.target_of(name)) {
-            self.heard.insert(target.clone(), (load.running + load.waiting, now));
-        }
-    }
-
-    /// Loads that were heard since they were taken last.
-    pub(crate) fn take_loads(&mut self, now: TimeMs) -> Vec<ToldLoad> {
-        let told = |(target, (requests, at)): (VmName, (u32, TimeMs))| ToldLoad {
-            target,
-            requests,
-            ms_ago: now.since(at),
-        };
-        self.heard.drain().map(told).collect()
-    }
-
-    /// Takes over loads that other nodes have heard.
-    pub(crate) fn told_loads(&mut self, now: TimeMs, loads: &[ToldLoad]) {
-        for key in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let mut out = Vec::new();
-            if let Some(pool) = self.pools.get_mut(&key).filter(|pool| pool.is_pooled()) {
-                loads.iter().for_each(|load| pool.told(now, load, &mut out));
-            }
-            self.carry_out(&key, out);
-        }
-    }
-
     /// Requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,9 +1,9 @@
-use celeryhaven_fleet::{EngineProfile, ModelProfile, ToldLoad};
+use celeryhaven_fleet::{EngineProfile, ModelProfile};
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
     TargetProfile, Ticket,
 };
-use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
+use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
 
 use crate::adapter::ReportedLoad;
 use crate::traffic::{Routable, RoutableName};
@@ -35,7 +35,6 @@
     policy: FairPolicy,
     keys: Map<RoutableName, TargetKey>,
     routables: Map<TargetKey, Routable>,
-    by_target: Map<VmName, TargetKey>,
     next_key: TargetKey,
     sharers: u32,
     /// Tokens that one event of a stream holds.
@@ -79,7 +78,6 @@
             policy: FairPolicy::new(settings),
             keys: Map::default(),
             routables: Map::default(),
-            by_target: Map::default(),
             next_key: TargetKey::default(),
             sharers: 1,
             tokens_per_event,
@@ -105,9 +103,7 @@
         let gone: Vec<_> = gone.map(|routable| routable.name.clone()).collect();
         for name in &gone {
             if let Some(key) = self.keys.remove(name) {
-                if let Some(gone) = self.routables.remove(&key) {
-                    self.by_target.remove(&gone.target);
-                }
+                self.routables.remove(&key);
                 self.policy.handle(now, PolicyEvent::TargetDown { target: key }, out);
             }
         }
@@ -119,15 +115,11 @@
     }
 
     fn choose_sharing(&mut self) {
-        self.policy.set_sharing(self.sharing());
-    }
-
-    fn sharing(&self) -> Sharing {
         let slots = self.routables.values().map(|routable| routable.slots).max().unwrap_or(0);
-        match slots / self.sharers < SLOTS_PER_NODE_MIN {
+        self.policy.set_sharing(match slots / self.sharers < SLOTS_PER_NODE_MIN {
             true => Sharing::Pooled,
             false => Sharing::Borrowing,
-        }
+        });
     }
 
     fn target_up(&mut self, now: TimeMs, routable: &Routable, out: &mut Vec<Decision>) {
@@ -135,7 +127,6 @@
         self.next_key = target.next();
         self.keys.insert(routable.name.clone(), target);
         self.routables.insert(target, routable.clone());
-        self.by_target.insert(routable.target.clone(), target);
         self.choose_sharing();
         let profile =
             TargetProfile { serves: self.serves.clone(), slots: routable.slots, distance_us: 0 };
@@ -203,7 +194,15 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(&target) = self.keys.get(name) else { return };
-        let load = load_of(load.running, load.waiting);
+        let load = TargetLoad {
+            age_ms: LOAD_AGE_MS,
+            running: load.running,
+            waiting: load.waiting,
+            prefill_tokens_queued: 0,
+            kv_used_permille: 0,
+            tokens_generated: 0,
+            adapters_loaded: Vec::new(),
+        };
         self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
     }
 
@@ -216,38 +215,8 @@
         self.policy.handle(now, PolicyEvent::Tick, out);
     }
 
-    /// Whether this node has a part of all targets' slots together.
-    pub(crate) fn is_pooled(&self) -> bool {
-        self.sharing() == Sharing::Pooled
-    }
-
-    /// The target that takes the requests of a routable.
-    pub(crate) fn target_of(&self, name: &RoutableName) -> Option<&VmName> {
-        self.routables.get(self.keys.get(name)?).map(|routable| &routable.target)
-    }
-
-    /// Takes over what a target has told another node.
-    pub(crate) fn told(&mut self, now: TimeMs, load: &ToldLoad, out: &mut Vec<Decision>) {
-        let Some(&target) = self.by_target.get(&load.target) else { return };
-        let load = TargetLoad { age_ms: load.ms_ago, ..load_of(load.requests, 0) };
-        self.policy.handle(now, PolicyEvent::Reported { target, load }, out);
-    }
-
     /// Requests that wait.
     pub(crate) fn queued(&self) -> usize {
         self.policy.queued()
     }
 }
-
-/// A load that came with an answer; the rest of what a report may hold is not told.
-fn load_of(running: u32, waiting: u32) -> TargetLoad {
-    TargetLoad {
-        age_ms: LOAD_AGE_MS,
-        running,
-        waiting,
-        prefill_tokens_queued: 0,
-        kv_used_permille: 0,
-        tokens_generated: 0,
-        adapters_loaded: Vec::new(),
-    }
-}
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use celeryhaven_derives::state;
-use celeryhaven_fleet::{ReplicaKey, RouteTable, ToldLoad};
+use celeryhaven_fleet::{ReplicaKey, RouteTable};
 use celeryhaven_types::{ModelName, ServiceName, TimeMs, VmName};
 
 state! {
@@ -75,6 +75,4 @@
     Suspected(ReplicaKey),
     /// A target is named as lost, or refuses connections.
     Accused(VmName),
-    /// What targets have told of their loads since this was told last.
-    Loads(Vec<ToldLoad>),
 }
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -88,9 +88,6 @@
             load.adapters_loaded.iter().map(|name| self.intern_adapter(name)).collect();
         let lent_random: f64 = self.rng.random();
         let Some(state) = self.targets.get_mut(&target) else { return };
-        if state.is_outdated(now, load.age_ms) {
-            return;
-        }
         let total = state.reported(now, load);
         let fill = f64::from(total) / f64::from(state.slots.max(1));
         let silent_at = now.after(state.silence_ms());
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -106,11 +106,6 @@
         remember(&mut self.ends, now);
     }
 
-    /// Whether a report that is this old tells less than the last one.
-    pub(crate) fn is_outdated(&self, now: TimeMs, age_ms: u64) -> bool {
-        self.reported.is_some_and(|reported| reported.at > now.before(age_ms))
-    }
-
     /// Takes over a report and forgets what it already shows; true total at that instant.
     pub(crate) fn reported(&mut self, now: TimeMs, load: &TargetLoad) -> u32 {
         let at = now.before(load.age_ms);
--- a/crates/policy/tests/crowd/mod.rs
+++ b/crates/policy/tests/crowd/mod.rs
@@ -78,10 +78,6 @@
     owed: f64,
     rng: SmallRng,
     span: Span,
-    /// Time between two tellings of loads among the nodes, in milliseconds; none without it.
-    told_every_ms: Option<u64>,
-    /// What replicas have told since, and when.
-    heard: BTreeMap<u32, (u32, u64)>,
     /// Refusals that came later than an objective after the request.
     pub refused_late: u32,
 }
@@ -112,8 +108,6 @@
             owed: 0.0,
             rng: SmallRng::seed_from_u64(seed),
             span: Span::default(),
-            told_every_ms: None,
-            heard: BTreeMap::new(),
             refused_late: 0,
         };
         for node in 0..nodes {
@@ -128,12 +122,6 @@
         self.rate = rate;
     }
 
-    /// Nodes tell each other this often what they have heard of loads.
-    pub fn with_told_every_ms(mut self, told_every_ms: u64) -> Self {
-        self.told_every_ms = Some(told_every_ms);
-        self
-    }
-
     /// Replicas come, empty.
     pub fn come_back(&mut self, replicas: &[u32]) {
         for &replica in replicas {
@@ -171,9 +159,6 @@
         for _ in 0..span_ms / STEP_MS {
             self.now_ms += STEP_MS;
             self.ask();
-            if self.told_every_ms.is_some_and(|every_ms| self.now_ms.is_multiple_of(every_ms)) {
-                self.tell_loads();
-            }
             while let Some(&(at_ms, due)) = self.due.first().filter(|(at, _)| *at <= self.now_ms) {
                 self.due.remove(&(at_ms, due));
                 match due {
@@ -190,15 +175,6 @@
         self.span
     }
 
-    fn tell_loads(&mut self) {
-        for (replica, (requests, at_ms)) in std::mem::take(&mut self.heard) {
-            for node in 0..self.nodes.len() {
-                let load = load(self.now_ms - at_ms, requests);
-                self.tell(node, PolicyEvent::Reported { target: TargetKey::new(replica), load });
-            }
-        }
-    }
-
     fn ask(&mut self) {
         // Twenty replicas are what the rate is of, whatever is lost of them.
         let per_ms = 20.0 * SLOTS as f64 * FILL / RUN_MS as f64;
@@ -236,9 +212,15 @@
             false => self.span.late += 1,
         }
         let state = &self.replicas[&replica];
-        let requests = (state.running.len() + state.waiting.len()) as u32;
-        self.heard.insert(replica, (requests, self.now_ms));
-        let load = load(1, requests);
+        let load = TargetLoad {
+            age_ms: 1,
+            running: state.running.len() as u32,
+            waiting: state.waiting.len() as u32,
+            prefill_tokens_queued: 0,
+            kv_used_permille: 0,
+            tokens_generated: 0,
+            adapters_loaded: Vec::new(),
+        };
         self.tell(node, PolicyEvent::Reported { target: TargetKey::new(replica), load });
         self.tell(node, PolicyEvent::Started { ticket: Ticket::new(id) });
     }
@@ -290,15 +272,3 @@
         }
     }
 }
-
-fn load(age_ms: u64, requests: u32) -> TargetLoad {
-    TargetLoad {
-        age_ms,
-        running: requests,
-        waiting: 0,
-        prefill_tokens_queued: 0,
-        kv_used_permille: 0,
-        tokens_generated: 0,
-        adapters_loaded: Vec::new(),
-    }
-}
--- a/crates/policy/tests/fair_pooled.rs
+++ b/crates/policy/tests/fair_pooled.rs
@@ -25,22 +25,6 @@
     }
 }
 
-/// Replicas are nearly full. A node alone hears of each every few seconds and sends to full ones while
-/// others have room; told each 0.7 s what other nodes have heard, fewer answers are late.
-#[test]
-fn pooled_loads_told_by_others() {
-    let late = |mut crowd: Crowd| {
-        crowd.run(3_000);
-        crowd.set_rate(1.25);
-        crowd.run(3_000);
-        crowd.run(6_000).late
-    };
-    let crowd = |seed| Crowd::new(seed, 60, 20);
-    let alone: u32 = (0..4).map(|seed| late(crowd(seed))).sum();
-    let told: u32 = (0..4).map(|seed| late(crowd(seed).with_told_every_ms(700))).sum();
-    assert!(told * 3 < alone * 2, "{told} late with what others have heard, {alone} without");
-}
-
 /// Callers ask for a half more than all replicas can do, for eight seconds. Let in by every node, the
 /// excess waits at the replicas and makes everyone late. Held at the nodes, most of what the replicas
 /// can do is in time, and the rest is refused within its objective.
