--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -73,6 +73,8 @@
     kept_from: ObjectVersion,
     objects: BTreeMap<ObjectKey, Object>,
     changes: VecDeque<ObjectChange>,
+    /// Whether `objects` are all there are, and not only what has changed since a gap.
+    is_whole: bool,
     heard_at: Option<TimeMs>,
     returned_at: Option<TimeMs>,
 }
@@ -99,12 +101,27 @@
     pub fn listed(&mut self, version: ObjectVersion, objects: &[Object]) {
         self.version = version;
         self.kept_from = version;
+        self.is_whole = true;
         self.changes.clear();
         self.objects = objects.iter().map(|object| (object.key.clone(), object.clone())).collect();
     }
 
-    /// Takes over what a watch of the store brought.
-    pub fn changed(&mut self, version: ObjectVersion, changes: &[ObjectChange]) {
+    /// Takes over what has changed since a version, up to another.
+    ///
+    /// Guards against a log with a gap: a node that follows a relay keeps no log, and may become one
+    /// itself. Were it to go on from its last list, followers that are a little behind would miss what
+    /// it heard in between, such as a target that leaves, and keep it for good.
+    pub fn changed(
+        &mut self,
+        from: ObjectVersion,
+        version: ObjectVersion,
+        changes: &[ObjectChange],
+    ) {
+        if from != self.version {
+            self.is_whole = false;
+            self.changes.clear();
+            self.kept_from = from;
+        }
         self.version = self.version.max(version);
         for change in changes {
             let (key, version) = (change.key.clone(), change.version);
@@ -145,6 +162,11 @@
         }
     }
 
+    /// Whether it lacks a list of all objects, which some of those who ask would need.
+    pub fn lacks_list(&self) -> bool {
+        !self.is_whole
+    }
+
     /// Forgets that the store was heard of: this node relays no more.
     pub fn silence(&mut self) {
         self.heard_at = None;
@@ -156,6 +178,9 @@
             return Some(RelayAnswer::Stale);
         }
         let Some(from) = from.filter(|from| *from >= self.kept_from) else {
+            if !self.is_whole {
+                return Some(RelayAnswer::Stale);
+            }
             let objects = self.objects.values().cloned().collect();
             let (version, store) = (self.version, self.store(now));
             return Some(RelayAnswer::Listed { version, objects, store });
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -63,6 +63,7 @@
     for seed in 0..200 {
         let mut random = Gen::from_size_and_seed(20, seed);
         let (mut logs, mut pending) = ([listed(1), listed(1)], [vec![], vec![]]);
+        let mut at = [ObjectVersion::new(1); 2];
         let mut store: BTreeMap<ObjectKey, String> = BTreeMap::new();
         let mut follower = Follower::default();
         for version in 2..1_200_u64 {
@@ -73,10 +74,11 @@
                 Some(value) => store.insert(change.key.clone(), value),
                 None => store.remove(&change.key),
             };
-            for (log, pending) in logs.iter_mut().zip(&mut pending) {
+            for ((log, pending), at) in logs.iter_mut().zip(&mut pending).zip(&mut at) {
                 pending.push(change.clone());
                 if bool::arbitrary(&mut random) {
-                    log.changed(ObjectVersion::new(version), &std::mem::take(pending));
+                    let from = std::mem::replace(at, ObjectVersion::new(version));
+                    log.changed(from, ObjectVersion::new(version), &std::mem::take(pending));
                 }
             }
             if u8::arbitrary(&mut random) < 40 {
@@ -86,8 +88,8 @@
                 }
             }
         }
-        for (log, pending) in logs.iter_mut().zip(&mut pending) {
-            log.changed(ObjectVersion::new(1_199), &std::mem::take(pending));
+        for ((log, pending), at) in logs.iter_mut().zip(&mut pending).zip(at) {
+            log.changed(at, ObjectVersion::new(1_199), &std::mem::take(pending));
         }
         if let Some(answer) = logs[0].since(NOW, follower.from) {
             follower.take(answer);
@@ -109,7 +111,7 @@
 #[test]
 fn relay_behind_its_follower() {
     let mut log = listed(5);
-    log.changed(ObjectVersion::new(6), &[change("a", 6, Some("1"))]);
+    log.changed(ObjectVersion::new(5), ObjectVersion::new(6), &[change("a", 6, Some("1"))]);
     let ahead = ObjectVersion::new(9);
     assert_eq!(log.since(NOW, Some(ahead)), None);
     let RelayAnswer::Changes { version, changes, .. } = log.nothing_new(NOW, ahead) else {
@@ -124,7 +126,7 @@
 fn relay_tells_of_outage() {
     let mut log = listed(5);
     log.heard(NOW, StoreHearing::direct(true));
-    log.changed(ObjectVersion::new(6), &[change("a", 6, None)]);
+    log.changed(ObjectVersion::new(5), ObjectVersion::new(6), &[change("a", 6, None)]);
     let told = |log: &ChangeLog, at| match log.since(at, Some(ObjectVersion::new(5))).unwrap() {
         RelayAnswer::Changes { store, .. } => store.returned_ms_ago,
         _ => panic!("not the changes"),
@@ -171,3 +173,24 @@
     let RelayAnswer::Changes { store, .. } = told else { panic!("not the changes") };
     assert_eq!(store.returned_ms_ago, Some(1_400));
 }
+
+/// A node has followed a relay and becomes one itself. It has heard of versions up to 8 and kept none of
+/// them. Who is at version 6 must not be told that only what came after 8 has changed, and who needs
+/// the whole list must not get what this node listed long ago.
+#[test]
+fn changed_after_a_gap() {
+    let mut log = listed(5);
+    let (from, version) = (ObjectVersion::new(8), ObjectVersion::new(9));
+    log.changed(from, version, &[change("a", 9, Some("1"))]);
+    log.heard(NOW, StoreHearing::direct(false));
+    assert!(log.lacks_list());
+    assert_eq!(log.since(NOW, Some(ObjectVersion::new(6))), Some(RelayAnswer::Stale));
+    assert_eq!(log.since(NOW, None), Some(RelayAnswer::Stale));
+    let Some(RelayAnswer::Changes { changes, .. }) = log.since(NOW, Some(from)) else {
+        panic!("not the changes")
+    };
+    assert_eq!(changes.len(), 1);
+    log.listed(ObjectVersion::new(9), &[]);
+    assert!(!log.lacks_list());
+    assert!(matches!(log.since(NOW, None), Some(RelayAnswer::Listed { .. })));
+}
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -159,10 +159,14 @@
     /// Keeps what was heard for nodes that follow this one, and tells the control thread.
     async fn hear(&mut self, version: ObjectVersion, news: FeedNews, source: Source) {
         match self.pace.is_relay.get() {
-            true => self.relay.hear(self.fed, version, &news, source),
+            true => self.relay.hear(self.fed, (self.from, version), &news, source),
             false => self.relay.silence(self.fed),
         }
         self.from = Some(version);
+        // A node that has become a relay lists all once, for those who are behind it.
+        if self.pace.is_relay.get() && self.relay.lacks_list(self.fed) {
+            self.from = None;
+        }
         self.tell(news).await;
     }
 
--- a/crates/gateway/src/control/relay.rs
+++ b/crates/gateway/src/control/relay.rs
@@ -115,8 +115,14 @@
         Self { token: token.into(), configuration: Rc::default(), targets: Rc::default() }
     }
 
-    /// Takes over what a feed of this node has brought.
-    pub(crate) fn hear(&self, fed: Fed, version: ObjectVersion, news: &FeedNews, source: Source) {
+    /// Takes over what a feed of this node has brought, from one version up to another.
+    pub(crate) fn hear(
+        &self,
+        fed: Fed,
+        (from, version): (Option<ObjectVersion>, ObjectVersion),
+        news: &FeedNews,
+        source: Source,
+    ) {
         let log = self.log(fed);
         let mut kept = log.log.borrow_mut();
         let store = match news {
@@ -125,7 +131,7 @@
                 *store
             }
             FeedNews::Changed { changes, store } => {
-                kept.changed(version, changes);
+                kept.changed(from.unwrap_or_default(), version, changes);
                 *store
             }
             FeedNews::Failed => return,
@@ -136,6 +142,11 @@
         log.wake();
     }
 
+    /// Whether some who ask could not be answered for want of a whole list.
+    pub(crate) fn lacks_list(&self, fed: Fed) -> bool {
+        self.log(fed).log.borrow().lacks_list()
+    }
+
     /// Vouches for nothing any more, since no node is to follow this one.
     pub(crate) fn silence(&self, fed: Fed) {
         self.log(fed).log.borrow_mut().silence();
