policy, gateway: a stream that has begun goes on

The policy cancelled the request with its first event, 0.18 s after it was asked with 7.8 s left: by the caller's limit of 366 events it expected 183, at 75 ms each in a full replica, and six tenths of that are 8.2 s. With a change of the configuration nearby the caller sees a planned change break its stream.

Change: an answer that has begun is not given up at the gateway for what its rest is expected to take. Test, red without the setting: fair_retries::late_rest_of_a_stream_that_has_begun.

--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -61,6 +61,7 @@
         let tokens_per_event = engine.map_or(1, |(engine, _)| engine.tokens_per_event);
         let settings = FairSettings::new(seed)
             .with_eject_silent(false)
+            .with_cancel_late_rest(false)
             .with_cost_margin(0.0)
             .with_retries(retries.earned, retries.saved_max, true);
         let settings = match engine {
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -76,7 +76,8 @@
         let class = &self.classes[request.class.get() as usize];
         let output = class.outputs.expected(request.flow, request.output_tokens_max);
         let rest_ms = class.times.decode_ms(1.0, output) * REST_PART;
-        if request.idempotent && now.after(rest_ms as u64) > request.deadline {
+        let too_late = now.after(rest_ms as u64) > request.deadline;
+        if self.settings.cancel_late_rest && request.idempotent && too_late {
             self.cancel(ticket, CancelReason::TooLate, out);
         } else {
             self.rewake_at_deadline(ticket);
--- a/crates/policy/src/fair/settings.rs
+++ b/crates/policy/src/fair/settings.rs
@@ -59,6 +59,12 @@
         /// batches delay a first token to twice what is expected of them; at four times a
         /// target six times slower than its peers is not told apart from a full one.
         pub stuck_ratio: f64,
+        /// Whether an answer that has begun is given up where the rest of it is expected too late.
+        ///
+        /// Load: first tokens that come late. Harm: without it, an answer that will be late takes a slot
+        /// from one that would be in time. Where callers see an answer as it comes, it is off: what was
+        /// expected by the caller's own limit is often far more than what is written.
+        pub cancel_late_rest: bool,
         /// Whether a target whose reports stay away is ejected.
         pub eject_silent: bool,
         /// Retries earned by each arrival.
@@ -91,6 +97,7 @@
             look_ahead: 8,
             learn_prefix_hits: true,
             stuck_ratio: 2.5,
+            cancel_late_rest: true,
             eject_silent: true,
             retry_earned: 0.2,
             retry_saved_max: 100.0,
@@ -147,6 +154,12 @@
         self
     }
 
+    /// Gives up an answer that has begun where its rest is expected too late, or never.
+    pub fn with_cancel_late_rest(mut self, cancel_late_rest: bool) -> Self {
+        self.cancel_late_rest = cancel_late_rest;
+        self
+    }
+
     /// Ejects a target whose reports stay away, or not.
     pub fn with_eject_silent(mut self, eject_silent: bool) -> Self {
         self.eject_silent = eject_silent;
--- a/crates/policy/tests/fair_retries.rs
+++ b/crates/policy/tests/fair_retries.rs
@@ -2,7 +2,8 @@
 
 mod toy;
 
-use celeryhaven_types::{Idempotency, RefusalCode, RequestHead, Verdict};
+use celeryhaven_policy::{Decision, FairSettings, PolicyEvent, RequestPolicy, Ticket};
+use celeryhaven_types::{Idempotency, RefusalCode, RequestHead, TimeMs, Verdict};
 use toy::{End, Toy, head};
 
 fn refused(toy: &Toy, ticket: u64) -> (RefusalCode, Verdict) {
@@ -202,3 +203,23 @@
     toy.broken(1, Verdict::MayHaveRun);
     assert_eq!(toy.dispatched[&1].len(), 2);
 }
+
+/// A caller allows an answer of 366 events and has 7.8 s left when the first one comes, 0.2 s after it
+/// asked. By the caller's limit the rest would take longer than that, so the stream was broken off with
+/// its first event, beside a change of the configuration and for nothing: most answers are a tenth as
+/// long. Where callers see the answer as it comes, it goes on.
+#[test]
+fn late_rest_of_a_stream_that_has_begun() {
+    for cancels in [true, false] {
+        let settings = FairSettings::new(3).with_cancel_late_rest(cancels);
+        let settings = settings.with_times(150.0, 0.0, 75.0);
+        let mut toy = Toy::with_settings(settings, 1, 4);
+        toy.ask(1, &head("one", 366, 20_000));
+        let mut decisions = Vec::new();
+        let started = PolicyEvent::Started { ticket: Ticket::new(1) };
+        toy.policy.handle(TimeMs::new(14_000), started, &mut decisions);
+        let cancelled =
+            decisions.iter().any(|decision| matches!(decision, Decision::Cancel { .. }));
+        assert_eq!(cancelled, cancels, "{decisions:?}");
+    }
+}
