forming: a plan that the list does not show yet is retracted before its targets are used

Cause: the list of targets lags behind the record of a domain, by seconds where hundreds of nodes start together. Plans that the list did not show were also dropped from the record at the next write, so a third decider did not know of them.

Change: a plan that the list does not come to show is retracted: its members are ordered to leave and are free once that was answered; it stays in the record until then. A replica that is taken apart is left by its planned members as well, not only by those listed. What cannot be reached is not waited for twice.

Ruled out: the expected order count as a condition of a join, which needs a report of each member first (priced as a probe). What remains: a join of the old plan that is carried out between the leave and the new join, for all members at once.

--- a/crates/forming/src/domain/former.rs
+++ b/crates/forming/src/domain/former.rs
@@ -5,6 +5,7 @@
 
 use crate::domain::formation::{Dissolving, Formation, PendingOrder};
 use crate::domain::loads::Loads;
+use crate::domain::unseen::UnseenPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderCall};
 use crate::record::{DomainRecord, PlannedReplica};
 
@@ -65,8 +66,10 @@
     pub(crate) unconfirmed: BTreeSet<ReplicaName>,
     /// The highest generation of a plan in the record, as it was read or written last.
     pub(crate) planned_generation: Generation,
-    /// Plans of others that no member names yet, and until when their members count as taken.
-    pub(crate) announced: BTreeMap<ReplicaName, (Vec<VmName>, TimeMs)>,
+    /// Plans of others that no member names yet.
+    pub(crate) unseen: BTreeMap<ReplicaName, UnseenPlan>,
+    /// Plans of the record that were unseen and that nothing may be in any more.
+    pub(crate) resolved: BTreeSet<ReplicaName>,
     /// A model that another could be given up for, and since when.
     pub(crate) short_since: Option<(ModelName, TimeMs)>,
     /// The model that replicas were given up for last, and which.
@@ -98,7 +101,8 @@
             loads,
             unconfirmed: BTreeSet::new(),
             planned_generation: Generation::default(),
-            announced: BTreeMap::new(),
+            unseen: BTreeMap::new(),
+            resolved: BTreeSet::new(),
             short_since: None,
             converting: None,
             next_call: OrderCall::default(),
@@ -132,7 +136,8 @@
             self.record = RecordState::Reading;
             out.push(FormingAction::ReadRecord);
         }
-        self.forget_unlisted(now, view);
+        self.forget_unlisted(view);
+        self.retract_unseen(now, view, out);
         self.probe_unreachable(now, out);
         self.send_again(now, out);
         self.judge_replicas(now, view, out);
@@ -209,16 +214,16 @@
         record: DomainRecord,
         out: &mut Vec<FormingAction>,
     ) {
-        let until = now.after(self.settings.announced_ms);
         let mut confirmed = Vec::new();
         let newest = record.replicas.iter().filter_map(|plan| plan.generation).max();
+        self.resolved.retain(|name| record.replicas.iter().any(|plan| plan.replica == *name));
         for plan in &record.replicas {
             // One that was there before the write is not what the write has planned.
             let is_new = plan.generation > Some(self.planned_generation);
             if is_new && self.unconfirmed.contains(&plan.replica) {
                 confirmed.push(plan.clone());
-            } else if !is_shown(view, plan) {
-                self.announced.insert(plan.replica.clone(), (plan.members.clone(), until));
+            } else if !is_shown(view, plan) && !self.is_forming(&plan.replica) {
+                self.note_unseen(now, plan);
             }
         }
         self.unconfirmed.clear();
@@ -231,8 +236,7 @@
     }
 
     /// Forgets what is remembered of targets and replicas that nobody lists any more.
-    fn forget_unlisted(&mut self, now: TimeMs, view: FormingView<'_>) {
-        self.announced.retain(|_, (_, until)| *until > now);
+    fn forget_unlisted(&mut self, view: FormingView<'_>) {
         self.unreachable.retain(|name, _| view.fleet.known(name).is_some());
         self.departing.retain(|name, _| {
             view.fleet.known(name).is_some() && view.fleet.target(name).is_none()
@@ -246,7 +250,15 @@
             })
         });
         self.unfinished.retain(|key, _| view.replicas.contains_key(key));
-        self.dissolving.retain(|key, _| view.replicas.contains_key(key));
+        self.dissolving.retain(|key, dissolving| {
+            let is_leaving = dissolving.closed_at.is_none() && !dissolving.waiting.is_empty();
+            is_leaving || view.replicas.contains_key(key)
+        });
+    }
+
+    /// Whether this decider forms a replica of this name.
+    pub(crate) fn is_forming(&self, replica: &ReplicaName) -> bool {
+        self.formations.keys().any(|key| key.replica == *replica)
     }
 }
 
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -77,9 +77,11 @@
     /// Targets that a formation or a plan already counts on.
     fn taken(&self) -> Set<VmName> {
         let forming = self.formations.values().flat_map(|formation| formation.members.iter());
-        let announced = self.announced.values().flat_map(|(members, _)| members.iter());
+        let unseen = self.unseen.values().flat_map(|unseen| unseen.unresolved.iter());
+        let leaving = self.dissolving.values().flat_map(|dissolving| dissolving.waiting.iter());
         forming
-            .chain(announced)
+            .chain(unseen)
+            .chain(leaving)
             .chain(self.being_planned().flat_map(|plan| plan.members.iter()))
             .cloned()
             .collect()
--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -13,5 +13,6 @@
 mod replicas;
 mod second_models;
 mod staging;
+mod unseen;
 
 pub use former::DomainFormer;
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -156,8 +156,11 @@
 
     /// Whether a member still names the planned replica, or may be about to.
     fn may_exist(&self, view: FormingView<'_>, plan: &PlannedReplica) -> bool {
-        let forming = self.formations.keys().any(|key| key.replica == plan.replica);
-        forming || view.replicas.keys().any(|key| key.replica == plan.replica)
+        let name = &plan.replica;
+        self.is_forming(name)
+            || self.unseen.contains_key(name)
+            || self.dissolving.keys().any(|key| key.replica == *name)
+            || view.replicas.keys().any(|key| key.replica == *name)
     }
 }
 
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -140,7 +140,8 @@
         let size = model.and_then(|model| Some(view.profile.model(&model)?.size));
         let complete = size.is_some_and(|size| replica.is_complete(size));
         let lost = replica.members.iter().flatten().any(|name| self.unreachable.contains_key(name));
-        let members: Vec<VmName> = replica.members.iter().flatten().cloned().collect();
+        let listed = replica.members.iter().flatten().cloned();
+        let members = self.possible_members(view, &replica.key, listed);
         match replica.head_state {
             Some(MemberState::Open | MemberState::Closing) => {
                 let leaves = match size.is_some() && !complete {
@@ -149,11 +150,11 @@
                 };
                 let whole = complete || size.is_none();
                 match leaves {
-                    _ if lost => self.take_apart(replica, out),
+                    _ if lost => self.take_apart(replica, members, out),
                     None => {}
                     Some(true) => self.close(now, replica, "member leaves", out),
                     Some(false) if whole => {}
-                    Some(false) => self.take_apart(replica, out),
+                    Some(false) => self.take_apart(replica, members, out),
                 }
             }
             Some(MemberState::Broken) => {
@@ -177,9 +178,13 @@
         }
     }
 
-    fn take_apart(&mut self, replica: &Replica, out: &mut Vec<FormingAction>) {
+    fn take_apart(
+        &mut self,
+        replica: &Replica,
+        members: Vec<VmName>,
+        out: &mut Vec<FormingAction>,
+    ) {
         self.note(&replica.key, "member lost", None, out);
-        let members = replica.members.iter().flatten().cloned().collect();
         self.dissolve(&replica.key, members, out);
     }
 
@@ -229,10 +234,14 @@
         self.advance_formation(view, replica, out);
     }
 
-    /// Whether every listed member has left it, although the list does not show that yet.
+    /// Whether every listed member has left it or cannot be reached, although the list does not show
+    /// that yet.
     fn is_left(&self, replica: &Replica) -> bool {
         let mut members = replica.members.iter().flatten();
-        members.all(|member| self.left.contains(&(member.clone(), replica.key.clone())))
+        members.all(|member| {
+            self.unreachable.contains_key(member)
+                || self.left.contains(&(member.clone(), replica.key.clone()))
+        })
     }
 
     /// Lets the head of a replica finish its work before its members leave.
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -18,10 +18,12 @@
         ///
         /// A live decider opens a ready replica within some hundred milliseconds.
         pub adopt_after_ms: u64,
-        /// How long the members of another decider's new plan count as taken, in milliseconds.
+        /// How long the list may take to show another decider's plan, in milliseconds.
         ///
         /// Joins follow the plan within some tens of milliseconds; a second covers a list that lags.
         pub announced_ms: u64,
+        /// How long members of such a plan that nobody lists count as taken, in milliseconds.
+        pub unseen_max_ms: u64,
         /// How long a target that refused to stage is left alone, in milliseconds.
         ///
         /// It mostly still stages for an earlier decider, which takes many seconds, and
@@ -61,6 +63,7 @@
             read_again_ms: 500,
             adopt_after_ms: 1_500,
             announced_ms: 1_500,
+            unseen_max_ms: 20_000,
             stage_again_ms: 3_000,
             stage_pause_max_ms: 12_000,
             probe_every_ms: 1_000,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod toy;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use celeryhaven_fleet::{FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder};
 use celeryhaven_forming::{
@@ -20,6 +20,9 @@
 /// Time of one step of the world.
 pub const STEP_MS: u64 = 100;
 
+/// Lists of the past that deciders may see.
+const PAST_LISTS: usize = 200;
+
 /// The targets of one domain, the record in the store, and one decider or more.
 pub struct World {
     pub now: TimeMs,
@@ -29,6 +32,10 @@
     pub store_answers: bool,
     pub deciders: Vec<DomainFormer>,
     versions: Vec<Option<u64>>,
+    /// How old the list is that each decider sees, in milliseconds.
+    pub list_lag_ms: Vec<u64>,
+    /// Lists of the past, the oldest first.
+    past: VecDeque<(TimeMs, FleetView, BTreeSet<ReplicaKey>)>,
     pub traffic_seen: bool,
     /// Whether it ever was, whatever a new decider knows of it.
     callers_came: bool,
@@ -61,6 +68,8 @@
             store_answers: true,
             deciders: Vec::new(),
             versions: Vec::new(),
+            list_lag_ms: Vec::new(),
+            past: VecDeque::new(),
             traffic_seen: false,
             callers_came: false,
             faults: Vec::new(),
@@ -89,12 +98,21 @@
         let domain = DomainName::new("rack");
         self.deciders.push(DomainFormer::new(self.now, domain, NodeName::new(node), settings));
         self.versions.push(None);
+        self.list_lag_ms.push(0);
+    }
+
+    /// A decider that sees the list as it was some time ago.
+    pub fn add_lagging_decider(&mut self, node: &str, lag_ms: u64) {
+        self.add_decider(node);
+        self.list_lag_ms.pop();
+        self.list_lag_ms.push(lag_ms);
     }
 
     /// A decider is gone; what it had begun stays as it is.
     pub fn drop_decider(&mut self, index: usize) {
         self.deciders.remove(index);
         self.versions.remove(index);
+        self.list_lag_ms.remove(index);
     }
 
     /// A target goes silent; its entry lapses some seconds later.
@@ -176,6 +194,10 @@
         self.advance_toys();
         self.listed = self.fleet();
         self.shown.extend(self.listed.replicas().keys().cloned());
+        self.past.push_back((self.now, self.listed.clone(), self.shown.clone()));
+        if self.past.len() > PAST_LISTS {
+            self.past.pop_front();
+        }
         self.carry_out_delayed();
         for index in 0..self.deciders.len() {
             let mut out = Vec::new();
@@ -231,19 +253,30 @@
         view
     }
 
+    /// The list, and the replicas that it has shown, as a decider sees them.
+    fn seen_by(&self, index: usize) -> (FleetView, BTreeSet<ReplicaKey>) {
+        let lag_ms = self.list_lag_ms[index];
+        if lag_ms == 0 {
+            return (self.fleet(), self.shown.clone());
+        }
+        let mut past = self.past.iter().rev();
+        let seen = past.find(|(at, ..)| self.now.since(*at) >= lag_ms);
+        seen.map(|(_, fleet, shown)| (fleet.clone(), shown.clone())).unwrap_or_default()
+    }
+
     fn with_view(
         &mut self,
         index: usize,
         act: impl FnOnce(&mut DomainFormer, TimeMs, FormingView<'_>),
     ) {
-        let fleet = self.fleet();
+        let (fleet, shown) = self.seen_by(index);
         let profile = profile();
         let service = ServiceName::new(SERVICE);
         let domains: Vec<_> = fleet.domains(&service).map(ListedDomain::new).collect();
         let view = FormingView {
             fleet: &fleet,
             replicas: fleet.replicas(),
-            shown: &self.shown,
+            shown: &shown,
             profile: &profile,
             domains: &domains,
             traffic_seen: self.traffic_seen,
