gateway: calls to the store counted by kind; relay.rs split by job

Calls to the store are counted by kind of object and call, as a metric and every five seconds as log lines, so that their price can be told apart by purpose. What relays keep, what nodes ask and tell each other, and the address of a relay have a file each; behaviour is as before.

--- /dev/null
+++ b/crates/demand/src/demand.rs
@@ -0,0 +1,43 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_derives::data;
+use celeryhaven_types::ModelName;
+
+data! {
+    /// Work offered of late, of one node or of many together.
+    ///
+    /// ```
+    /// use celeryhaven_demand::Demand;
+    /// use celeryhaven_types::ModelName;
+    ///
+    /// let model = ModelName::new("small");
+    /// let mut all = Demand { nodes: 1, busy_slots: [(model.clone(), 2.0)].into() };
+    /// all.add(&Demand { nodes: 1, busy_slots: [(model.clone(), 3.0)].into() });
+    /// assert_eq!((all.nodes, all.busy_slots[&model]), (2, 5.0));
+    /// ```
+    #[derive(Default)]
+    pub struct Demand {
+        /// Nodes that it was measured on.
+        pub nodes: u32,
+        /// Slots that the work of each model would keep busy.
+        pub busy_slots: BTreeMap<ModelName, f64>,
+    }
+}
+
+impl Demand {
+    /// Adds the demand of other nodes.
+    pub fn add(&mut self, other: &Self) {
+        self.nodes += other.nodes;
+        for (model, slots) in &other.busy_slots {
+            *self.busy_slots.entry(model.clone()).or_default() += slots;
+        }
+    }
+
+    /// The demand of a fleet of this many nodes, supposing that the others have as much each.
+    pub fn scaled_to(&self, nodes: u32) -> Self {
+        let factor = f64::from(nodes) / f64::from(self.nodes.max(1));
+        let busy_slots =
+            self.busy_slots.iter().map(|(model, slots)| (model.clone(), slots * factor));
+        Self { nodes, busy_slots: busy_slots.collect() }
+    }
+}
--- /dev/null
+++ b/crates/demand/tests/tree.rs
@@ -0,0 +1,47 @@
+//! Demand summed over a tree of nodes.
+
+use celeryhaven_demand::{Demand, DemandMeter, DemandTree};
+use celeryhaven_types::{ModelName, NodeName, TimeMs};
+
+fn demand(slots: f64) -> Demand {
+    Demand { nodes: 1, busy_slots: [(ModelName::new("small"), slots)].into() }
+}
+
+fn busy(demand: &Demand) -> f64 {
+    demand.busy_slots.get(&ModelName::new("small")).copied().unwrap_or_default()
+}
+
+#[test]
+fn tree_sums_and_tells() {
+    let now = TimeMs::new(10_000);
+    let (mut root, mut relay, mut node) = (DemandTree::new(), DemandTree::new(), DemandTree::new());
+    root.set_own(demand(1.0));
+    relay.set_own(demand(2.0));
+    node.set_own(demand(4.0));
+    relay.reported(now, NodeName::new("node"), node.sum(now));
+    root.reported(now, NodeName::new("relay"), relay.sum(now));
+    let fleet = root.fleet(now);
+    assert_eq!((fleet.nodes, busy(&fleet)), (3, 7.0));
+    relay.told(now, fleet.clone());
+    node.told(now, relay.fleet(now));
+    assert_eq!(node.fleet(now), fleet);
+}
+
+/// Guards against demand that is counted twice: a node follows another relay than before.
+#[test]
+fn tree_old_report_expires() {
+    let mut root = DemandTree::new();
+    root.reported(TimeMs::new(0), NodeName::new("node"), demand(4.0));
+    assert_eq!(busy(&root.sum(TimeMs::new(1_000))), 4.0);
+    assert_eq!(busy(&root.sum(TimeMs::new(5_000))), 0.0);
+}
+
+/// Guards against a demand that is far off while the first requests come.
+#[test]
+fn meter_first_moments() {
+    let mut meter = DemandMeter::new(8_000);
+    let model = ModelName::new("small");
+    (0..20).for_each(|tick| meter.add(TimeMs::new(tick * 50), &model, 100.0));
+    let slots = busy(&meter.sample(TimeMs::new(1_000)));
+    assert!((slots - 2.0).abs() < 0.2, "{slots}");
+}
--- a/crates/gateway/src/control/carrying.rs
+++ b/crates/gateway/src/control/carrying.rs
@@ -8,6 +8,7 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
+use crate::control::counted_store::StoreKind;
 use crate::control::deciders::{read_record, record_read, record_written, write_record};
 use crate::control::event::ControlEvent;
 
@@ -34,20 +35,20 @@
     }
 
     fn read_record(&self, domain: DomainName) {
-        let (client, events) = (self.parts.client.clone(), self.parts.events.0.clone());
+        let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let read = async move {
-            let reply = client.call(&read_record(&domain)).await;
+            let reply = store.call(StoreKind::Placement, &read_record(&domain)).await;
             tell_record(&events, domain, &reply, record_read(&reply)).await;
         };
         self.executor.spawn(read).detach();
     }
 
     fn write_record(&self, domain: DomainName, record: &DomainRecord) {
-        let (client, events) = (self.parts.client.clone(), self.parts.events.0.clone());
+        let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let version = self.deciders.domains.get(&domain).and_then(|decider| decider.version);
         let Some(request) = write_record(&domain, version, record) else { return };
         let write = async move {
-            let reply = client.call(&request).await;
+            let reply = store.call(StoreKind::Placement, &request).await;
             tell_record(&events, domain, &reply, record_written(&reply)).await;
         };
         self.executor.spawn(write).detach();
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -19,6 +19,7 @@
 
 use crate::adapter::Adapter;
 use crate::control::changes::Changes;
+use crate::control::counted_store::CountedStore;
 use crate::control::deciders::Deciders;
 use crate::control::event::{ControlEvent, Fed};
 use crate::control::feed::{Feed, FeedPace};
@@ -30,6 +31,9 @@
 /// Time between two looks at deciders.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time between two logs of the calls to the store, in milliseconds.
+const LOG_CALLS_EVERY_MS: u64 = 5_000;
+
 /// What nodes that follow this one may take.
 const PEER_LIMITS: ServerLimits =
     ServerLimits { header_bytes_max: 8 * 1024, idle: Duration::from_secs(30) };
@@ -53,6 +57,7 @@
 pub(crate) struct Control<A: Adapter> {
     pub(super) parts: ControlParts<A>,
     pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) store: CountedStore<A>,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) fleet: FleetView,
     pub(super) listed: bool,
@@ -72,6 +77,7 @@
     pub(super) relay: Relay,
     pub(super) suspicions: Suspicions,
     pub(super) nodes_probed_at: TimeMs,
+    calls_logged_at: TimeMs,
 }
 
 impl<A: Adapter> Control<A> {
@@ -80,9 +86,11 @@
         let relay = Relay::new(&parts.token);
         let deciders = Deciders::new(parts.boot);
         let peers = Peers::new(parts.settings.node.clone());
+        let store = CountedStore::new(parts.client.clone(), parts.metrics.clone());
         Self {
             parts,
             executor,
+            store,
             routes: None,
             fleet: FleetView::new(),
             listed: false,
@@ -99,6 +107,7 @@
             relay,
             suspicions: Suspicions::default(),
             nodes_probed_at: TimeMs::new(0),
+            calls_logged_at: BootClock.now(),
         }
     }
 
@@ -149,7 +158,7 @@
 
     fn start_feed(&self, prefix: ObjectKey, fed: Fed) {
         let feed = Feed {
-            client: self.parts.client.clone(),
+            store: self.store.clone(),
             prefix,
             fed,
             wait_ms: self.parts.settings.watch_wait_ms,
@@ -205,6 +214,7 @@
             }
             ControlEvent::Tick => {
                 self.probe_nodes(now);
+                self.log_store_calls(now);
                 let expired = Changes::targets(self.fleet.expire(now));
                 // Time alone may end what a node counts as, such as cut off from the store.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -216,6 +226,13 @@
         }
     }
 
+    fn log_store_calls(&mut self, now: TimeMs) {
+        if now.since(self.calls_logged_at) >= LOG_CALLS_EVERY_MS {
+            self.calls_logged_at = now;
+            self.store.log_calls(&self.parts.log);
+        }
+    }
+
     /// Does what follows from changes.
     fn follow_up(&mut self, changes: Changes) {
         if changes.targets {
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -4,6 +4,7 @@
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
 use celeryhaven_types::{DomainName, NodeName};
 
+use crate::control::counted_store::StoreKind;
 use crate::control::suspicions::Suspicion;
 use crate::traffic::TrafficNews;
 
@@ -17,6 +18,14 @@
 }
 
 impl Fed {
+    /// The kind that its calls to the store are counted under.
+    pub(crate) const fn kind(self) -> StoreKind {
+        match self {
+            Self::Configuration => StoreKind::Configuration,
+            Self::Targets => StoreKind::Targets,
+        }
+    }
+
     /// The word used between nodes and in logs.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -5,10 +5,11 @@
 use async_channel::Sender;
 use celeryhaven_fleet::{RelayAnswer, StoreHearing};
 use celeryhaven_http::ChannelPool;
-use celeryhaven_store::{StoreClient, StoreWire};
+use celeryhaven_store::StoreWire;
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
+use crate::control::counted_store::CountedStore;
 use crate::control::event::{ControlEvent, Fed, FeedNews};
 use crate::control::relay::{
     ANSWER_SLACK_MS, Question, Relay, RelayAddress, Source, Until, ask_relay,
@@ -79,7 +80,7 @@
 /// A node asks a relay where there is one, and the store whenever that does not answer or vouches
 /// for nothing. Versions are the store's, so it goes on where it stopped.
 pub(crate) struct Feed<W> {
-    pub(crate) client: StoreClient<W>,
+    pub(crate) store: CountedStore<W>,
     pub(crate) channels: ChannelPool,
     pub(crate) prefix: ObjectKey,
     pub(crate) fed: Fed,
@@ -137,7 +138,7 @@
                 StoreRequest::Watch { prefix: self.prefix.clone(), from, wait_ms }
             }
         };
-        match self.client.call(&request).await {
+        match self.store.call(self.fed.kind(), &request).await {
             StoreReply::Listed { version, objects } => {
                 let store = self.succeeded(StoreHearing::default());
                 self.hear(version, FeedNews::Listed { objects, store }, Source::Store).await;
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -2,12 +2,13 @@
 
 use async_channel::Sender;
 use celeryhaven_peers::{NodeRecord, heartbeat_ms};
-use celeryhaven_store::{StoreClient, StoreWire};
+use celeryhaven_store::StoreWire;
 use celeryhaven_types::store::{Object, ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
+use crate::control::counted_store::{CountedStore, StoreKind};
 use crate::control::event::ControlEvent;
 
 /// Prefix of the nodes' records in the store.
@@ -27,7 +28,7 @@
 
 /// What writes this node's record.
 struct Heartbeat<W> {
-    client: StoreClient<W>,
+    store: CountedStore<W>,
     events: Sender<ControlEvent>,
     record: NodeRecord,
     key: ObjectKey,
@@ -41,9 +42,9 @@
     pub(super) fn heartbeats(&self) -> impl Future<Output = ()> + 'static {
         let record = self.own_record();
         let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
-        let (client, events) = (self.parts.client.clone(), self.parts.events.0.clone());
+        let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let due = Instant::now();
-        let mut heartbeat = Heartbeat { client, events, record, key, version: None, due };
+        let mut heartbeat = Heartbeat { store, events, record, key, version: None, due };
         let pace = self.pace.clone();
         async move {
             loop {
@@ -82,7 +83,7 @@
             Some(version) => StoreRequest::Update { key, version, value },
             None => StoreRequest::Create { key, value },
         };
-        self.version = match self.client.call(&request).await {
+        self.version = match self.store.call(StoreKind::Nodes, &request).await {
             StoreReply::Written { version } => {
                 self.due = Instant::now() + Duration::from_millis(heartbeat_ms(nodes));
                 Some(version)
@@ -93,7 +94,11 @@
                 self.version
             }
             // Another start of this node has written it, or an answer was lost.
-            _ => match self.client.call(&StoreRequest::Get { key: self.key.clone() }).await {
+            _ => match self
+                .store
+                .call(StoreKind::Nodes, &StoreRequest::Get { key: self.key.clone() })
+                .await
+            {
                 StoreReply::Found(object) => Some(object.version),
                 _ => None,
             },
@@ -104,8 +109,8 @@
     async fn read_all(&self, newest: bool) {
         let list = StoreRequest::List { prefix: ObjectKey::new(NODES_PREFIX) };
         let reply = match newest {
-            true => self.client.call(&list).await,
-            false => self.client.read_stale(&list).await,
+            true => self.store.call(StoreKind::Nodes, &list).await,
+            false => self.store.read_stale(StoreKind::Nodes, &list).await,
         };
         match reply {
             StoreReply::Listed { objects, .. } => {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod carrying;
 mod changes;
 mod control_loop;
+mod counted_store;
 mod deciders;
 mod deciding;
 mod event;
--- /dev/null
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -0,0 +1,103 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use celeryhaven_clock::BootClock;
+use celeryhaven_types::store::ObjectVersion;
+use http::header::AUTHORIZATION;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use smol::Timer;
+
+use crate::control::event::{Fed, FeedNews};
+use crate::control::relay::peer_server::plain;
+use crate::control::relay::question::Question;
+use crate::control::relay::relay_log::RelayLog;
+use crate::traffic::AnswerBody;
+
+/// What this node keeps for those that follow it, one log for each kind.
+#[derive(Clone, Debug)]
+pub(crate) struct Relay {
+    token: Rc<str>,
+    configuration: Rc<RelayLog>,
+    targets: Rc<RelayLog>,
+}
+
+/// Whom a relay has heard from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The store itself.
+    Store,
+    /// Another relay.
+    Relay,
+}
+
+impl Relay {
+    /// Keeps nothing yet.
+    pub(crate) fn new(token: &str) -> Self {
+        Self { token: token.into(), configuration: Rc::default(), targets: Rc::default() }
+    }
+
+    /// Takes over what a feed of this node has brought, from one version up to another.
+    pub(crate) fn hear(
+        &self,
+        fed: Fed,
+        (from, version): (Option<ObjectVersion>, ObjectVersion),
+        news: &FeedNews,
+        source: Source,
+    ) {
+        let log = self.log(fed);
+        let mut kept = log.log.borrow_mut();
+        let store = match news {
+            FeedNews::Listed { objects, store } => {
+                kept.listed(version, objects);
+                *store
+            }
+            FeedNews::Changed { changes, store } => {
+                kept.changed(from.unwrap_or_default(), version, changes);
+                *store
+            }
+            FeedNews::Failed => return,
+        };
+        kept.heard(BootClock.now(), store);
+        drop(kept);
+        log.is_direct.set(source == Source::Store);
+        log.wake();
+    }
+
+    /// Whether some who ask could not be answered for want of a whole list.
+    pub(crate) fn lacks_list(&self, fed: Fed) -> bool {
+        self.log(fed).log.borrow().lacks_list()
+    }
+
+    /// Vouches for nothing any more, since no node is to follow this one.
+    pub(crate) fn silence(&self, fed: Fed) {
+        self.log(fed).log.borrow_mut().silence();
+    }
+
+    /// Answers a node that follows this one.
+    pub(super) async fn answer(self, question: Question) -> Response<AnswerBody> {
+        let log = self.log(question.fed);
+        let answer = smol::future::or(log.answer(&question), async {
+            Timer::after(Duration::from_millis(question.wait_ms)).await;
+            log.nothing_new(&question)
+        });
+        match postcard::to_allocvec(&answer.await) {
+            Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
+            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    /// Whether a node has shown that it reads the store.
+    pub(super) fn is_shown_token(&self, request: &Request<Incoming>) -> bool {
+        let expected = format!("Bearer {}", self.token);
+        let given = request.headers().get(AUTHORIZATION);
+        given.is_some_and(|given| given.as_bytes() == expected.as_bytes())
+    }
+
+    fn log(&self, fed: Fed) -> &RelayLog {
+        match fed {
+            Fed::Configuration => &self.configuration,
+            Fed::Targets => &self.targets,
+        }
+    }
+}
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -5,7 +5,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::metrics::buckets::seconds;
-use crate::metrics::{OutcomeLabel, ProcessMetrics};
+use crate::metrics::{OutcomeLabel, ProcessMetrics, StoreCallLabel};
 
 /// What a gateway process measures.
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
     pub domains: Gauge,
     /// Orders to targets, by kind and outcome.
     pub orders: Family<OutcomeLabel, Counter>,
+    /// Calls to the platform's store, by kind of object and call.
+    pub store_calls: Family<StoreCallLabel, Counter>,
 }
 
 impl GatewayMetrics {
@@ -36,6 +38,7 @@
     /// ```
     pub fn new() -> Self {
         let (requests, orders) = (Family::default(), Family::default());
+        let store_calls: Family<StoreCallLabel, Counter> = Family::default();
         let request_time = seconds();
         let (queued, replicas_whole, domains) =
             (Gauge::default(), Gauge::default(), Gauge::default());
@@ -55,8 +58,18 @@
             );
             registry.register("domains", "Fabric domains decided here", domains.clone());
             registry.register("orders", "Orders to targets", orders.clone());
+            registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
-        Self { process, requests, request_time, queued, replicas_whole, domains, orders }
+        Self {
+            process,
+            requests,
+            request_time,
+            queued,
+            replicas_whole,
+            domains,
+            orders,
+            store_calls,
+        }
     }
 
     /// Counts the end of a request.
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -33,3 +33,12 @@
     /// How it ended.
     pub outcome: &'static str,
 }
+
+/// Labels of calls to the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCallLabel {
+    /// The kind of object.
+    pub kind: &'static str,
+    /// The call.
+    pub call: &'static str,
+}
