gateway, forming, demand: models' shares of the targets follow the work that callers offer

Cause: nine in ten streams of the shifted deployment ask for the small model, whose configured share of the targets is a half. By arrivals and time in a slot its 40 replicas have 800 slots for 440 to 710 that are busy, the large model's ten have 200 for 40.

Change: each node meters the work offered to it, refused requests included. It goes with the questions to relays up the tree and comes back with their answers, so every node knows the fleet's demand within seconds without a message of its own. Shares are what that work needs in targets, with a quarter of the configured share as a floor, and change by a fifth at least. Domains may give replicas up at the same time; what closes counts as formed of what it is given up for.

Tests: crates/demand/tests (swapped, drifting, noisy demand; three models), crates/forming/tests/demand.rs.

--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -48,6 +48,11 @@
         true
     }
 
+    /// The shares, in the order of the models; empty while the configured ones hold.
+    pub fn as_slice(&self) -> &[f64] {
+        &self.shares
+    }
+
     /// Puts the shares in place of the configured ones.
     pub fn apply(&self, models: &mut [ModelProfile]) {
         if self.shares.len() == models.len() {
--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -36,7 +36,7 @@
     /// Load: a large replica loses a member, and the domain has no other that is free. Harm: its
     /// survivors wait until an empty target has come and loaded, while the small model has replicas
     /// to spare. Limit: only where the model that is provided for worst has more afterwards, one at a
-    /// time in all domains, and the heads that go finish their work first.
+    /// time in each domain, and the heads that go finish their work first.
     pub(crate) fn convert(
         &mut self,
         now: TimeMs,
@@ -75,11 +75,14 @@
 
     fn conversion<'a>(&self, view: FormingView<'a>) -> Option<(ModelName, Conversion<'a>)> {
         let is_calm = self.formations.is_empty() && self.dissolving.is_empty();
-        if !is_calm || self.serves_callers(view) != Some(true) || is_closing_elsewhere(view) {
+        if !is_calm || self.serves_callers(view) != Some(true) {
+            return None;
+        }
+        let to = self.balance(view).by_need().next()?.clone();
+        let balance = self.balance_after_conversions(view, &to)?;
+        if balance.by_need().next() != Some(&to) {
             return None;
         }
-        let balance = self.balance(view);
-        let to = balance.by_need().next()?.clone();
         let free = self.free_targets(view);
         let models = balance.by_need().filter(|model| balance.is_uneven(model));
         let possible = models.filter_map(|from| {
@@ -137,6 +140,20 @@
         self.balance_with(view, &self.held(view))
     }
 
+    /// How all domains will provide for each model once the replicas that are being given up have
+    /// become some of this one.
+    ///
+    /// Guards against domains that all give replicas up for the same need: the list shows what closes
+    /// seconds before it shows what is formed of it.
+    fn balance_after_conversions(&self, view: FormingView<'_>, to: &ModelName) -> Option<Balance> {
+        let size = view.profile.model(to)?.size;
+        let closing = view.replicas.values().filter(|replica| is_given_up(replica));
+        let targets: usize = closing.map(|replica| replica.members.iter().flatten().count()).sum();
+        let mut held = self.held(view);
+        *held.entry(to.clone()).or_default() += targets / size.max(1);
+        Some(self.balance_with(view, &held))
+    }
+
     /// How all domains together provide for each model, with so many replicas in this one.
     pub(crate) fn balance_with(
         &self,
@@ -179,8 +196,7 @@
     }
 }
 
-/// Whether a head somewhere finishes its work although no member leaves.
-fn is_closing_elsewhere(view: FormingView<'_>) -> bool {
-    let closing = |r: &&Replica| r.head_state == Some(MemberState::Closing);
-    view.replicas.values().filter(closing).any(|replica| !replica.draining)
+/// Whether the head finishes its work although no member leaves.
+fn is_given_up(replica: &Replica) -> bool {
+    replica.head_state == Some(MemberState::Closing) && !replica.draining
 }
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use celeryhaven_fleet::{FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder};
+use celeryhaven_fleet::{
+    EngineProfile, FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder,
+};
 use celeryhaven_forming::{
     DomainFormer, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
     ListedDomain, Reachability,
@@ -36,6 +38,8 @@
     pub list_lag_ms: Vec<u64>,
     /// Lists of the past, the oldest first.
     past: VecDeque<(TimeMs, FleetView, BTreeSet<ReplicaKey>)>,
+    /// What the deciders know of the engines.
+    pub profile: EngineProfile,
     pub traffic_seen: bool,
     /// Whether it ever was, whatever a new decider knows of it.
     callers_came: bool,
@@ -70,6 +74,7 @@
             versions: Vec::new(),
             list_lag_ms: Vec::new(),
             past: VecDeque::new(),
+            profile: profile(),
             traffic_seen: false,
             callers_came: false,
             faults: Vec::new(),
@@ -270,7 +275,7 @@
         act: impl FnOnce(&mut DomainFormer, TimeMs, FormingView<'_>),
     ) {
         let (fleet, shown) = self.seen_by(index);
-        let profile = profile();
+        let profile = self.profile.clone();
         let service = ServiceName::new(SERVICE);
         let domains: Vec<_> = fleet.domains(&service).map(ListedDomain::new).collect();
         let view = FormingView {
@@ -445,6 +450,16 @@
         })
     }
 
+    /// Orders to stage that targets got.
+    pub fn loads(&self) -> usize {
+        self.toys.keys().map(|name| self.count_orders(name, "stage")).sum()
+    }
+
+    /// Orders to join that targets got.
+    pub fn joins(&self) -> usize {
+        self.toys.keys().map(|name| self.count_orders(name, "join")).sum()
+    }
+
     /// Orders of a kind that a target got.
     pub fn count_orders(&self, target: &VmName, word: &str) -> usize {
         self.toys[target].orders.iter().filter(|order| order.as_str() == word).count()
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -6,6 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
+use celeryhaven_demand::{DemandMeter, ModelShares};
 use celeryhaven_fleet::{FleetView, RouteTable};
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
@@ -26,7 +27,7 @@
 use crate::control::relay::{Relay, answer_peer};
 use crate::control::suspicions::{Suspicion, Suspicions};
 use crate::control::targets::TargetCalls;
-use crate::traffic::{Routable, TrafficNews, TrafficUpdate};
+use crate::traffic::{OfferedWork, Routable, TrafficNews, TrafficUpdate};
 
 /// Time between two looks at deciders.
 const TICK: Duration = Duration::from_millis(100);
@@ -34,6 +35,9 @@
 /// Time between two logs of the calls to the store, in milliseconds.
 const LOG_CALLS_EVERY_MS: u64 = 5_000;
 
+/// Time constant of the mean of offered work, in milliseconds.
+const DEMAND_WINDOW_MS: u64 = 6_000;
+
 /// What nodes that follow this one may take.
 const PEER_LIMITS: ServerLimits =
     ServerLimits { header_bytes_max: 8 * 1024, idle: Duration::from_secs(30) };
@@ -77,6 +81,8 @@
     pub(super) relay: Relay,
     pub(super) suspicions: Suspicions,
     pub(super) nodes_probed_at: TimeMs,
+    pub(super) demand: DemandMeter,
+    pub(super) shares: ModelShares,
     calls_logged_at: TimeMs,
 }
 
@@ -107,6 +113,8 @@
             relay,
             suspicions: Suspicions::default(),
             nodes_probed_at: TimeMs::new(0),
+            demand: DemandMeter::new(DEMAND_WINDOW_MS),
+            shares: ModelShares::new(),
             calls_logged_at: BootClock.now(),
         }
     }
@@ -159,6 +167,7 @@
     fn start_feed(&self, prefix: ObjectKey, fed: Fed) {
         let feed = Feed {
             store: self.store.clone(),
+            node: self.parts.settings.node.clone(),
             prefix,
             fed,
             wait_ms: self.parts.settings.watch_wait_ms,
@@ -215,6 +224,7 @@
             ControlEvent::Tick => {
                 self.probe_nodes(now);
                 self.log_store_calls(now);
+                self.follow_demand(now);
                 let expired = Changes::targets(self.fleet.expire(now));
                 // Time alone may end what a node counts as, such as cut off from the store.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -226,6 +236,11 @@
         }
     }
 
+    /// Takes over work that callers have offered to this node.
+    fn offered(&mut self, now: TimeMs, work: &[OfferedWork]) {
+        work.iter().for_each(|offered| self.demand.add(now, &offered.model, offered.slot_ms));
+    }
+
     fn log_store_calls(&mut self, now: TimeMs) {
         if now.since(self.calls_logged_at) >= LOG_CALLS_EVERY_MS {
             self.calls_logged_at = now;
@@ -255,6 +270,7 @@
                 self.suspect(now, Suspicion::StandsStill(replica));
             }
             TrafficNews::Accused(target) => self.suspect(now, Suspicion::Accused(target)),
+            TrafficNews::Offered(work) => self.offered(now, &work),
         }
     }
 }
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -27,8 +27,9 @@
     pub(super) fn forming(&mut self, now: TimeMs, domain: &DomainName, event: FormingEvent) {
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine(&routes) else { return };
+        let profile = self.profile_by_demand(profile);
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, profile, &domains, self.traffic_seen);
+        let view = forming_view(&self.fleet, &profile, &domains, self.traffic_seen);
         let actions = self.deciders.hear(now, view, domain, event);
         self.carry_out(domain, actions);
     }
@@ -62,14 +63,38 @@
     pub(super) fn step_deciders(&mut self) {
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine(&routes) else { return };
+        let profile = self.profile_by_demand(profile);
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, profile, &domains, self.traffic_seen);
+        let view = forming_view(&self.fleet, &profile, &domains, self.traffic_seen);
         for (domain, actions) in self.deciders.step(BootClock.now(), view) {
             self.carry_out(&domain, actions);
         }
         self.pace.is_forming.set(!self.deciders.are_idle());
     }
 
+    /// The profile of the engines, with the shares that the demand asks for.
+    fn profile_by_demand(&self, profile: &EngineProfile) -> EngineProfile {
+        let mut profile = profile.clone();
+        self.shares.apply(&mut profile.models);
+        profile
+    }
+
+    /// Brings the models' shares up to date with the demand of the fleet.
+    pub(super) fn follow_demand(&mut self, now: TimeMs) {
+        let mut tree = self.relay.demand.borrow_mut();
+        tree.set_own(self.demand.sample(now));
+        let Some(routes) = self.routes.clone() else { return };
+        let Some((_, profile)) = engine(&routes) else { return };
+        let fleet = tree.fleet(now).scaled_to(self.peers.live() as u32 + 1);
+        if self.shares.update(&profile.models, profile.slots, &fleet) {
+            for (model, share) in profile.models.iter().zip(self.shares.as_slice()) {
+                info!(self.parts.log, "share of targets"; "model" => model.name.as_str(),
+                    "share" => share, "nodes" => fleet.nodes,
+                    "busy_slots" => fleet.busy_slots.get(&model.name));
+            }
+        }
+    }
+
     /// Chooses whom the feeds ask.
     pub(super) fn choose_relay(&self) {
         self.pace.nodes.set(self.peers.live() as u64 + 1);
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -3,16 +3,18 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Sender;
+use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{RelayAnswer, StoreHearing};
 use celeryhaven_http::ChannelPool;
 use celeryhaven_store::StoreWire;
+use celeryhaven_types::NodeName;
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::control::counted_store::CountedStore;
 use crate::control::event::{ControlEvent, Fed, FeedNews};
 use crate::control::relay::{
-    ANSWER_SLACK_MS, Question, Relay, RelayAddress, Source, Until, ask_relay,
+    ANSWER_SLACK_MS, DemandReport, Question, Relay, RelayAddress, Source, Until, ask_relay,
 };
 
 /// Pause after a call that the store did not answer or refused.
@@ -82,6 +84,7 @@
 pub(crate) struct Feed<W> {
     pub(crate) store: CountedStore<W>,
     pub(crate) channels: ChannelPool,
+    pub(crate) node: NodeName,
     pub(crate) prefix: ObjectKey,
     pub(crate) fed: Fed,
     pub(crate) wait_ms: u64,
@@ -115,7 +118,13 @@
             false => (Until::News, RELAY_WAIT_MS),
         };
         let question = Question { fed: self.fed, from: self.from, wait_ms, until };
-        match ask_relay(&self.channels, relay, &question).await {
+        let report = self.demand_report();
+        let reply = ask_relay(&self.channels, relay, &question, report.as_ref()).await;
+        let answer = reply.map(|reply| {
+            self.relay.demand.borrow_mut().told(BootClock.now(), reply.demand);
+            reply.answer
+        });
+        match answer {
             Some(RelayAnswer::Listed { version, objects, store }) => {
                 let store = self.succeeded(store);
                 self.hear(version, FeedNews::Listed { objects, store }, Source::Relay).await;
@@ -130,6 +139,14 @@
         }
     }
 
+    /// The demand of this node and of those that follow it; one feed of a node reports it.
+    fn demand_report(&self) -> Option<DemandReport> {
+        (self.fed == Fed::Targets).then(|| {
+            let demand = self.relay.demand.borrow_mut().sum(BootClock.now());
+            DemandReport { node: self.node.clone(), demand }
+        })
+    }
+
     async fn ask_store(&mut self) {
         let request = match self.from {
             None => StoreRequest::List { prefix: self.prefix.clone() },
--- a/crates/gateway/src/control/relay/mod.rs
+++ b/crates/gateway/src/control/relay/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other: relays answer those that follow them, deciders take suspicions.
 
 mod address;
+mod messages;
 mod peer_client;
 mod peer_server;
 mod question;
@@ -8,6 +9,7 @@
 mod relay_state;
 
 pub(crate) use address::RelayAddress;
+pub(crate) use messages::DemandReport;
 pub(crate) use peer_client::{ANSWER_SLACK_MS, ask_relay, tell_peer};
 pub(crate) use peer_server::answer_peer;
 pub(crate) use question::{Question, Until};
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryhaven_fleet::RelayAnswer;
 use celeryhaven_http::ChannelPool;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, StatusCode};
@@ -9,6 +8,7 @@
 use smol::Timer;
 
 use crate::control::relay::address::RelayAddress;
+use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::question::Question;
 use crate::control::suspicions::Suspicion;
 
@@ -20,15 +20,20 @@
 /// Where a node is told a suspicion.
 pub(super) const SUSPICION_PATH: &str = "/v1/suspicion";
 
-/// Asks a relay what is new; `None` if it does not answer.
+/// Asks a relay what is new, and reports this node's demand; `None` if it does not answer.
 pub(crate) async fn ask_relay(
     channels: &ChannelPool,
     relay: &RelayAddress,
     question: &Question,
-) -> Option<RelayAnswer> {
+    report: Option<&DemandReport>,
+) -> Option<RelayReply> {
     let path = question.path();
-    let answer = call_peer(channels, relay, &path, Bytes::new(), question.wait_ms).await?;
-    postcard::from_bytes(&answer).ok()
+    let body = match report {
+        Some(report) => postcard::to_allocvec(report).ok()?,
+        None => Vec::new(),
+    };
+    let reply = call_peer(channels, relay, &path, body.into(), question.wait_ms).await?;
+    postcard::from_bytes(&reply).ok()
 }
 
 /// Tells the node that decides of a suspicion; a loss is only a delay, since the list shows it too.
--- a/crates/gateway/src/control/relay/peer_server.rs
+++ b/crates/gateway/src/control/relay/peer_server.rs
@@ -2,6 +2,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 
 use crate::control::event::ControlEvent;
 use crate::control::relay::peer_client::SUSPICION_PATH;
@@ -10,7 +11,8 @@
 use crate::control::suspicions::Suspicion;
 use crate::traffic::AnswerBody;
 
-const SUSPICION_BYTES_MAX: usize = 2 * 1024;
+/// The longest message of another node, in bytes.
+const MESSAGE_BYTES_MAX: usize = 4 * 1024;
 
 /// Answers another node: one that follows this one, or one that tells a suspicion.
 pub(crate) async fn answer_peer(
@@ -22,20 +24,21 @@
         return plain(StatusCode::UNAUTHORIZED);
     }
     if request.uri().path() == SUSPICION_PATH {
-        let Some(suspicion) = read_suspicion(request).await else {
+        let Some(suspicion) = read_body::<Suspicion>(request).await else {
             return plain(StatusCode::BAD_REQUEST);
         };
         events.send(ControlEvent::Suspicion(suspicion)).await.unwrap_or_default();
         return plain(StatusCode::OK);
     }
     match Question::read(&request) {
-        Some(question) => relay.answer(question).await,
+        Some(question) => relay.answer(question, read_body(request).await).await,
         None => plain(StatusCode::NOT_FOUND),
     }
 }
 
-async fn read_suspicion(request: Request<Incoming>) -> Option<Suspicion> {
-    let body = Limited::new(request.into_body(), SUSPICION_BYTES_MAX).collect().await.ok()?;
+/// The message in a body; `None` if there is none or it cannot be read.
+async fn read_body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await.ok()?;
     postcard::from_bytes(&body.to_bytes()).ok()
 }
 
--- a/crates/gateway/src/control/relay/question.rs
+++ b/crates/gateway/src/control/relay/question.rs
@@ -30,7 +30,7 @@
 const WAIT_MS_MAX: u64 = 30_000;
 
 /// Where followers ask; the number changes with the form of the answers.
-const QUESTION_PREFIX: &str = "/v2/";
+const QUESTION_PREFIX: &str = "/v3/";
 
 impl Until {
     /// The word used between nodes.
@@ -43,7 +43,7 @@
 }
 
 impl Question {
-    /// Reads a path such as `/v2/targets/120/2000/news`; a first question has `-` for its version.
+    /// Reads a path such as `/v3/targets/120/2000/news`; a first question has `-` for its version.
     pub(super) fn read(request: &Request<Incoming>) -> Option<Self> {
         let mut words = request.uri().path().strip_prefix(QUESTION_PREFIX)?.split('/');
         let word = words.next()?;
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -1,7 +1,9 @@
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use celeryhaven_clock::BootClock;
+use celeryhaven_demand::DemandTree;
 use celeryhaven_types::store::ObjectVersion;
 use http::header::AUTHORIZATION;
 use http::{Request, Response, StatusCode};
@@ -9,6 +11,7 @@
 use smol::Timer;
 
 use crate::control::event::{Fed, FeedNews};
+use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::peer_server::plain;
 use crate::control::relay::question::Question;
 use crate::control::relay::relay_log::RelayLog;
@@ -20,6 +23,8 @@
     token: Rc<str>,
     configuration: Rc<RelayLog>,
     targets: Rc<RelayLog>,
+    /// Demand of the nodes that follow this one, and of the fleet.
+    pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
 
 /// Whom a relay has heard from.
@@ -34,7 +39,12 @@
 impl Relay {
     /// Keeps nothing yet.
     pub(crate) fn new(token: &str) -> Self {
-        Self { token: token.into(), configuration: Rc::default(), targets: Rc::default() }
+        Self {
+            token: token.into(),
+            configuration: Rc::default(),
+            targets: Rc::default(),
+            demand: Rc::default(),
+        }
     }
 
     /// Takes over what a feed of this node has brought, from one version up to another.
@@ -74,14 +84,23 @@
         self.log(fed).log.borrow_mut().silence();
     }
 
-    /// Answers a node that follows this one.
-    pub(super) async fn answer(self, question: Question) -> Response<AnswerBody> {
+    /// Answers a node that follows this one, and takes over the demand that it reports.
+    pub(super) async fn answer(
+        self,
+        question: Question,
+        report: Option<DemandReport>,
+    ) -> Response<AnswerBody> {
+        if let Some(DemandReport { node, demand }) = report {
+            self.demand.borrow_mut().reported(BootClock.now(), node, demand);
+        }
         let log = self.log(question.fed);
         let answer = smol::future::or(log.answer(&question), async {
             Timer::after(Duration::from_millis(question.wait_ms)).await;
             log.nothing_new(&question)
         });
-        match postcard::to_allocvec(&answer.await) {
+        let answer = answer.await;
+        let demand = self.demand.borrow_mut().fleet(BootClock.now());
+        match postcard::to_allocvec(&RelayReply { answer, demand }) {
             Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
             Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
         }
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -18,6 +18,9 @@
 /// Time between two looks at queues and at replicas that stand still.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Ticks between two messages on the work that callers offer.
+const TICKS_PER_OFFERED: u32 = 20;
+
 /// What every exchange of the process shares; it lives on the traffic thread.
 pub(crate) struct Gate<A> {
     pub(crate) adapter: A,
@@ -28,6 +31,7 @@
     pub(crate) log: Logger,
     news: Sender<TrafficNews>,
     seen_first: Cell<bool>,
+    ticks: Cell<u32>,
 }
 
 impl<A: Adapter> Gate<A> {
@@ -41,8 +45,8 @@
         log: Logger,
         news: Sender<TrafficNews>,
     ) -> Rc<Self> {
-        let (state, seen_first) = (RefCell::new(state), Cell::new(false));
-        Rc::new(Self { adapter, executor, channels, state, metrics, log, news, seen_first })
+        let (state, seen_first, ticks) = (RefCell::new(state), Cell::new(false), Cell::new(0));
+        Rc::new(Self { adapter, executor, channels, state, metrics, log, news, seen_first, ticks })
     }
 
     /// The time now.
@@ -76,6 +80,18 @@
                 self.suspected(&name, "streams stand still");
             }
             self.metrics.queued.set(self.state.borrow().queued() as i64);
+            self.tell_offered();
+        }
+    }
+
+    fn tell_offered(&self) {
+        self.ticks.set(self.ticks.get().wrapping_add(1));
+        if !self.ticks.get().is_multiple_of(TICKS_PER_OFFERED) {
+            return;
+        }
+        let offered = self.state.borrow_mut().take_offered();
+        if !offered.is_empty() {
+            self.tell_control(TrafficNews::Offered(offered));
         }
     }
 
--- a/crates/gateway/src/traffic/gate_state.rs
+++ b/crates/gateway/src/traffic/gate_state.rs
@@ -7,7 +7,7 @@
 use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
 
 use crate::traffic::pool::{Pool, RetryLimits};
-use crate::traffic::{Ask, Routable, RoutableName};
+use crate::traffic::{Ask, OfferedWork, Routable, RoutableName};
 
 /// Names a pool: a service, and the model where it has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -188,6 +188,16 @@
         self.refresh(now);
     }
 
+    /// Work that callers have offered for each model since the last time.
+    pub(crate) fn take_offered(&mut self) -> Vec<OfferedWork> {
+        let pools = self.pools.iter_mut();
+        let offered = pools.filter_map(|(key, pool)| {
+            let model = key.model.clone()?;
+            Some(OfferedWork { model, slot_ms: pool.take_offered_ms() })
+        });
+        offered.filter(|offered| offered.slot_ms > 0.0).collect()
+    }
+
     /// Requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -39,6 +39,24 @@
     sharers: u32,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
+    /// Times of one request, by which offered work is reckoned.
+    work: WorkTimes,
+    /// Work that has arrived since it was taken last, in milliseconds of a slot.
+    offered_ms: f64,
+}
+
+/// What a request of a pool takes, in milliseconds, whatever the load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct WorkTimes {
+    prompt_token_ms: f64,
+    event_ms: f64,
+}
+
+impl WorkTimes {
+    fn request_ms(&self, head: &RequestHead) -> f64 {
+        f64::from(head.prompt_tokens) * self.prompt_token_ms
+            + f64::from(head.output_tokens_max) * self.event_ms
+    }
 }
 
 /// Limits of a pool's repeated sends.
@@ -64,6 +82,7 @@
             .with_cancel_late_rest(false)
             .with_cost_margin(0.0)
             .with_retries(retries.earned, retries.saved_max, true);
+        let mut work = WorkTimes::default();
         let settings = match engine {
             None => settings.with_times(PLAIN_MS, 0.0, 0.0),
             Some((engine, model)) => {
@@ -71,6 +90,7 @@
                 let token_ms = engine.token_ms(model, batch);
                 let prefill_ms = model.pace / engine.prefill_tokens_per_ms.max(f64::EPSILON);
                 let event_ms = token_ms * f64::from(tokens_per_event);
+                work = WorkTimes { prompt_token_ms: prefill_ms, event_ms };
                 settings.with_times(token_ms * FIRST_TOKEN_STEPS, prefill_ms, event_ms)
             }
         };
@@ -82,9 +102,16 @@
             next_key: TargetKey::default(),
             sharers: 1,
             tokens_per_event,
+            work,
+            offered_ms: 0.0,
         }
     }
 
+    /// Work that has arrived since the last time, in milliseconds of a slot.
+    pub(crate) fn take_offered_ms(&mut self) -> f64 {
+        std::mem::take(&mut self.offered_ms)
+    }
+
     /// The routable that a key stands for.
     pub(crate) fn routable(&self, key: TargetKey) -> Option<&Routable> {
         self.routables.get(&key)
@@ -155,6 +182,7 @@
         head: &RequestHead,
         out: &mut Vec<Decision>,
     ) {
+        self.offered_ms += self.work.request_ms(head);
         self.policy.handle(now, PolicyEvent::Arrived { ticket, head }, out);
     }
 
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -66,6 +66,16 @@
     }
 }
 
+state! {
+    /// Work that callers have offered for one model.
+    pub(crate) struct OfferedWork {
+        /// The model.
+        pub(crate) model: ModelName,
+        /// Time in a slot that it takes, in milliseconds.
+        pub(crate) slot_ms: f64,
+    }
+}
+
 /// What traffic tells the control thread.
 #[derive(Clone, Debug)]
 pub(crate) enum TrafficNews {
@@ -75,4 +85,6 @@
     Suspected(ReplicaKey),
     /// A target is named as lost, or refuses connections.
     Accused(VmName),
+    /// Work that callers have offered since the last time.
+    Offered(Vec<OfferedWork>),
 }
