peers, fleet, gateway: relays by data centre and capacity, messages between nodes compressed

Change: below the two roots each data centre has relays of its own, and nodes with more of a core come first (a setting that the platform fills in). Relays tell the last change of each object, keep four changes for each, and compress what they send (lz4_flex).

--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -1,11 +1,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use celeryhaven_derives::data;
-use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::{Object, ObjectChange, ObjectKey, ObjectVersion};
+use celeryhaven_types::{Set, TimeMs};
 
-/// Changes kept for those who ask for what is new; who is further behind gets the whole list.
-const CHANGES_MAX: usize = 512;
+/// Changes kept for those who ask for what is new, at least, and for each object; who is further
+/// behind gets the whole list.
+const CHANGES_MIN: usize = 512;
+const CHANGES_PER_OBJECT: usize = 4;
 
 data! {
     /// What a relay answers.
@@ -136,7 +138,8 @@
             }
             self.changes.push_back(change.clone());
         }
-        while self.changes.len() > CHANGES_MAX {
+        let kept_max = CHANGES_MIN.max(self.objects.len() * CHANGES_PER_OBJECT);
+        while self.changes.len() > kept_max {
             // What was dropped may share its version with what is kept.
             let dropped = self.changes.pop_front().map_or(self.kept_from, |change| change.version);
             self.kept_from = self.kept_from.max(dropped);
@@ -185,10 +188,21 @@
             let (version, store) = (self.version, self.store(now));
             return Some(RelayAnswer::Listed { version, objects, store });
         };
-        let new: Vec<ObjectChange> =
-            self.changes.iter().filter(|change| change.version > from).cloned().collect();
+        let changes = self.last_changes(from);
         let (version, store) = (self.version, self.store(now));
-        (!new.is_empty()).then_some(RelayAnswer::Changes { version, changes: new, store })
+        (!changes.is_empty()).then_some(RelayAnswer::Changes { version, changes, store })
+    }
+
+    /// The last change of each object after a version, in order.
+    ///
+    /// Load: replicas form, and each of their targets changes several times a second. Harm: a follower
+    /// that asks once a second gets all of that. Limit: what an object has come to is enough.
+    fn last_changes(&self, from: ObjectVersion) -> Vec<ObjectChange> {
+        let mut seen = Set::default();
+        let new = self.changes.iter().rev().take_while(|change| change.version > from);
+        let mut last: Vec<_> = new.filter(|change| seen.insert(&change.key)).cloned().collect();
+        last.reverse();
+        last
     }
 
     /// The answer to a node for which nothing new has come.
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -194,3 +194,30 @@
     assert!(!log.lacks_list());
     assert!(matches!(log.since(NOW, None), Some(RelayAnswer::Listed { .. })));
 }
+
+/// Guards against followers that get every step of a target that has changed many times.
+#[test]
+fn since_last_change_of_each() {
+    let mut log = listed(10);
+    let changes: Vec<_> = (11..61)
+        .map(|version| change(if version % 2 == 0 { "a" } else { "b" }, version, Some("{}")))
+        .collect();
+    log.changed(ObjectVersion::new(10), ObjectVersion::new(60), &changes);
+    let Some(RelayAnswer::Changes { changes, .. }) = log.since(NOW, Some(ObjectVersion::new(10)))
+    else {
+        panic!("no changes")
+    };
+    let versions: Vec<_> = changes.iter().map(|change| change.version.get()).collect();
+    assert_eq!(versions, [59, 60]);
+}
+
+/// Guards against whole lists for every follower while many targets change.
+#[test]
+fn since_many_objects_changed() {
+    let mut log = listed(10);
+    let changes: Vec<_> =
+        (0..2_000).map(|number| change(&format!("vm-{number}"), 11 + number, Some("{}"))).collect();
+    log.changed(ObjectVersion::new(10), ObjectVersion::new(2_010), &changes);
+    let answer = log.since(NOW, Some(ObjectVersion::new(10)));
+    assert!(matches!(answer, Some(RelayAnswer::Changes { changes, .. }) if changes.len() == 2_000));
+}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -24,6 +24,7 @@
 use crate::control::deciders::Deciders;
 use crate::control::event::{ControlEvent, Fed};
 use crate::control::feed::{Feed, FeedPace};
+use crate::control::heartbeats::own_record;
 use crate::control::relay::{Relay, answer_peer};
 use crate::control::suspicions::{Suspicion, Suspicions};
 use crate::control::targets::TargetCalls;
@@ -91,7 +92,7 @@
     pub(crate) fn new(parts: ControlParts<A>, executor: Rc<LocalExecutor<'static>>) -> Self {
         let relay = Relay::new(&parts.token);
         let deciders = Deciders::new(parts.boot);
-        let peers = Peers::new(parts.settings.node.clone());
+        let peers = Peers::new(parts.settings.node.clone()).with_own(&own_record(&parts));
         let store = CountedStore::new(parts.client.clone(), parts.metrics.clone());
         Self {
             parts,
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -7,9 +7,9 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::control::Control;
 use crate::control::counted_store::{CountedStore, StoreKind};
 use crate::control::event::ControlEvent;
+use crate::control::{Control, ControlParts};
 
 /// Prefix of the nodes' records in the store.
 pub(crate) const NODES_PREFIX: &str = "nodes/";
@@ -40,7 +40,7 @@
 impl<A: Adapter> Control<A> {
     /// Writes this node's record and reads all of them, for ever.
     pub(super) fn heartbeats(&self) -> impl Future<Output = ()> + 'static {
-        let record = self.own_record();
+        let record = own_record(&self.parts);
         let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let due = Instant::now();
@@ -57,20 +57,22 @@
             }
         }
     }
+}
 
-    pub(super) fn own_record(&self) -> NodeRecord {
-        let settings = &self.parts.settings;
-        NodeRecord {
-            node: settings.node.clone(),
-            data_centre: settings.data_centre.clone(),
-            caller_address: settings.caller_listen,
-            ready_address: settings.ready_listen,
-            peer_address: settings.peer_listen,
-            token: self.parts.token.clone(),
-            boot: self.parts.boot,
-            heartbeat: 0,
-            ready: true,
-        }
+/// This node's record before its first heartbeat.
+pub(super) fn own_record<A: Adapter>(parts: &ControlParts<A>) -> NodeRecord {
+    let settings = &parts.settings;
+    NodeRecord {
+        node: settings.node.clone(),
+        data_centre: settings.data_centre.clone(),
+        caller_address: settings.caller_listen,
+        ready_address: settings.ready_listen,
+        peer_address: settings.peer_listen,
+        token: parts.token.clone(),
+        boot: parts.boot,
+        heartbeat: 0,
+        ready: true,
+        millicores: (settings.cores * 1_000.0) as u32,
     }
 }
 
--- a/crates/gateway/src/control/relay/mod.rs
+++ b/crates/gateway/src/control/relay/mod.rs
@@ -1,6 +1,7 @@
 //! What nodes tell each other: relays answer those that follow them, deciders take suspicions.
 
 mod address;
+mod codec;
 mod messages;
 mod peer_client;
 mod peer_server;
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 
 use crate::control::relay::address::RelayAddress;
+use crate::control::relay::codec::{decode, encode};
 use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::question::Question;
 use crate::control::suspicions::Suspicion;
@@ -29,16 +30,16 @@
 ) -> Option<RelayReply> {
     let path = question.path();
     let body = match report {
-        Some(report) => postcard::to_allocvec(report).ok()?,
+        Some(report) => encode(report)?,
         None => Vec::new(),
     };
     let reply = call_peer(channels, relay, &path, body.into(), question.wait_ms).await?;
-    postcard::from_bytes(&reply).ok()
+    decode(&reply)
 }
 
 /// Tells the node that decides of a suspicion; a loss is only a delay, since the list shows it too.
 pub(crate) async fn tell_peer(channels: &ChannelPool, peer: &RelayAddress, suspicion: &Suspicion) {
-    let Ok(body) = postcard::to_allocvec(suspicion) else { return };
+    let Some(body) = encode(suspicion) else { return };
     call_peer(channels, peer, SUSPICION_PATH, body.into(), 0).await.unwrap_or_default();
 }
 
--- a/crates/gateway/src/control/relay/peer_server.rs
+++ b/crates/gateway/src/control/relay/peer_server.rs
@@ -5,6 +5,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::control::event::ControlEvent;
+use crate::control::relay::codec::decode;
 use crate::control::relay::peer_client::SUSPICION_PATH;
 use crate::control::relay::question::Question;
 use crate::control::relay::relay_state::Relay;
@@ -39,7 +40,7 @@
 /// The message in a body; `None` if there is none or it cannot be read.
 async fn read_body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
     let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await.ok()?;
-    postcard::from_bytes(&body.to_bytes()).ok()
+    decode(&body.to_bytes())
 }
 
 pub(super) fn plain(status: StatusCode) -> Response<AnswerBody> {
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -11,6 +11,7 @@
 use smol::Timer;
 
 use crate::control::event::{Fed, FeedNews};
+use crate::control::relay::codec::encode;
 use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::peer_server::plain;
 use crate::control::relay::question::Question;
@@ -100,9 +101,9 @@
         });
         let answer = answer.await;
         let demand = self.demand.borrow_mut().fleet(BootClock.now());
-        match postcard::to_allocvec(&RelayReply { answer, demand }) {
-            Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
-            Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+        match encode(&RelayReply { answer, demand }) {
+            Some(bytes) => Response::new(AnswerBody::whole(bytes)),
+            None => plain(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use celeryhaven_types::{DomainName, Map, NodeName, TimeMs};
+use celeryhaven_types::{DataCentreName, DomainName, Map, NodeName, TimeMs};
 
 use crate::fleet::Upstream;
 use crate::fleet::seen::Seen;
@@ -32,6 +32,9 @@
 /// nodes. Limit: two, so that one may be lost; a relay whose upstream is silent asks the store.
 const ROOTS: usize = 2;
 
+/// The key that relays are ranked for.
+const RELAY_KEY: &str = "relay";
+
 /// Nodes below which each asks the store itself.
 const RELAYED_NODES_MIN: usize = 5;
 
@@ -71,16 +74,22 @@
     unprobed: usize,
     /// All others, by whom this node probes first.
     to_probe: Ranking,
-    /// Ready nodes, this one among them, by who relays first and by who decides for each domain.
+    /// The data centre of this node; `None` if all others count as near.
+    data_centre: Option<DataCentreName>,
+    capacity: u32,
+    /// Ready nodes, this one among them, by who relays first: all, and those of its data centre.
     relays: Ranking,
+    near_relays: Ranking,
+    /// Ready nodes, this one among them, by who decides for each domain.
     deciders: Map<DomainName, Ranking>,
 }
 
 impl Peers {
     /// Knows no other node yet.
     pub fn new(own: NodeName) -> Self {
-        let mut relays = Ranking::new("relay");
+        let mut relays = Ranking::new(RELAY_KEY);
         relays.insert(&own);
+        let near_relays = relays.clone();
         let to_probe = Ranking::new(own.as_str());
         Self {
             own,
@@ -89,11 +98,23 @@
             served: 0,
             unprobed: 0,
             to_probe,
+            data_centre: None,
+            capacity: 0,
             relays,
+            near_relays,
             deciders: Map::default(),
         }
     }
 
+    /// Tells where this node is and what it can carry, as its record does.
+    pub fn with_own(mut self, record: &NodeRecord) -> Self {
+        self.data_centre = Some(record.data_centre.clone());
+        self.capacity = record.capacity();
+        self.relays.insert_with(&self.own, self.capacity);
+        self.near_relays.insert_with(&self.own, self.capacity);
+        self
+    }
+
     /// Takes over all records; a node whose record stays as it is has died. True if a node has come,
     /// gone or become another.
     pub fn update(&mut self, now: TimeMs, records: Vec<NodeRecord>) -> bool {
@@ -120,11 +141,8 @@
             before.record = record;
             return false;
         }
-        let ready = before.record.ready;
-        before.record = record;
-        if ready != self.seen[&node].record.ready {
-            self.rank(&node, !ready);
-        }
+        before.record = record.clone();
+        self.rank(&record);
         true
     }
 
@@ -138,18 +156,18 @@
     }
 
     fn insert(&mut self, seen: Seen) {
-        let (node, ready) = (seen.record.node.clone(), seen.record.ready);
+        let record = seen.record.clone();
         self.count(&seen, true);
-        self.seen.insert(node.clone(), seen);
-        self.to_probe.insert(&node);
-        self.rank(&node, ready);
+        self.seen.insert(record.node.clone(), seen);
+        self.to_probe.insert(&record.node);
+        self.rank(&record);
     }
 
     fn remove(&mut self, node: &NodeName) {
         let Some(seen) = self.seen.remove(node) else { return };
         self.count(&seen, false);
         self.to_probe.remove(node);
-        self.rank(node, false);
+        self.rank(&NodeRecord { ready: false, ..seen.record });
     }
 
     /// Counts a node in or out.
@@ -168,9 +186,18 @@
     }
 
     /// Puts a node into the orders of ready ones, or takes it out.
-    fn rank(&mut self, node: &NodeName, ready: bool) {
-        for ranking in self.deciders.values_mut().chain([&mut self.relays]) {
-            match ready {
+    fn rank(&mut self, record: &NodeRecord) {
+        let (node, capacity) = (&record.node, record.capacity());
+        let is_near = self.data_centre.as_ref().is_none_or(|own| *own == record.data_centre);
+        let near = is_near.then_some(&mut self.near_relays);
+        for ranking in near.into_iter().chain([&mut self.relays]) {
+            match record.ready {
+                true => ranking.insert_with(node, capacity),
+                false => ranking.remove(node),
+            }
+        }
+        for ranking in self.deciders.values_mut() {
+            match record.ready {
                 true => ranking.insert(node),
                 false => ranking.remove(node),
             }
@@ -238,27 +265,37 @@
     /// Whom this node asks for what the store holds, and whether others ask it.
     ///
     /// Load: hundreds of nodes before a store whose calls are rationed and priced. Harm: a watch of
-    /// each node and kind is most of its calls. Limit: a tree of two levels, two nodes at the store,
-    /// below them one relay for some twenty nodes.
+    /// each node and kind is most of its calls, and what crosses data centres is priced too. Limit: a
+    /// tree of two levels, two nodes at the store, below them in each data centre one relay for some
+    /// twenty nodes; nodes with more of a core come first.
     pub fn upstream(&self) -> Upstream {
-        let ready = self.relays.nodes().filter(|node| self.is_live_or_own(node));
-        let count = match (self.live + 1) / NODES_PER_RELAY {
-            few if few <= ROOTS => ROOTS,
-            many => ROOTS + many,
-        };
-        let relays: Vec<&NodeName> = ready.take(count).collect();
         if self.live + 1 < RELAYED_NODES_MIN {
             return Upstream { relay: None, is_relay: false };
         }
-        let (roots, below) = relays.split_at(ROOTS.min(relays.len()));
-        let followed = match (relays.contains(&&self.own), below.is_empty()) {
-            _ if roots.contains(&&self.own) => return Upstream { relay: None, is_relay: true },
-            (true, _) | (false, true) => roots,
-            (false, false) => below,
+        let ready = self.relays.nodes().filter(|node| self.is_live_or_own(node));
+        let roots: Vec<NodeName> = ready.take(ROOTS).cloned().collect();
+        if roots.contains(&self.own) {
+            return Upstream { relay: None, is_relay: true };
+        }
+        let below = match (self.live + 1) / NODES_PER_RELAY {
+            few if few <= ROOTS => Vec::new(),
+            _ => self.relays_below(&roots),
         };
-        let nearest = followed.iter().min_by_key(|node| self.to_probe.weight(node));
+        let is_relay = below.contains(&&self.own);
+        let followed: Vec<&NodeName> = match is_relay || below.is_empty() {
+            true => roots.iter().collect(),
+            false => below,
+        };
+        let nearest = followed.into_iter().min_by_key(|node| self.to_probe.weight(node));
         let relay = nearest.and_then(|node| self.record(node)).cloned();
-        Upstream { relay, is_relay: relays.contains(&&self.own) }
+        Upstream { relay, is_relay }
+    }
+
+    /// Relays of this node's data centre that follow the roots.
+    fn relays_below(&self, roots: &[NodeName]) -> Vec<&NodeName> {
+        let count = (self.near_relays.len() / NODES_PER_RELAY).max(1);
+        let near = self.near_relays.nodes().filter(|node| !roots.contains(node));
+        near.filter(|node| self.is_live_or_own(node)).take(count).collect()
     }
 
     fn is_live_or_own(&self, node: &NodeName) -> bool {
--- a/crates/peers/src/node/node_record.rs
+++ b/crates/peers/src/node/node_record.rs
@@ -25,10 +25,18 @@
         pub heartbeat: u64,
         /// Whether it takes requests.
         pub ready: bool,
+        /// Thousandths of a core that it may use; 0 if that is not told.
+        #[serde(default)]
+        pub millicores: u32,
     }
 }
 
 impl NodeRecord {
+    /// Class of what it can carry besides requests: nodes within a factor of two are alike.
+    pub fn capacity(&self) -> u32 {
+        self.millicores.checked_ilog2().map_or(0, |log2| log2 + 1)
+    }
+
     /// Whether this record was written after another of the same node.
     pub fn is_newer_than(&self, other: &Self) -> bool {
         (self.boot, self.heartbeat) > (other.boot, other.heartbeat)
--- a/crates/peers/tests/cost.rs
+++ b/crates/peers/tests/cost.rs
@@ -20,6 +20,7 @@
         boot: 1,
         heartbeat: 1,
         ready: true,
+        millicores: 0,
     }
 }
 
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -25,6 +25,7 @@
         boot: 1,
         heartbeat,
         ready: true,
+        millicores: 0,
     }
 }
 
@@ -132,6 +133,31 @@
     }
 }
 
+/// Guards against relays on the smallest nodes, and against a relay in another data centre: what it
+/// answers would cross once for each follower.
+#[test]
+fn upstream_by_place_and_capacity() {
+    let records: Vec<_> = (0..150)
+        .map(|number| NodeRecord {
+            data_centre: DataCentreName::new(["a", "b", "c"][number % 3]),
+            millicores: if number < 12 { 500 } else { 120 },
+            ..record(number, 1)
+        })
+        .collect();
+    let knows = |own: &NodeRecord| {
+        let mut peers = Peers::new(own.node.clone()).with_own(own);
+        peers.update(NOW, records.clone());
+        peers.upstream()
+    };
+    for own in &records {
+        let upstream = knows(own);
+        assert!(!upstream.is_relay || own.millicores == 500, "{} relays", own.node);
+        if let Some(relay) = upstream.relay.filter(|_| !upstream.is_relay) {
+            assert_eq!(relay.data_centre, own.data_centre, "{}", own.node);
+        }
+    }
+}
+
 /// A root relay falls silent. Who followed it follows the other one or the next that takes its place.
 #[test]
 fn upstream_root_silent() {
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -40,6 +40,8 @@
         store_timeout_ms: u64 = Kind::number(50, 60_000, 700);
         /// How long a watch of the store waits for a change.
         watch_wait_ms: u64 = Kind::number(100, 30_000, 2_500);
+        /// Cores that this process may use, as a part of one where it is less.
+        cores: f64 = Kind::decimal(0.01, 1_024.0, 1.0);
         /// How much is logged.
         log_level: LogLevel = LogLevel::KIND;
     }
