gateway: fewer calls to the store at a start and while it is away

Change: pauses after failures double up to 3 s (0.4 s for relays) and are spread; a node whose relay vouches for nothing asks it again in between. One write and two lists at a start, no watch before the other nodes are known. A relay that has just started holds questions until it has heard of the store. Followers take changes over every 150 ms. Records are written half as often.

--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -170,6 +170,11 @@
         !self.is_whole
     }
 
+    /// Whether the store was heard of since this node relays.
+    pub fn has_heard(&self) -> bool {
+        self.heard_at.is_some()
+    }
+
     /// Forgets that the store was heard of: this node relays no more.
     pub fn silence(&mut self) {
         self.heard_at = None;
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -2,7 +2,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
@@ -15,6 +15,8 @@
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectKey;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use slog::{Logger, warn};
 use smol::{LocalExecutor, Timer};
 
@@ -178,6 +180,8 @@
             relay: self.relay.clone(),
             from: None,
             direct_until: None,
+            store_due: Instant::now(),
+            rng: SmallRng::seed_from_u64(self.parts.boot ^ fed as u64),
             failures: 0,
         };
         self.executor.spawn(feed.follow()).detach();
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -97,6 +97,7 @@
 
     /// Chooses whom the feeds ask.
     pub(super) fn choose_relay(&self) {
+        self.pace.nodes_known.set(self.nodes_listed);
         self.pace.nodes.set(self.peers.live() as u64 + 1);
         let upstream = self.peers.upstream();
         let relay = upstream
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -9,6 +9,8 @@
 use celeryhaven_store::StoreWire;
 use celeryhaven_types::NodeName;
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
+use rand::Rng;
+use rand::rngs::SmallRng;
 use smol::Timer;
 
 use crate::control::counted_store::CountedStore;
@@ -17,11 +19,24 @@
     ANSWER_SLACK_MS, DemandReport, Question, Relay, RelayAddress, Source, Until, ask_relay,
 };
 
-/// Pause after a call that the store did not answer or refused.
+/// Pause after a call that the store did not answer or refused; it doubles with each failure.
 ///
-/// Load: a store that comes back while every node asks. Harm: refused calls count against the
-/// rate that all nodes share. Limit: a few calls a second from each node.
-const PAUSE: Duration = Duration::from_millis(200);
+/// Load: a store that is away while every node asks. Harm: refused calls count against the rate that
+/// all nodes share, and are priced. Limit: relays find out soon that the store is back, and those that
+/// follow one ask it in between.
+const PAUSE_MS: u64 = 200;
+const PAUSE_MS_MAX: u64 = 3_000;
+const RELAY_PAUSE_MS_MAX: u64 = 400;
+
+/// Pause before a relay that vouches for nothing is asked again while the store is not to be.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+/// Pause of a follower after changes, so that those that come together are taken over together.
+const GATHER_FOLLOWER: Duration = Duration::from_millis(150);
+
+/// How long a node that has just started waits to know the others, before it watches the store.
+const NODES_WAIT: Duration = Duration::from_millis(1_500);
+const NODES_POLL: Duration = Duration::from_millis(50);
 
 /// Pause between two answers of a watch, so that changes that come together are fetched together.
 ///
@@ -75,6 +90,8 @@
     pub(crate) nodes: Cell<u64>,
     /// The relay to follow; the store itself where there is none.
     pub(crate) relay: RefCell<Option<RelayAddress>>,
+    /// Whether the other nodes' records were read.
+    pub(crate) nodes_known: Cell<bool>,
 }
 
 /// Follows the objects of one kind, for ever: a list, then what is new since its version.
@@ -95,21 +112,41 @@
     pub(crate) failures: u32,
     /// Until when the store is asked although there is a relay.
     pub(crate) direct_until: Option<Instant>,
+    /// When the store may be asked again after it failed.
+    pub(crate) store_due: Instant,
+    pub(crate) rng: SmallRng,
 }
 
 impl<W: StoreWire> Feed<W> {
     /// Follows for ever.
     pub(crate) async fn follow(mut self) {
+        self.ask_store().await;
+        self.wait_for_nodes().await;
         loop {
             let relay = self.pace.relay.borrow().clone();
-            let relay = relay.filter(|_| self.direct_until.is_none_or(|at| at <= Instant::now()));
+            let is_direct = self.direct_until.is_some_and(|at| at > Instant::now());
+            let may_ask_store = self.store_due <= Instant::now();
             match relay {
-                Some(relay) => self.ask_relay(&relay).await,
-                None => self.ask_store().await,
+                Some(relay) if !(is_direct && may_ask_store) => self.ask_relay(&relay).await,
+                _ if may_ask_store => self.ask_store().await,
+                _ => {
+                    Timer::at(self.store_due).await;
+                }
             }
         }
     }
 
+    /// Waits until the other nodes are known, and with them the relay to follow.
+    ///
+    /// Load: all nodes start at once, and every target changes several times in the first seconds.
+    /// Harm: each node watches the store until it knows of a relay.
+    async fn wait_for_nodes(&self) {
+        let started = Instant::now();
+        while !self.pace.nodes_known.get() && started.elapsed() < NODES_WAIT {
+            Timer::after(NODES_POLL).await;
+        }
+    }
+
     /// Asks a relay; a node that is one itself hears through it of the store.
     async fn ask_relay(&mut self, relay: &RelayAddress) {
         let is_relay = self.pace.is_relay.get();
@@ -131,10 +168,17 @@
             }
             Some(RelayAnswer::Changes { version, changes, store }) => {
                 let store = self.succeeded(store);
+                let is_new = !changes.is_empty();
                 self.hear(version, FeedNews::Changed { changes, store }, Source::Relay).await;
+                if is_new && !is_relay && !self.pace.is_forming.get() {
+                    Timer::after(GATHER_FOLLOWER).await;
+                }
             }
             Some(RelayAnswer::Stale) | None => {
                 self.direct_until = Some(Instant::now() + DIRECT);
+                if self.store_due > Instant::now() {
+                    Timer::after(ASK_AGAIN).await;
+                }
             }
         }
     }
@@ -207,8 +251,16 @@
 
     async fn failed(&mut self) {
         self.failures = self.failures.saturating_add(1);
+        self.store_due = Instant::now() + self.pause();
         self.tell(FeedNews::Failed).await;
-        Timer::after(PAUSE).await;
+    }
+
+    /// Time until the store is asked again, spread so that nodes do not ask at the same moment.
+    fn pause(&mut self) -> Duration {
+        let max_ms = if self.pace.is_relay.get() { RELAY_PAUSE_MS_MAX } else { PAUSE_MS_MAX };
+        let doubled = self.failures.saturating_sub(1).min(8);
+        let pause_ms = (PAUSE_MS << doubled).min(max_ms) as f64;
+        Duration::from_secs_f64(pause_ms * self.rng.random_range(0.75..1.25) / 1_000.0)
     }
 
     /// The control thread lives as long as its feeds.
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -20,11 +20,17 @@
 /// are noticed by probes, not by this.
 const READ_EVERY: Duration = Duration::from_millis(3_000);
 
-/// Heartbeats after a start that read the newest records, and the time between them.
+/// Pauses before the first reads of all records after a start, which read the newest ones.
 ///
-/// Nodes that start together see each other within a second, instead of all taking every domain.
-const FIRST_READS: u64 = 3;
-const FIRST_HEARTBEAT: Duration = Duration::from_millis(300);
+/// Nodes that start together see each other within a second, instead of all taking every domain: all
+/// have written their record before the first read, and those that were late before the second.
+const FIRST_READS: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1_000)];
+
+/// Tries of the first write: one may meet the record of an earlier start.
+const FIRST_WRITES_MAX: u32 = 3;
+
+/// Time after which a heartbeat that the store did not serve is written again.
+const WRITE_AGAIN: Duration = Duration::from_millis(1_500);
 
 /// What writes this node's record.
 struct Heartbeat<W> {
@@ -33,8 +39,9 @@
     record: NodeRecord,
     key: ObjectKey,
     version: Option<ObjectVersion>,
-    /// When the next one is due.
-    due: Instant,
+    /// When the store was asked to write it last, and whether it did.
+    written_at: Instant,
+    is_written: bool,
 }
 
 impl<A: Adapter> Control<A> {
@@ -43,17 +50,27 @@
         let record = own_record(&self.parts);
         let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
-        let due = Instant::now();
-        let mut heartbeat = Heartbeat { store, events, record, key, version: None, due };
+        let (written_at, is_written) = (Instant::now(), false);
+        let mut heartbeat =
+            Heartbeat { store, events, record, key, version: None, written_at, is_written };
         let pace = self.pace.clone();
         async move {
+            for _ in 0..FIRST_WRITES_MAX {
+                heartbeat.write().await;
+                if heartbeat.is_written {
+                    break;
+                }
+            }
+            for pause in FIRST_READS {
+                Timer::after(pause).await;
+                heartbeat.read_all(true).await;
+            }
             loop {
-                let first = heartbeat.record.heartbeat < FIRST_READS;
-                if first || heartbeat.due <= Instant::now() {
-                    heartbeat.write(pace.nodes.get()).await;
+                Timer::after(READ_EVERY).await;
+                if heartbeat.is_due(pace.nodes.get()) {
+                    heartbeat.write().await;
                 }
-                heartbeat.read_all(first).await;
-                Timer::after(if first { FIRST_HEARTBEAT } else { READ_EVERY }).await;
+                heartbeat.read_all(false).await;
             }
         }
     }
@@ -77,8 +94,19 @@
 }
 
 impl<W: StoreWire> Heartbeat<W> {
-    async fn write(&mut self, nodes: u64) {
+    /// Whether it is to be written again, among so many nodes.
+    fn is_due(&self, nodes: u64) -> bool {
+        let pause = match self.is_written {
+            true => Duration::from_millis(heartbeat_ms(nodes)),
+            false => WRITE_AGAIN,
+        };
+        self.written_at.elapsed() >= pause
+    }
+
+    async fn write(&mut self) {
         self.record.heartbeat += 1;
+        self.written_at = Instant::now();
+        self.is_written = false;
         let (key, value) = (self.key.clone(), serde_json::to_string(&self.record));
         let value = value.unwrap_or_default().into();
         let request = match self.version {
@@ -87,7 +115,7 @@
         };
         self.version = match self.store.call(StoreKind::Nodes, &request).await {
             StoreReply::Written { version } => {
-                self.due = Instant::now() + Duration::from_millis(heartbeat_ms(nodes));
+                self.is_written = true;
                 Some(version)
             }
             // The same write again; if this one took effect, it meets its own version.
--- a/crates/gateway/src/control/relay/relay_log.rs
+++ b/crates/gateway/src/control/relay/relay_log.rs
@@ -33,7 +33,11 @@
             if question.until == Until::Heard && !self.is_direct.get() {
                 return RelayAnswer::Stale;
             }
-            let new = self.log.borrow().since(BootClock.now(), question.from);
+            let new = match self.has_heard() {
+                true => self.log.borrow().since(BootClock.now(), question.from),
+                // A relay that has just started hears of the store within moments.
+                false => None,
+            };
             if let Some(answer) = new {
                 return answer;
             }
@@ -44,6 +48,10 @@
         }
     }
 
+    fn has_heard(&self) -> bool {
+        self.log.borrow().has_heard()
+    }
+
     /// The answer to a follower that has waited, or that asked to hear of the store.
     pub(super) fn nothing_new(&self, question: &Question) -> RelayAnswer {
         let from = question.from.unwrap_or_default();
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -15,10 +15,10 @@
 /// Shortest time between two heartbeats of one node, and for each node, in milliseconds.
 ///
 /// Load: every node writes its record. Harm: written each few seconds by hundreds of nodes, records
-/// would take a quarter of the store's writes. Limit: all nodes together write seven times a second;
-/// probes tell sooner who is gone.
+/// would take a quarter of the store's writes. Limit: all nodes together write some three times a
+/// second; probes tell sooner who is gone.
 const HEARTBEAT_MS_MIN: u64 = 3_000;
-const HEARTBEAT_MS_PER_NODE: u64 = 150;
+const HEARTBEAT_MS_PER_NODE: u64 = 300;
 
 /// Nodes for which there is one relay.
 ///
--- a/crates/telemetry/tests/metrics_page.rs
+++ b/crates/telemetry/tests/metrics_page.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use celeryhaven_telemetry::metrics::{
-    DeploymentLabel, DirectionLabel, OutcomeLabel, RequestLabels,
+    DeploymentLabel, DirectionLabel, OutcomeLabel, RequestLabels, StoreCallLabel,
 };
 use celeryhaven_telemetry::{ControllerMetrics, EntryMetrics, GatewayMetrics};
 
@@ -57,6 +57,8 @@
     let metrics = GatewayMetrics::new();
     metrics.ended("answered", 1);
     metrics.orders.get_or_create(&outcome()).inc();
+    let label = StoreCallLabel { kind: "nodes", call: "list" };
+    metrics.store_calls.get_or_create(&label).inc();
     metrics
 }
 
