policy, gateway, demand: each node sends to a stable subset of the targets, in time for a first event

Cause: with 80 nodes before 40 replicas a node hears of each every seven seconds, so it places by chance and full replicas get requests while others have room. A request that has waited for its whole objective is sent first, and begins too late by the time of a first event.

The shares of models count two replicas more than the work needs, for those being formed again.

--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -7,6 +7,11 @@
 /// Requests come at random, so the slots they keep busy vary by the root of their number.
 const SPARE_DEVIATIONS: f64 = 2.0;
 
+/// Replicas that a model should have besides those that its work needs.
+///
+/// One that is lost takes seconds to be formed again, and a model of few replicas loses most by it.
+const SPARE_REPLICAS: f64 = 2.0;
+
 /// Least part of its configured share that a model keeps.
 const CONFIGURED_PART_MIN: f64 = 0.25;
 
@@ -65,7 +70,8 @@
 fn wanted(models: &[ModelProfile], slots: u32, demand: &Demand) -> Option<Vec<f64>> {
     let needed = |model: &ModelProfile| {
         let busy = demand.busy_slots.get(&model.name).copied().unwrap_or_default();
-        (busy + SPARE_DEVIATIONS * busy.sqrt()) / f64::from(slots.max(1)) * model.size as f64
+        let replicas = (busy + SPARE_DEVIATIONS * busy.sqrt()) / f64::from(slots.max(1));
+        (replicas + SPARE_REPLICAS) * model.size as f64
     };
     let needed: Vec<f64> = models.iter().map(needed).collect();
     let all: f64 = needed.iter().sum();
--- a/crates/gateway/src/traffic/ask.rs
+++ b/crates/gateway/src/traffic/ask.rs
@@ -8,13 +8,6 @@
 
 use crate::adapter::CallerHead;
 
-/// Times its objective after which a request that is still not at a target is of little use.
-///
-/// Load: a wall of requests behind full replicas. Harm: an answer that begins after several times
-/// its objective has lost most of its worth, and its caller mostly left. Limit: once; what is not
-/// sent by then is refused while its caller can still ask elsewhere.
-const OBJECTIVES_TO_SEND: u64 = 1;
-
 /// Worth of a request whose route says nothing of it, relative to others.
 const WORTH: u32 = 1;
 
@@ -60,7 +53,7 @@
             worth: WORTH,
             idempotency,
             deadline_in_ms: self.deadline.since(now),
-            start_within_ms: Some(self.route.objective_ms * OBJECTIVES_TO_SEND),
+            start_within_ms: Some(self.route.objective_ms),
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens_max: output.div_ceil(tokens_per_event.max(1)),
             prefix_hashes: Vec::new(),
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,7 +1,7 @@
 use celeryhaven_fleet::{EngineProfile, ModelProfile};
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
-    TargetProfile, Ticket,
+    TargetProfile, TargetSubset, Ticket,
 };
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
 
@@ -36,6 +36,9 @@
     keys: Map<RoutableName, TargetKey>,
     routables: Map<TargetKey, Routable>,
     next_key: TargetKey,
+    /// Everything that takes its requests, of which this node may use a subset.
+    routables_all: Vec<Routable>,
+    subset: TargetSubset,
     sharers: u32,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
@@ -100,6 +103,8 @@
             keys: Map::default(),
             routables: Map::default(),
             next_key: TargetKey::default(),
+            routables_all: Vec::new(),
+            subset: TargetSubset::new(seed),
             sharers: 1,
             tokens_per_event,
             work,
@@ -124,8 +129,23 @@
         routables: &[Routable],
         out: &mut Vec<Decision>,
     ) {
+        self.routables_all = routables.to_vec();
+        self.use_targets(now, out);
+    }
+
+    /// Sends to what this node is to use of all, and tells the policy how many nodes do.
+    fn use_targets(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
+        let all = std::mem::take(&mut self.routables_all);
+        let sharing = self.sharing(&all);
+        let used: Vec<&Routable> = match sharing {
+            Sharing::Pooled => self.subset.choose(&all, |routable| routable.name.as_str()),
+            _ => all.iter().collect(),
+        };
+        let sharers = TargetSubset::sharers(self.sharers, used.len(), all.len());
+        self.policy.set_sharing(sharing);
+        self.policy.handle(now, PolicyEvent::Sharers { nodes: sharers }, out);
         let up: Map<&RoutableName, &Routable> =
-            routables.iter().map(|routable| (&routable.name, routable)).collect();
+            used.iter().map(|routable| (&routable.name, *routable)).collect();
         // A target that starts again keeps its name and may have another address.
         let gone = self.routables.values().filter(|known| up.get(&known.name) != Some(known));
         let gone: Vec<_> = gone.map(|routable| routable.name.clone()).collect();
@@ -135,19 +155,20 @@
                 self.policy.handle(now, PolicyEvent::TargetDown { target: key }, out);
             }
         }
-        for routable in routables {
+        for routable in used {
             if !self.keys.contains_key(&routable.name) {
                 self.target_up(now, routable, out);
             }
         }
+        self.routables_all = all;
     }
 
-    fn choose_sharing(&mut self) {
-        let slots = self.routables.values().map(|routable| routable.slots).max().unwrap_or(0);
-        self.policy.set_sharing(match slots / self.sharers < SLOTS_PER_NODE_MIN {
+    fn sharing(&self, all: &[Routable]) -> Sharing {
+        let slots = all.iter().map(|routable| routable.slots).max().unwrap_or(0);
+        match slots / self.sharers < SLOTS_PER_NODE_MIN {
             true => Sharing::Pooled,
             false => Sharing::Borrowing,
-        });
+        }
     }
 
     fn target_up(&mut self, now: TimeMs, routable: &Routable, out: &mut Vec<Decision>) {
@@ -155,7 +176,6 @@
         self.next_key = target.next();
         self.keys.insert(routable.name.clone(), target);
         self.routables.insert(target, routable.clone());
-        self.choose_sharing();
         let profile =
             TargetProfile { serves: self.serves.clone(), slots: routable.slots, distance_us: 0 };
         self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
@@ -171,8 +191,7 @@
     ) {
         self.sharers = nodes.max(1);
         self.policy.set_retry_saved_max(retries.saved_max);
-        self.choose_sharing();
-        self.policy.handle(now, PolicyEvent::Sharers { nodes }, out);
+        self.use_targets(now, out);
     }
 
     pub(crate) fn arrived(
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -33,6 +33,16 @@
     }
 }
 
+impl RoutableName {
+    /// The replica's or the target's name.
+    pub(crate) fn as_str(&self) -> &str {
+        match self {
+            Self::Replica(key) => key.replica.as_str(),
+            Self::Plain(target) => target.as_str(),
+        }
+    }
+}
+
 /// What traffic may use from now on.
 #[derive(Clone, Debug)]
 pub(crate) struct TrafficUpdate {
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -13,6 +13,12 @@
 /// load within seconds at best.
 const NO_REPLICA_RETRY_MS: u64 = 3_000;
 
+/// Part of a target's slots that is taken where its times are those of a sound one.
+const USUAL_FILL: f64 = 0.5;
+
+/// Part of its objective that a request may wait for a target in any case, as a divisor.
+const WAIT_PART_MIN: u64 = 4;
+
 impl FairPolicy {
     /// Admits a request that can be in time, and refuses any other on the spot.
     ///
@@ -129,7 +135,7 @@
             flow: self.intern_flow(&head.organisation),
             idempotent: head.idempotency == Idempotency::Idempotent,
             deadline: now.after(head.deadline_in_ms),
-            send_by: head.start_within_ms.map(|within_ms| now.after(within_ms)),
+            send_by: self.send_within_ms(class, head).map(|within_ms| now.after(within_ms)),
             prompt_tokens: head.prompt_tokens,
             output_tokens_max: head.output_tokens_max,
             adapter,
@@ -147,6 +153,17 @@
         request
     }
 
+    /// Time within which a request is to be sent for its answer to begin in time.
+    ///
+    /// Load: more work than the targets can do. Harm: the request that has waited longest is sent next,
+    /// and begins too late by as long as a first token takes; nobody is served in time.
+    fn send_within_ms(&self, class: ClassKey, head: &RequestHead) -> Option<u64> {
+        let within_ms = head.start_within_ms?;
+        let times = &self.classes[class.get() as usize].times;
+        let first_ms = times.first_token_ms(USUAL_FILL, f64::from(head.prompt_tokens));
+        Some(within_ms.saturating_sub(first_ms as u64).max(within_ms / WAIT_PART_MIN))
+    }
+
     fn no_replica(&mut self) -> Refusal {
         let spread_ms = self.rng.random_range(0..=NO_REPLICA_RETRY_MS);
         Refusal::not_run(RefusalCode::NoReplica)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,3 +26,4 @@
     Decision, PolicyEvent, RequestPolicy, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
 pub use standstill::StandstillWatch;
+pub use targets::TargetSubset;
--- a/crates/policy/tests/fair_pooled.rs
+++ b/crates/policy/tests/fair_pooled.rs
@@ -60,3 +60,56 @@
     let after = crowd.run(4_000);
     assert!(after.in_time() > 0.9, "{after:?}");
 }
+
+/// Guards against late answers under overload: each of many replicas is heard of so seldom by a node
+/// that it sends to full ones while others have room.
+#[test]
+fn pooled_subset_overload_in_time() {
+    for seed in 0..3 {
+        let mut crowd = Crowd::with_subsets(seed, 80, 40);
+        crowd.set_rate(2.0);
+        crowd.run(4_000);
+        crowd.set_rate(3.4);
+        crowd.run(3_000);
+        let Span { asked, in_time, late, refused } = crowd.run(5_000);
+        let possible = f64::from(asked) / 1.1;
+        assert!(
+            f64::from(in_time) > possible * 0.67,
+            "seed {seed}: {in_time} in time, {late} late, {refused} refused of {asked}"
+        );
+        assert_eq!(crowd.refused_late, 0, "seed {seed}");
+    }
+}
+
+/// Guards against nodes left without replicas: a quarter of all is lost at once.
+#[test]
+fn pooled_subset_loss() {
+    for seed in 0..3 {
+        let mut crowd = Crowd::with_subsets(seed, 80, 40);
+        crowd.set_rate(1.6);
+        crowd.run(6_000);
+        crowd.lose(&(0..10).collect::<Vec<_>>());
+        crowd.run(2_000);
+        let after = crowd.run(4_000);
+        assert!(after.in_time() > 0.9, "seed {seed}: {after:?}");
+    }
+}
+
+/// Guards against requests that are sent when they have waited too long to begin in time, before
+/// others that have not.
+#[test]
+fn pooled_overload_sends_what_begins_in_time() {
+    for seed in 0..3 {
+        let mut crowd = Crowd::with_subsets(seed, 80, 40);
+        crowd.set_rate(2.0);
+        crowd.run(4_000);
+        crowd.set_rate(4.4);
+        crowd.run(3_000);
+        let Span { asked, in_time, late, refused } = crowd.run(9_000);
+        let possible = f64::from(asked) / 1.43;
+        assert!(
+            f64::from(in_time) > possible * 0.7,
+            "seed {seed}: {in_time} in time, {late} late, {refused} refused of {asked}"
+        );
+    }
+}
--- a/crates/types/src/request/head.rs
+++ b/crates/types/src/request/head.rs
@@ -49,8 +49,8 @@
         pub idempotency: Idempotency,
         /// Time left until the answer is worthless, in milliseconds from arrival.
         pub deadline_in_ms: u64,
-        /// Time within which it must be sent to a target to be of use, in milliseconds from arrival;
-        /// `None` if only the deadline bounds it.
+        /// Time within which its answer is to begin, in milliseconds from arrival; `None` if only the
+        /// deadline bounds it.
         #[serde(default)]
         pub start_within_ms: Option<u64>,
         /// Tokens of the prompt, estimated by the entry.
