demand, gateway: shares follow demand that was measured for two seconds, by answers as long as they are

Work was reckoned by the output that callers allow, two and a half times what answers hold.

Change: no shares without work; a node's measure counts after two seconds; the output is what answers held of what was allowed, of late.

Tests: shares_nodes_without_work, red before; meter_first_moments also asks for nothing before two seconds.

--- a/crates/demand/src/meter.rs
+++ b/crates/demand/src/meter.rs
@@ -4,6 +4,11 @@
 
 use crate::Demand;
 
+/// Time after the first work from which a measure counts, in milliseconds.
+///
+/// The first requests of a node are too few to tell how much of each model is asked for.
+const MEASURE_MIN_MS: u64 = 2_000;
+
 /// Measures the work offered to one node, as an exponentially weighted mean.
 ///
 /// Refused requests count like others: a model whose replicas are full needs what it turns away.
@@ -45,10 +50,11 @@
         *self.work_ms.entry(model.clone()).or_default() += work_ms;
     }
 
-    /// The demand of this node now; that of no node before any work was offered.
+    /// The demand of this node now; that of no node until work was offered for a while.
     pub fn sample(&mut self, now: TimeMs) -> Demand {
         self.weigh(now);
-        let Some(first_at) = self.first_at else { return Demand::default() };
+        let measured = self.first_at.filter(|&at| now.since(at) >= MEASURE_MIN_MS);
+        let Some(first_at) = measured else { return Demand::default() };
         // What a window that has just begun holds, of a full one.
         let filled = 1.0 - (-(now.since(first_at) as f64) / self.window_ms).exp();
         let span_ms = (self.window_ms * filled).max(1.0);
--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -73,6 +73,9 @@
         let replicas = (busy + SPARE_DEVIATIONS * busy.sqrt()) / f64::from(slots.max(1));
         (replicas + SPARE_REPLICAS) * model.size as f64
     };
+    if !models.iter().any(|model| demand.busy_slots.contains_key(&model.name)) {
+        return None;
+    }
     let needed: Vec<f64> = models.iter().map(needed).collect();
     let all: f64 = needed.iter().sum();
     let configured: f64 = models.iter().map(|model| model.share).sum();
--- a/crates/demand/tests/shares.rs
+++ b/crates/demand/tests/shares.rs
@@ -103,3 +103,12 @@
     let large = shares(&tracked, &models)[0];
     assert!((0.35..0.5).contains(&large), "{large}");
 }
+
+/// Guards against shares by spare replicas alone, before the first request.
+#[test]
+fn shares_nodes_without_work() {
+    let models = [model("large", 8), model("small", 2)];
+    let mut tracked = ModelShares::new();
+    assert!(!tracked.update(&models, SLOTS, &demand(&[])));
+    assert_eq!(shares(&tracked, &models), [0.5, 0.5]);
+}
--- a/crates/demand/tests/tree.rs
+++ b/crates/demand/tests/tree.rs
@@ -42,6 +42,8 @@
     let mut meter = DemandMeter::new(8_000);
     let model = ModelName::new("small");
     (0..20).for_each(|tick| meter.add(TimeMs::new(tick * 50), &model, 100.0));
-    let slots = busy(&meter.sample(TimeMs::new(1_000)));
+    assert_eq!(meter.sample(TimeMs::new(1_000)), Demand::default());
+    (20..40).for_each(|tick| meter.add(TimeMs::new(tick * 50), &model, 100.0));
+    let slots = busy(&meter.sample(TimeMs::new(2_000)));
     assert!((slots - 2.0).abs() < 0.2, "{slots}");
 }
--- a/crates/gateway/src/traffic/ask.rs
+++ b/crates/gateway/src/traffic/ask.rs
@@ -44,7 +44,6 @@
             false => Idempotency::NonIdempotent,
         };
         let organisation = self.organisation.clone();
-        let output = self.caller.output_tokens.unwrap_or(self.caller.output_tokens_max);
         RequestHead {
             id: RequestId::new(self.id()),
             organisation: organisation.unwrap_or_else(|| OrganisationName::new("")),
@@ -55,11 +54,17 @@
             deadline_in_ms: self.deadline.since(now),
             start_within_ms: Some(self.route.objective_ms),
             prompt_tokens: self.caller.prompt_tokens,
-            output_tokens_max: output.div_ceil(tokens_per_event.max(1)),
+            output_tokens_max: self.events_allowed(tokens_per_event),
             prefix_hashes: Vec::new(),
         }
     }
 
+    /// Events that its answer may hold, of so many tokens each.
+    pub(crate) fn events_allowed(&self, tokens_per_event: u32) -> u32 {
+        let output = self.caller.output_tokens.unwrap_or(self.caller.output_tokens_max);
+        output.div_ceil(tokens_per_event.max(1))
+    }
+
     /// The request's id, for logs and for its target.
     pub(crate) fn id(&self) -> &str {
         self.caller.request_id.as_deref().unwrap_or("")
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -154,7 +154,7 @@
         };
         match end {
             AttemptEnd::Answered => {
-                self.gate.finished(self.ticket, self.splitter.events());
+                self.gate.finished(self.ticket, self.splitter.events(), &self.ask);
                 self.end("answered", self.splitter.events());
                 true
             }
--- a/crates/gateway/src/traffic/gate.rs
+++ b/crates/gateway/src/traffic/gate.rs
@@ -135,10 +135,13 @@
     }
 
     /// The caller has the whole answer.
-    pub(crate) fn finished(&self, ticket: Ticket, events: u32) {
+    pub(crate) fn finished(&self, ticket: Ticket, events: u32, ask: &Ask) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        state.tell(ticket, |pool, out| pool.finished(now, ticket, events, out));
+        state.tell(ticket, |pool, out| {
+            let allowed = ask.events_allowed(pool.tokens_per_event);
+            pool.finished(now, ticket, (events, allowed), out);
+        });
         state.leave(ticket);
     }
 
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -14,6 +14,12 @@
 /// Part of a replica's slots that is supposed to be taken until some answers were seen.
 const SUPPOSED_FILL: f64 = 0.5;
 
+/// Part of the allowed output that answers are supposed to hold until some were seen.
+const SUPPOSED_OUTPUT: f64 = 0.5;
+
+/// Weight that an answer keeps with each one after it.
+const OUTPUT_MEMORY: f64 = 0.98;
+
 /// Decode steps until a first token comes, until some answers were seen.
 const FIRST_TOKEN_STEPS: f64 = 4.0;
 
@@ -44,6 +50,7 @@
     pub(crate) tokens_per_event: u32,
     /// Times of one request, by which offered work is reckoned.
     work: WorkTimes,
+    output: OutputPart,
     /// Work that has arrived since it was taken last, in milliseconds of a slot.
     offered_ms: f64,
 }
@@ -55,10 +62,31 @@
     event_ms: f64,
 }
 
+/// What answers hold of the output that their callers allow, the recent ones weighing most.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct OutputPart {
+    events: f64,
+    events_allowed: f64,
+}
+
 impl WorkTimes {
-    fn request_ms(&self, head: &RequestHead) -> f64 {
+    fn request_ms(&self, head: &RequestHead, output: OutputPart) -> f64 {
         f64::from(head.prompt_tokens) * self.prompt_token_ms
-            + f64::from(head.output_tokens_max) * self.event_ms
+            + f64::from(head.output_tokens_max) * output.part() * self.event_ms
+    }
+}
+
+impl OutputPart {
+    fn learn(&mut self, events: u32, allowed: u32) {
+        self.events = self.events * OUTPUT_MEMORY + f64::from(events);
+        self.events_allowed = self.events_allowed * OUTPUT_MEMORY + f64::from(allowed);
+    }
+
+    fn part(self) -> f64 {
+        match self.events_allowed > 0.0 {
+            true => self.events / self.events_allowed,
+            false => SUPPOSED_OUTPUT,
+        }
     }
 }
 
@@ -108,6 +136,7 @@
             sharers: 1,
             tokens_per_event,
             work,
+            output: OutputPart::default(),
             offered_ms: 0.0,
         }
     }
@@ -201,7 +230,7 @@
         head: &RequestHead,
         out: &mut Vec<Decision>,
     ) {
-        self.offered_ms += self.work.request_ms(head);
+        self.offered_ms += self.work.request_ms(head, self.output);
         self.policy.handle(now, PolicyEvent::Arrived { ticket, head }, out);
     }
 
@@ -213,9 +242,10 @@
         &mut self,
         now: TimeMs,
         ticket: Ticket,
-        events: u32,
+        (events, events_allowed): (u32, u32),
         out: &mut Vec<Decision>,
     ) {
+        self.output.learn(events, events_allowed);
         let event = PolicyEvent::Finished { ticket, output_tokens: events };
         self.policy.handle(now, event, out);
     }
