--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -37,12 +37,19 @@
         Self::default()
     }
 
-    /// Takes over the demand of a fleet whose replicas have so many slots; true if a share has changed.
-    pub fn update(&mut self, models: &[ModelProfile], slots: u32, demand: &Demand) -> bool {
+    /// Takes over the demand of a fleet whose replicas have so many slots, and that has so many targets;
+    /// true if a share has changed.
+    pub fn update(
+        &mut self,
+        models: &[ModelProfile],
+        slots: u32,
+        targets: usize,
+        demand: &Demand,
+    ) -> bool {
         if demand.nodes < NODES_MIN {
             return false;
         }
-        let Some(shares) = wanted(models, slots, demand) else { return false };
+        let Some(shares) = wanted(models, slots, targets, demand) else { return false };
         let has_changed =
             |(before, after): (&f64, &f64)| (after - before).abs() > before * CHANGE_MIN;
         let same_models = self.shares.len() == shares.len();
@@ -67,26 +74,35 @@
 }
 
 /// Shares by the targets that each model's work needs; `None` without any work.
-fn wanted(models: &[ModelProfile], slots: u32, demand: &Demand) -> Option<Vec<f64>> {
-    let needed = |model: &ModelProfile| {
-        let busy = demand.busy_slots.get(&model.name).copied().unwrap_or_default();
-        let replicas = (busy + SPARE_DEVIATIONS * busy.sqrt()) / f64::from(slots.max(1));
-        (replicas + SPARE_REPLICAS) * model.size as f64
-    };
-    if !models.iter().any(|model| demand.busy_slots.contains_key(&model.name)) {
-        return None;
-    }
-    let needed: Vec<f64> = models.iter().map(needed).collect();
-    let all: f64 = needed.iter().sum();
+///
+/// What all models need besides spare replicas is scaled to all targets, so that spares of a large
+/// model do not grow with what is left over.
+fn wanted(
+    models: &[ModelProfile],
+    slots: u32,
+    targets: usize,
+    demand: &Demand,
+) -> Option<Vec<f64>> {
     let configured: f64 = models.iter().map(|model| model.share).sum();
-    if all <= 0.0 || configured <= 0.0 {
+    let work: Vec<f64> = models.iter().map(|model| work_targets(model, slots, demand)).collect();
+    let all_work: f64 = work.iter().sum();
+    if all_work <= 0.0 || configured <= 0.0 {
         return None;
     }
-    let floored = models
-        .iter()
-        .zip(needed)
-        .map(|(model, needed)| (needed / all).max(model.share / configured * CONFIGURED_PART_MIN));
-    let floored: Vec<f64> = floored.collect();
-    let sum: f64 = floored.iter().sum();
-    Some(floored.into_iter().map(|share| share / sum).collect())
+    let spares: Vec<f64> = models.iter().map(|model| SPARE_REPLICAS * model.size as f64).collect();
+    let all_spares: f64 = spares.iter().sum();
+    let rest = (targets as f64 - all_spares).max(all_work);
+    let part = |((model, work), spares): ((&ModelProfile, &f64), &f64)| {
+        let needed = work / all_work * rest + spares;
+        needed.max(model.share / configured * CONFIGURED_PART_MIN * (rest + all_spares))
+    };
+    let parts: Vec<f64> = models.iter().zip(&work).zip(&spares).map(part).collect();
+    let sum: f64 = parts.iter().sum();
+    Some(parts.into_iter().map(|part| part / sum).collect())
+}
+
+/// Targets that the work of a model keeps busy, with room for its variation.
+fn work_targets(model: &ModelProfile, slots: u32, demand: &Demand) -> f64 {
+    let busy = demand.busy_slots.get(&model.name).copied().unwrap_or_default();
+    (busy + SPARE_DEVIATIONS * busy.sqrt()) / f64::from(slots.max(1)) * model.size as f64
 }
--- a/crates/demand/tests/shares.rs
+++ b/crates/demand/tests/shares.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 const SLOTS: u32 = 20;
+const TARGETS: usize = 1_600;
 
 fn model(name: &str, size: usize) -> ModelProfile {
     ModelProfile {
@@ -34,7 +35,7 @@
 fn shares_without_demand() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    assert!(!tracked.update(&models, SLOTS, &Demand::default()));
+    assert!(!tracked.update(&models, SLOTS, TARGETS, &Demand::default()));
     assert_eq!(shares(&tracked, &models), [0.5, 0.5]);
 }
 
@@ -43,10 +44,10 @@
 fn shares_demand_swapped() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, &demand(&[("large", 400.0), ("small", 4_500.0)]));
+    tracked.update(&models, SLOTS, TARGETS, &demand(&[("large", 400.0), ("small", 4_500.0)]));
     let before = shares(&tracked, &models);
     assert!(before[1] > 0.65, "{before:?}");
-    tracked.update(&models, SLOTS, &demand(&[("large", 4_500.0), ("small", 400.0)]));
+    tracked.update(&models, SLOTS, TARGETS, &demand(&[("large", 4_500.0), ("small", 400.0)]));
     let after = shares(&tracked, &models);
     assert!(after[0] > 0.85 && after[1] >= 0.1, "{after:?}");
 }
@@ -56,7 +57,7 @@
 fn shares_idle_model_keeps_floor() {
     let models = [model("large", 8), model("middle", 4), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, &demand(&[("small", 3_000.0)]));
+    tracked.update(&models, SLOTS, TARGETS, &demand(&[("small", 3_000.0)]));
     let [large, middle, small] = shares(&tracked, &models)[..] else { panic!("three models") };
     assert!(large > 0.05 && middle > 0.05 && small > 0.7, "{large} {middle} {small}");
 }
@@ -74,6 +75,7 @@
         changes += usize::from(tracked.update(
             &models,
             SLOTS,
+            TARGETS,
             &demand(&[("large", large), ("small", small)]),
         ));
     }
@@ -87,7 +89,12 @@
     let mut tracked = ModelShares::new();
     for step in 0..=100 {
         let large = 20.0 + f64::from(step) * 2.0;
-        tracked.update(&models, SLOTS, &demand(&[("large", large), ("small", 220.0 - large)]));
+        tracked.update(
+            &models,
+            SLOTS,
+            TARGETS,
+            &demand(&[("large", large), ("small", 220.0 - large)]),
+        );
     }
     let end = shares(&tracked, &models);
     assert!(end[0] > 0.8, "{end:?}");
@@ -99,7 +106,7 @@
 fn shares_few_replicas_have_spares() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, &demand(&[("large", 40.0), ("small", 450.0)]));
+    tracked.update(&models, SLOTS, TARGETS / 10, &demand(&[("large", 40.0), ("small", 450.0)]));
     let large = shares(&tracked, &models)[0];
     assert!((0.35..0.5).contains(&large), "{large}");
 }
@@ -109,6 +116,6 @@
 fn shares_nodes_without_work() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    assert!(!tracked.update(&models, SLOTS, &demand(&[])));
+    assert!(!tracked.update(&models, SLOTS, TARGETS, &demand(&[])));
     assert_eq!(shares(&tracked, &models), [0.5, 0.5]);
 }
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -84,9 +84,10 @@
         let mut tree = self.relay.demand.borrow_mut();
         tree.set_own(self.demand.sample(now));
         let Some(routes) = self.routes.clone() else { return };
-        let Some((_, profile)) = engine(&routes) else { return };
+        let Some((service, profile)) = engine(&routes) else { return };
+        let targets = self.fleet.domains(service).map(|(_, targets)| targets.ready()).sum();
         let fleet = tree.fleet(now).scaled_to(self.peers.live() as u32 + 1);
-        if self.shares.update(&profile.models, profile.slots, &fleet) {
+        if self.shares.update(&profile.models, profile.slots, targets, &fleet) {
             for (model, share) in profile.models.iter().zip(self.shares.as_slice()) {
                 info!(self.parts.log, "share of targets"; "model" => model.name.as_str(),
                     "share" => share, "nodes" => fleet.nodes,
