forming, demand: nothing is given up while the store is away; one node's requests move no shares

At 2.1 s deciders took shares from 0.28 to 0.66 for the large model, each by its own requests alone, since the demand was scaled to the fleet before the number of its nodes was looked at.

Change: the planner is told whether the store serves its node and gives nothing up without it. Demand counts once it is of one node in eight.

Tests: demand_moves_while_store_is_away, red before; shares_few_nodes_known. shares tests name the size of the fleet now.

--- a/crates/demand/src/lib.rs
+++ b/crates/demand/src/lib.rs
@@ -19,5 +19,5 @@
 
 pub use demand::Demand;
 pub use meter::DemandMeter;
-pub use shares::ModelShares;
+pub use shares::{FleetSize, ModelShares};
 pub use tree::DemandTree;
--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -18,8 +18,19 @@
 /// Change of a share, as a part of it, below which the shares stay as they are.
 const CHANGE_MIN: f64 = 0.2;
 
-/// Nodes whose demand must be known before it counts.
-const NODES_MIN: u32 = 3;
+/// Part of the nodes whose demand must be known before it counts, as a divisor.
+///
+/// One node in eight sees enough requests to tell how much of each model is asked for.
+const NODES_PART_MIN: u32 = 8;
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Nodes that callers send to.
+    pub nodes: u32,
+    /// Targets that take new work.
+    pub targets: usize,
+}
 
 /// The part of a service's targets that each of its models should have.
 ///
@@ -37,19 +48,20 @@
         Self::default()
     }
 
-    /// Takes over the demand of a fleet whose replicas have so many slots, and that has so many targets;
-    /// true if a share has changed.
+    /// Takes over the demand of a fleet of this size whose replicas have so many slots; true if a share
+    /// has changed.
     pub fn update(
         &mut self,
         models: &[ModelProfile],
         slots: u32,
-        targets: usize,
+        size: FleetSize,
         demand: &Demand,
     ) -> bool {
-        if demand.nodes < NODES_MIN {
+        if demand.nodes == 0 || demand.nodes * NODES_PART_MIN < size.nodes {
             return false;
         }
-        let Some(shares) = wanted(models, slots, targets, demand) else { return false };
+        let demand = demand.scaled_to(size.nodes);
+        let Some(shares) = wanted(models, slots, size.targets, &demand) else { return false };
         let has_changed =
             |(before, after): (&f64, &f64)| (after - before).abs() > before * CHANGE_MIN;
         let same_models = self.shares.len() == shares.len();
--- a/crates/demand/tests/shares.rs
+++ b/crates/demand/tests/shares.rs
@@ -1,13 +1,13 @@
 //! Shares of the targets by the work that callers offer.
 
-use celeryhaven_demand::{Demand, ModelShares};
+use celeryhaven_demand::{Demand, FleetSize, ModelShares};
 use celeryhaven_fleet::ModelProfile;
 use celeryhaven_types::ModelName;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 const SLOTS: u32 = 20;
-const TARGETS: usize = 1_600;
+const FLEET: FleetSize = FleetSize { nodes: 10, targets: 1_600 };
 
 fn model(name: &str, size: usize) -> ModelProfile {
     ModelProfile {
@@ -35,7 +35,7 @@
 fn shares_without_demand() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    assert!(!tracked.update(&models, SLOTS, TARGETS, &Demand::default()));
+    assert!(!tracked.update(&models, SLOTS, FLEET, &Demand::default()));
     assert_eq!(shares(&tracked, &models), [0.5, 0.5]);
 }
 
@@ -44,10 +44,10 @@
 fn shares_demand_swapped() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, TARGETS, &demand(&[("large", 400.0), ("small", 4_500.0)]));
+    tracked.update(&models, SLOTS, FLEET, &demand(&[("large", 400.0), ("small", 4_500.0)]));
     let before = shares(&tracked, &models);
     assert!(before[1] > 0.65, "{before:?}");
-    tracked.update(&models, SLOTS, TARGETS, &demand(&[("large", 4_500.0), ("small", 400.0)]));
+    tracked.update(&models, SLOTS, FLEET, &demand(&[("large", 4_500.0), ("small", 400.0)]));
     let after = shares(&tracked, &models);
     assert!(after[0] > 0.85 && after[1] >= 0.1, "{after:?}");
 }
@@ -57,7 +57,7 @@
 fn shares_idle_model_keeps_floor() {
     let models = [model("large", 8), model("middle", 4), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, TARGETS, &demand(&[("small", 3_000.0)]));
+    tracked.update(&models, SLOTS, FLEET, &demand(&[("small", 3_000.0)]));
     let [large, middle, small] = shares(&tracked, &models)[..] else { panic!("three models") };
     assert!(large > 0.05 && middle > 0.05 && small > 0.7, "{large} {middle} {small}");
 }
@@ -75,7 +75,7 @@
         changes += usize::from(tracked.update(
             &models,
             SLOTS,
-            TARGETS,
+            FLEET,
             &demand(&[("large", large), ("small", small)]),
         ));
     }
@@ -92,7 +92,7 @@
         tracked.update(
             &models,
             SLOTS,
-            TARGETS,
+            FLEET,
             &demand(&[("large", large), ("small", 220.0 - large)]),
         );
     }
@@ -106,7 +106,12 @@
 fn shares_few_replicas_have_spares() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    tracked.update(&models, SLOTS, TARGETS / 10, &demand(&[("large", 40.0), ("small", 450.0)]));
+    tracked.update(
+        &models,
+        SLOTS,
+        FleetSize { targets: 160, ..FLEET },
+        &demand(&[("large", 40.0), ("small", 450.0)]),
+    );
     let large = shares(&tracked, &models)[0];
     assert!((0.35..0.5).contains(&large), "{large}");
 }
@@ -116,6 +121,16 @@
 fn shares_nodes_without_work() {
     let models = [model("large", 8), model("small", 2)];
     let mut tracked = ModelShares::new();
-    assert!(!tracked.update(&models, SLOTS, TARGETS, &demand(&[])));
+    assert!(!tracked.update(&models, SLOTS, FLEET, &demand(&[])));
     assert_eq!(shares(&tracked, &models), [0.5, 0.5]);
 }
+
+/// Guards against shares by the requests of a single node of many.
+#[test]
+fn shares_few_nodes_known() {
+    let models = [model("large", 8), model("small", 2)];
+    let mut tracked = ModelShares::new();
+    let one = Demand { nodes: 1, ..demand(&[("large", 5.0)]) };
+    assert!(!tracked.update(&models, SLOTS, FLEET, &one));
+    assert!(tracked.update(&models, SLOTS, FLEET, &Demand { nodes: 2, ..one }));
+}
--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -75,6 +75,10 @@
 
     fn conversion<'a>(&self, view: FormingView<'a>) -> Option<(ModelName, Conversion<'a>)> {
         let is_calm = self.formations.is_empty() && self.dissolving.is_empty();
+        // What is given up could not be formed anew.
+        if !view.store_serves {
+            return None;
+        }
         if !is_calm || self.serves_callers(view) != Some(true) {
             return None;
         }
--- a/crates/forming/src/interface/view.rs
+++ b/crates/forming/src/interface/view.rs
@@ -18,6 +18,8 @@
     pub domains: &'a [ListedDomain<'a>],
     /// Whether callers have sent requests yet; loads are free of limits before.
     pub traffic_seen: bool,
+    /// Whether the store serves this node: without it nothing can be planned.
+    pub store_serves: bool,
 }
 
 /// A fabric domain and its listed targets.
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -285,6 +285,7 @@
             profile: &profile,
             domains: &domains,
             traffic_seen: self.traffic_seen,
+            store_serves: self.store_answers,
         };
         act(&mut self.deciders[index], self.now, view);
     }
--- a/crates/forming/tests/demand.rs
+++ b/crates/forming/tests/demand.rs
@@ -46,3 +46,16 @@
     assert_eq!((world.joins(), world.serving()["large"]), (joins, 1));
     assert!(world.loads() <= loads + 16, "a second model for each target at most");
 }
+
+/// Guards against replicas that are given up while the store is away: nothing can be formed of them.
+#[test]
+fn demand_moves_while_store_is_away() {
+    let mut world = served();
+    world.store_answers = false;
+    set_shares(&mut world, 0.25);
+    run_and_finish(&mut world, 10_000);
+    assert_eq!((world.serving()["large"], world.serving()["small"]), (2, 4));
+    world.store_answers = true;
+    run_and_finish(&mut world, 10_000);
+    assert_eq!((world.serving()["large"], world.serving()["small"]), (1, 6));
+}
--- a/crates/gateway/src/control/deciding.rs
+++ b/crates/gateway/src/control/deciding.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 
 use celeryhaven_clock::BootClock;
+use celeryhaven_demand::FleetSize;
 use celeryhaven_fleet::{EngineProfile, FleetView, RouteTable};
 use celeryhaven_forming::{FormingEvent, FormingSettings, FormingView, ListedDomain};
 use celeryhaven_types::{DomainName, NodeName, ServiceName, TimeMs};
@@ -29,7 +30,8 @@
         let Some((service, profile)) = engine(&routes) else { return };
         let profile = self.profile_by_demand(profile);
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, &profile, &domains, self.traffic_seen);
+        let serves = self.is_store_serving();
+        let view = forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, serves));
         let actions = self.deciders.handle(now, view, domain, event);
         self.carry_out(domain, actions);
     }
@@ -65,13 +67,19 @@
         let Some((service, profile)) = engine(&routes) else { return };
         let profile = self.profile_by_demand(profile);
         let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
-        let view = forming_view(&self.fleet, &profile, &domains, self.traffic_seen);
+        let serves = self.is_store_serving();
+        let view = forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, serves));
         for (domain, actions) in self.deciders.step(BootClock.now(), view) {
             self.carry_out(&domain, actions);
         }
         self.pace.is_forming.set(!self.deciders.are_idle());
     }
 
+    /// Whether the store serves this node, as far as is known.
+    fn is_store_serving(&self) -> bool {
+        !self.store_away && !self.is_cut_off(BootClock.now())
+    }
+
     /// The profile of the engines, with the shares that the demand asks for.
     fn profile_by_demand(&self, profile: &EngineProfile) -> EngineProfile {
         let mut profile = profile.clone();
@@ -86,8 +94,9 @@
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine(&routes) else { return };
         let targets = self.fleet.domains(service).map(|(_, targets)| targets.ready()).sum();
-        let fleet = tree.fleet(now).scaled_to(self.peers.live() as u32 + 1);
-        if self.shares.update(&profile.models, profile.slots, targets, &fleet) {
+        let fleet = tree.fleet(now);
+        let size = FleetSize { nodes: self.peers.live() as u32 + 1, targets };
+        if self.shares.update(&profile.models, profile.slots, size, &fleet) {
             for (model, share) in profile.models.iter().zip(self.shares.as_slice()) {
                 info!(self.parts.log, "share of targets"; "model" => model.name.as_str(),
                     "share" => share, "nodes" => fleet.nodes,
@@ -156,8 +165,8 @@
     fleet: &'a FleetView,
     profile: &'a EngineProfile,
     domains: &'a [ListedDomain<'a>],
-    traffic_seen: bool,
+    (traffic_seen, store_serves): (bool, bool),
 ) -> FormingView<'a> {
     let (replicas, shown) = (fleet.replicas(), fleet.shown());
-    FormingView { fleet, replicas, shown, profile, domains, traffic_seen }
+    FormingView { fleet, replicas, shown, profile, domains, traffic_seen, store_serves }
 }
