--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use celeryhaven_fleet::{Route, RouteTable};
+use celeryhaven_quarantine::RequestDigest;
 use celeryhaven_types::{OrganisationName, Refusal, RefusalCode};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -113,6 +114,11 @@
         route.select_service(request_fraction(&caller)).cloned().ok_or_else(unavailable)?;
     let has_engines =
         routes.config().service(&service).is_some_and(|service| service.engine.is_some());
+    let digest = {
+        let organisation = organisation.as_ref().map_or("", OrganisationName::as_str);
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        RequestDigest::of([parts.method.as_str(), host, path, organisation], &body)
+    };
     let budget_ms = caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
@@ -127,6 +133,7 @@
         uri: parts.uri,
         headers,
         body,
+        digest,
         arrived_at,
         deadline: arrived_at.after(budget_ms),
         route: route.clone(),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -160,6 +160,7 @@
     fn log_failure(&self, error: &ConnectionError) {
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
+            "digest" => self.exchange.request.digest.to_string(),
             "target" => self.destination.target.as_str(),
             "attempt" => self.exchange.attempts,
             "verdict" => error.verdict().as_str(),
@@ -170,6 +171,7 @@
     pub(crate) fn log_end(&self, why: &'static str, status: u16) {
         info!(self.exchange.dispatcher.log, "attempt ended";
             "request_id" => self.exchange.request.id(),
+            "digest" => self.exchange.request.digest.to_string(),
             "target" => self.destination.target.as_str(),
             "attempt" => self.exchange.attempts,
             "status" => status,
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use celeryhaven_fleet::Route;
+use celeryhaven_quarantine::RequestDigest;
 use celeryhaven_types::{
     Idempotency, ModelName, OrganisationName, Priority, RequestClass, RequestHead, RequestId,
     ServiceName, TimeMs,
@@ -28,6 +29,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Identifies the request across its attempts and nodes.
+    pub(crate) digest: RequestDigest,
     pub(crate) arrived_at: TimeMs,
     pub(crate) deadline: TimeMs,
 }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -242,6 +242,7 @@
         self.dispatcher.metrics.record_request(outcome, now.since(self.request.arrived_at));
         info!(self.dispatcher.log, "request ended";
             "request_id" => self.request.id(),
+            "digest" => self.request.digest.to_string(),
             "route" => &self.request.route.name,
             "organisation" => self.request.organisation.as_ref().map(celeryhaven_types::OrganisationName::as_str),
             "outcome" => outcome,
--- /dev/null
+++ b/crates/quarantine/src/request_digest.rs
@@ -0,0 +1,101 @@
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Length of a digest, in bytes.
+const DIGEST_BYTES: usize = 16;
+
+/// Identifies a request by its content: the same request has the same digest at every node.
+///
+/// A request id does not identify it, because each attempt of a caller has an id of its own.
+///
+/// ```
+/// use celeryhaven_quarantine::RequestDigest;
+///
+/// let digest = RequestDigest::of(["POST", "h.example", "/a/", "joiners"], b"body");
+/// assert_eq!(digest.to_string().parse(), Ok(digest));
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct RequestDigest([u8; DIGEST_BYTES]);
+
+/// Text that is not a digest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidDigest {
+    /// The text.
+    pub found: String,
+}
+
+impl RequestDigest {
+    /// Computes the digest of a request from the parts of its head and its body.
+    ///
+    /// The parts are separated, so that moving text from one to the next changes the digest.
+    pub fn of<'a>(head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in head {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        hasher.update(body);
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hasher.finalize()[..DIGEST_BYTES]);
+        Self(digest)
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "RequestDigest({self})")
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = InvalidDigest;
+
+    fn from_str(text: &str) -> Result<Self, InvalidDigest> {
+        let invalid = || InvalidDigest { found: text.to_owned() };
+        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+            return Err(invalid());
+        }
+        let mut digest = [0; DIGEST_BYTES];
+        for (byte, at) in digest.iter_mut().zip((0..).step_by(2)) {
+            *byte = u8::from_str_radix(&text[at..at + 2], 16).map_err(|_| invalid())?;
+        }
+        Ok(Self(digest))
+    }
+}
+
+impl From<RequestDigest> for String {
+    fn from(digest: RequestDigest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for RequestDigest {
+    type Error = InvalidDigest;
+
+    fn try_from(text: String) -> Result<Self, InvalidDigest> {
+        text.parse()
+    }
+}
+
+impl fmt::Display for InvalidDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?} is no digest; {} hexadecimal digits are needed",
+            self.found,
+            2 * DIGEST_BYTES
+        )
+    }
+}
+
+impl std::error::Error for InvalidDigest {}
