--- a/crates/entry/src/http/refusal.rs
+++ b/crates/entry/src/http/refusal.rs
@@ -48,6 +48,9 @@
         RefusalCode::Overloaded => "too many requests wait already; ask again after the given time",
         RefusalCode::NoReplica => "nothing that serves this can be reached now; ask again later",
         RefusalCode::NodeUnavailable => "this node takes no requests now; ask another address",
+        RefusalCode::Quarantined => {
+            "targets ended each time they ran this request; do not repeat it"
+        }
         RefusalCode::UnknownKey => "the idempotency key was not issued here or has expired",
         RefusalCode::KeyInUse => "another request with this idempotency key was sent before",
         RefusalCode::ClaimUnavailable => {
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -10,6 +10,7 @@
 use celeryhaven_fleet::{FleetView, RouteTable};
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_peers::Peers;
+use celeryhaven_quarantine::{Quarantine, Standings};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
 use celeryhaven_telemetry::GatewayMetrics;
@@ -27,6 +28,7 @@
 use crate::control::event::{ControlEvent, FeedKind};
 use crate::control::feed::{Feed, FeedConditions};
 use crate::control::heartbeats::own_record;
+use crate::control::quarantine::QUARANTINE_PREFIX;
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
@@ -83,6 +85,10 @@
     pub(super) feed_conditions: Rc<FeedConditions>,
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
+    pub(super) quarantine: Quarantine,
+    pub(super) quarantine_listed: bool,
+    /// Last standings published to traffic.
+    pub(super) standings: Arc<Standings>,
     pub(super) nodes_probed_at: TimeMs,
     pub(super) demand: DemandMeter,
     pub(super) shares: ModelShares,
@@ -115,6 +121,9 @@
             feed_conditions: Rc::default(),
             relay,
             recent_suspicions: RecentSuspicions::default(),
+            quarantine: Quarantine::new(),
+            quarantine_listed: false,
+            standings: Arc::default(),
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
             shares: ModelShares::new(),
@@ -157,6 +166,7 @@
         let key = self.parts.adapter.configuration_key();
         let prefix = key.as_str().rsplit_once('/').map_or("", |(folder, _)| folder);
         self.start_feed(ObjectKey::new(format!("{prefix}/")), FeedKind::Configuration);
+        self.start_feed(ObjectKey::new(QUARANTINE_PREFIX), FeedKind::Quarantine);
         let tick_sender = self.parts.events.0.clone();
         let send_ticks = async move {
             while tick_sender.send(ControlEvent::Tick).await.is_ok() {
@@ -222,6 +232,10 @@
                 }
                 Changes::NONE
             }
+            ControlEvent::QuarantineWritten(write, outcome) => {
+                self.record_quarantine_write(now, &write, outcome);
+                Changes::nodes(true)
+            }
             ControlEvent::Traffic(report) => {
                 self.handle_traffic_report(now, report);
                 Changes::FORMING
@@ -230,6 +244,7 @@
                 self.probe_nodes(now);
                 self.log_store_calls(now);
                 self.update_demand_shares(now);
+                self.write_quarantine(now);
                 let expired = Changes::targets(self.fleet.expire(now));
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -278,6 +293,9 @@
                 self.handle_suspicion(now, Suspicion::LossReported(target));
             }
             TrafficReport::Offered(loads) => self.record_offered_load(now, &loads),
+            TrafficReport::Crashed(crashes) => self.report_crashes(now, crashes),
+            TrafficReport::Completed(digest) => self.report_completed(now, digest),
+            TrafficReport::TrialDue(digest, reply) => self.claim_trial(now, digest, reply),
         }
     }
 }
--- a/crates/gateway/src/control/counted_store.rs
+++ b/crates/gateway/src/control/counted_store.rs
@@ -17,6 +17,8 @@
     Nodes,
     /// Records of fabric domains.
     Placement,
+    /// Records of requests that were running when targets ended.
+    Quarantine,
 }
 
 impl StoreCallKind {
@@ -27,6 +29,7 @@
             Self::Targets => "targets",
             Self::Nodes => "nodes",
             Self::Placement => "placement",
+            Self::Quarantine => "quarantine",
         }
     }
 }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,6 +1,7 @@
 use celeryhaven_fleet::StoreContact;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_peers::{NodeRecord, ProbeResult};
+use celeryhaven_quarantine::{QuarantineWrite, WriteOutcome};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
 use celeryhaven_types::{DomainName, NodeName};
 
@@ -14,6 +15,8 @@
     Configuration,
     /// The listed targets.
     Targets,
+    /// Records of requests that were running when targets ended.
+    Quarantine,
 }
 
 impl FeedKind {
@@ -22,6 +25,7 @@
         match self {
             Self::Configuration => StoreCallKind::Configuration,
             Self::Targets => StoreCallKind::Targets,
+            Self::Quarantine => StoreCallKind::Quarantine,
         }
     }
 
@@ -30,6 +34,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -37,8 +42,8 @@
 /// Update from a feed.
 #[derive(Clone, Debug)]
 pub(crate) enum FeedUpdate {
-    /// All objects.
-    Listed { objects: Vec<Object>, store: StoreContact },
+    /// All objects at a version of the store.
+    Listed { version: ObjectVersion, objects: Vec<Object>, store: StoreContact },
     /// Changes since the last update, possibly none.
     Changed { changes: Vec<ObjectChange>, store: StoreContact },
     /// The store did not answer or rejected the call.
@@ -62,6 +67,8 @@
     Forming(DomainName, FormingEvent),
     /// Version of a domain record after a read or write.
     RecordVersion(DomainName, Option<ObjectVersion>),
+    /// Outcome of a write of a quarantine record.
+    QuarantineWritten(QuarantineWrite, WriteOutcome),
     /// Report from traffic.
     Traffic(TrafficReport),
     /// Periodic timer.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -163,7 +163,8 @@
         match answer {
             Some(RelayAnswer::Listed { version, objects, store }) => {
                 let store = self.record_success(store);
-                self.apply(version, FeedUpdate::Listed { objects, store }, Source::Relay).await;
+                let update = FeedUpdate::Listed { version, objects, store };
+                self.apply(version, update, Source::Relay).await;
             }
             Some(RelayAnswer::Changes { version, changes, store }) => {
                 let store = self.record_success(store);
@@ -202,7 +203,8 @@
         match self.store.call(self.kind.store_call_kind(), &request).await {
             StoreReply::Listed { version, objects } => {
                 let store = self.record_success(StoreContact::default());
-                self.apply(version, FeedUpdate::Listed { objects, store }, Source::Store).await;
+                let update = FeedUpdate::Listed { version, objects, store };
+                self.apply(version, update, Source::Store).await;
             }
             StoreReply::Changes { version, changes } => {
                 let store = self.record_success(StoreContact::default());
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod feed_updates;
 mod heartbeats;
 mod publish;
+mod quarantine;
 mod relay;
 mod suspicions;
 mod target_client;
--- /dev/null
+++ b/crates/gateway/src/control/quarantine.rs
@@ -0,0 +1,220 @@
+use std::sync::Arc;
+
+use async_channel::Sender;
+use celeryhaven_fleet::TargetPhase;
+use celeryhaven_quarantine::{
+    Crash, CrashRecord, QuarantineWrite, RequestDigest, Standing, WriteOutcome,
+};
+use celeryhaven_store::StoreCodec;
+use celeryhaven_types::store::{
+    Object, ObjectChange, ObjectKey, ObjectVersion, StoreReply, StoreRequest,
+};
+use celeryhaven_types::{OrganisationName, TimeMs};
+use slog::{info, warn};
+
+use crate::adapter::Adapter;
+use crate::control::Control;
+use crate::control::counted_store::{CountedStore, StoreCallKind};
+use crate::control::event::ControlEvent;
+use crate::traffic::CrashReport;
+
+/// Prefix of the quarantine records in the store.
+pub(super) const QUARANTINE_PREFIX: &str = "quarantine/";
+
+impl<A: Adapter> Control<A> {
+    /// Replaces all records by those of a list.
+    pub(super) fn replace_quarantine(
+        &mut self,
+        now: TimeMs,
+        version: ObjectVersion,
+        objects: &[Object],
+    ) {
+        let records = objects.iter().filter_map(|object| {
+            Some((digest_of(&object.key)?, object.version, parse_record(&object.value)?))
+        });
+        self.quarantine.replace(now, version, records);
+        self.quarantine_listed = true;
+        self.update_standings();
+    }
+
+    /// Applies changes of records; returns whether there were any.
+    pub(super) fn apply_quarantine_changes(
+        &mut self,
+        now: TimeMs,
+        changes: &[ObjectChange],
+    ) -> bool {
+        for change in changes {
+            let Some(digest) = digest_of(&change.key) else { continue };
+            match change.value.as_deref().and_then(parse_record) {
+                Some(record) => self.quarantine.put(now, digest, change.version, record),
+                None => self.quarantine.remove(digest, change.version),
+            }
+        }
+        self.update_standings();
+        !changes.is_empty()
+    }
+
+    /// Records crashes that this node's traffic has seen, unless the target had announced its end.
+    pub(super) fn report_crashes(&mut self, now: TimeMs, crashes: Vec<CrashReport>) {
+        for report in crashes {
+            let entry = self.fleet.target(&report.target);
+            if entry.is_some_and(|entry| entry.phase == TargetPhase::Draining) {
+                continue;
+            }
+            self.parts.metrics.crash_reports.inc();
+            info!(self.parts.log, "crash reported"; "digest" => report.digest.to_string(),
+                "target" => report.target.as_str(), "started_at_ms" => report.started_at_ms,
+                "route" => &report.route,
+                "organisation" => report.organisation.as_ref().map(OrganisationName::as_str));
+            let node = self.parts.settings.node.clone();
+            let crash = Crash { target: report.target, started_at_ms: report.started_at_ms, node };
+            let addition = CrashRecord {
+                organisation: report.organisation,
+                route: report.route,
+                crashes: vec![crash],
+                ..CrashRecord::default()
+            };
+            self.report(now, report.digest, &addition);
+        }
+    }
+
+    /// Records that a suspected request has completed.
+    pub(super) fn report_completed(&mut self, now: TimeMs, digest: RequestDigest) {
+        if self.quarantine.record(digest).is_none_or(|record| record.completed) {
+            return;
+        }
+        let addition = CrashRecord { completed: true, ..CrashRecord::default() };
+        self.report(now, digest, &addition);
+    }
+
+    fn report(&mut self, now: TimeMs, digest: RequestDigest, addition: &CrashRecord) {
+        if !self.quarantine.report(now, digest, addition) {
+            warn!(self.parts.log, "crash report dropped"; "digest" => digest.to_string());
+        }
+        self.write_quarantine(now);
+        self.update_standings();
+    }
+
+    /// Claims a trial of a quarantined request for this node; answers whether it succeeded.
+    pub(super) fn claim_trial(&mut self, now: TimeMs, digest: RequestDigest, reply: Sender<bool>) {
+        let Some(write) = self.quarantine.claim_trial(now, digest) else {
+            return reply.try_send(false).unwrap_or_default();
+        };
+        let (store, events) = (self.store.clone(), self.parts.events.0.clone());
+        let log = self.parts.log.clone();
+        let claim = async move {
+            let outcome = execute(&store, &write).await;
+            let is_granted = matches!(outcome, WriteOutcome::Written(_));
+            info!(log, "quarantine trial"; "digest" => digest.to_string(), "granted" => is_granted);
+            reply.try_send(is_granted).unwrap_or_default();
+            events.send(ControlEvent::QuarantineWritten(write, outcome)).await.unwrap_or_default();
+        };
+        self.executor.spawn(claim).detach();
+    }
+
+    /// Starts the writes that are due.
+    pub(super) fn write_quarantine(&mut self, now: TimeMs) {
+        let removes_expired = self.feed_conditions.relay.borrow().is_none();
+        for write in self.quarantine.due_writes(now, removes_expired) {
+            let (store, events) = (self.store.clone(), self.parts.events.0.clone());
+            let execute = async move {
+                let outcome = execute(&store, &write).await;
+                let event = ControlEvent::QuarantineWritten(write, outcome);
+                events.send(event).await.unwrap_or_default();
+            };
+            self.executor.spawn(execute).detach();
+        }
+    }
+
+    /// Applies the outcome of a write.
+    pub(super) fn record_quarantine_write(
+        &mut self,
+        now: TimeMs,
+        write: &QuarantineWrite,
+        outcome: WriteOutcome,
+    ) {
+        self.quarantine.written(now, write, outcome);
+        self.write_quarantine(now);
+        self.update_standings();
+    }
+
+    /// Updates the standings for traffic, and logs what has changed.
+    fn update_standings(&mut self) {
+        let standings = self.quarantine.standings();
+        if standings == *self.standings {
+            return;
+        }
+        let is_quarantined = |standing: Option<&Standing>| {
+            standing.is_some_and(|standing| standing.is_quarantined())
+        };
+        for digest in standings.keys() {
+            if is_quarantined(standings.get(digest)) && !is_quarantined(self.standings.get(digest))
+            {
+                self.log_quarantined(*digest);
+            }
+        }
+        for digest in self.standings.keys() {
+            if is_quarantined(self.standings.get(digest)) && !is_quarantined(standings.get(digest))
+            {
+                let record = self.quarantine.record(*digest);
+                let why = if record.is_some() { "completed" } else { "removed" };
+                info!(self.parts.log, "quarantine lifted"; "digest" => digest.to_string(),
+                    "why" => why);
+            }
+        }
+        let quarantined = standings.values().filter(|standing| standing.is_quarantined()).count();
+        self.parts.metrics.quarantined.set(quarantined as i64);
+        self.standings = Arc::new(standings);
+    }
+
+    fn log_quarantined(&self, digest: RequestDigest) {
+        let Some(record) = self.quarantine.record(digest) else { return };
+        let crashes = record.crashes.iter();
+        let crashes: Vec<_> =
+            crashes.map(|crash| format!("{} by {}", crash.target, crash.node)).collect();
+        warn!(self.parts.log, "request quarantined"; "digest" => digest.to_string(),
+            "organisation" => record.organisation.as_ref().map(OrganisationName::as_str),
+            "route" => &record.route, "crashes" => crashes.join(", "));
+    }
+}
+
+/// Carries out a write, and reads the record if the store holds another version.
+async fn execute<W: StoreCodec>(store: &CountedStore<W>, write: &QuarantineWrite) -> WriteOutcome {
+    let key = ObjectKey::new(format!("{QUARANTINE_PREFIX}{}", write.digest()));
+    let request = match write {
+        QuarantineWrite::Put { version, record, .. } => {
+            let Ok(value) = serde_json::to_string(record) else { return WriteOutcome::Failed };
+            let (key, value) = (key.clone(), value.into());
+            match *version {
+                Some(version) => StoreRequest::Update { key, version, value },
+                None => StoreRequest::Create { key, value },
+            }
+        }
+        QuarantineWrite::Delete { version, .. } => {
+            StoreRequest::Delete { key: key.clone(), version: *version }
+        }
+    };
+    match store.call(StoreCallKind::Quarantine, &request).await {
+        StoreReply::Written { version } => WriteOutcome::Written(version),
+        StoreReply::Conflict => {
+            match store.call(StoreCallKind::Quarantine, &StoreRequest::Get { key }).await {
+                StoreReply::Found(object) => {
+                    let record = parse_record(&object.value).unwrap_or_default();
+                    WriteOutcome::Found(object.version, record)
+                }
+                StoreReply::Missing => WriteOutcome::Missing,
+                _ => WriteOutcome::Failed,
+            }
+        }
+        // Repeating a write that took effect conflicts, and adds nothing.
+        _ => WriteOutcome::Failed,
+    }
+}
+
+fn digest_of(key: &ObjectKey) -> Option<RequestDigest> {
+    key.as_str().strip_prefix(QUARANTINE_PREFIX)?.parse().ok()
+}
+
+fn parse_record(value: &str) -> Option<CrashRecord> {
+    serde_json::from_str(value).ok()
+}
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -24,6 +24,7 @@
     token: Rc<str>,
     configuration: Rc<RelayLog>,
     targets: Rc<RelayLog>,
+    quarantine: Rc<RelayLog>,
     /// Demand of the followers and of the fleet.
     pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
@@ -43,6 +44,7 @@
             token: token.into(),
             configuration: Rc::default(),
             targets: Rc::default(),
+            quarantine: Rc::default(),
             demand: Rc::default(),
         }
     }
@@ -58,7 +60,7 @@
         let log = self.log(kind);
         let mut change_log = log.log.borrow_mut();
         let store = match update {
-            FeedUpdate::Listed { objects, store } => {
+            FeedUpdate::Listed { objects, store, .. } => {
                 change_log.apply_list(version, objects);
                 *store
             }
@@ -117,6 +119,7 @@
         match kind {
             FeedKind::Configuration => &self.configuration,
             FeedKind::Targets => &self.targets,
+            FeedKind::Quarantine => &self.quarantine,
         }
     }
 }
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -14,7 +14,9 @@
 
 use crate::adapter::{Adapter, CallerHead};
 use crate::http::{refusal_parts, strip_hop_by_hop};
-use crate::traffic::{AnswerBody, AnswerParts, CallerRequest, Dispatcher, Exchange, answer_sink};
+use crate::traffic::{
+    Admission, AnswerBody, AnswerParts, CallerRequest, Dispatcher, Exchange, answer_sink,
+};
 
 /// Retry delay suggested while this node does not accept requests, in milliseconds.
 const NOT_READY_RETRY_AFTER_MS: u64 = 300;
@@ -56,8 +58,13 @@
     dispatcher: Rc<Dispatcher<A>>,
     request: CallerRequest,
 ) -> Response<AnswerBody> {
+    let admission = dispatcher.admit(&request).await;
+    if let Admission::Refused(refusal) = admission {
+        return refuse_unsent(&dispatcher, &request, &refusal);
+    }
     let (sink, parts, chunks) = answer_sink();
     let exchange = Exchange::new(dispatcher.clone(), request, sink);
+    let exchange = if admission == Admission::Trial { exchange.with_trial() } else { exchange };
     let task = dispatcher.executor.spawn(exchange.run());
     match parts.recv().await {
         Ok(parts) if parts.body.is_some() => {
@@ -77,6 +84,27 @@
     }
 }
 
+/// Refuses a request that must not be sent to targets.
+fn refuse_unsent<A: Adapter>(
+    dispatcher: &Dispatcher<A>,
+    request: &CallerRequest,
+    refusal: &Refusal,
+) -> Response<AnswerBody> {
+    let took_ms = dispatcher.now().since(request.arrived_at);
+    let outcome = match refusal.code {
+        RefusalCode::Quarantined => "quarantined",
+        _ => "not run",
+    };
+    dispatcher.metrics.record_request(outcome, took_ms);
+    info!(dispatcher.log, "request ended"; "request_id" => request.id(),
+        "digest" => request.digest.to_string(), "route" => &request.route.name,
+        "organisation" => request.organisation.as_ref().map(OrganisationName::as_str),
+        "outcome" => outcome, "took_ms" => took_ms);
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let parts = refusal_parts(status, refusal, request.caller.request_id.as_deref());
+    build_response(parts, AnswerBody::full(Bytes::new()))
+}
+
 fn build_response(parts: AnswerParts, body: AnswerBody) -> Response<AnswerBody> {
     let body = match parts.body {
         Some(bytes) => AnswerBody::full(bytes),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -90,6 +90,9 @@
             Ok(Err(ConnectionError::Closed)) => Err(SendError::NotSent),
             Ok(Err(error)) => {
                 self.log_failure(&error);
+                if error.verdict() == Verdict::MayHaveRun {
+                    self.record_crash();
+                }
                 Err(SendError::Ended(AttemptOutcome::Failed(error.verdict())))
             }
             Err(interrupt) => Err(SendError::Ended(AttemptOutcome::Interrupted(interrupt))),
@@ -157,6 +160,11 @@
         AttemptOutcome::Failed(Verdict::NotRun)
     }
 
+    /// Records that the connection broke while the target may have been running the request.
+    pub(crate) fn record_crash(&self) {
+        self.exchange.dispatcher.record_crash(&self.exchange.request, self.destination);
+    }
+
     fn log_failure(&self, error: &ConnectionError) {
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -4,10 +4,11 @@
 use async_channel::Sender;
 use celeryhaven_fleet::RouteTable;
 use celeryhaven_policy::{Decision, StallDetector, Ticket};
+use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
 use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
 
 use crate::traffic::pool::{Pool, RetryLimits};
-use crate::traffic::{CallerRequest, Destination, DestinationName, OfferedLoad};
+use crate::traffic::{CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad};
 
 /// Identifies a pool: the service, and the model if the service has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -37,6 +38,7 @@
     pub(crate) streaming: bool,
     /// Whether the request may be sent again after it may have run.
     pub(crate) may_repeat: bool,
+    pub(crate) digest: RequestDigest,
 }
 
 /// The state on which dispatch decisions are based.
@@ -50,6 +52,11 @@
     pub(crate) leaving_since: Option<TimeMs>,
     pub(crate) stall_detector: StallDetector<DestinationName>,
     pub(crate) active_requests: Map<Ticket, ActiveRequest>,
+    /// Requests that are suspected of ending their targets, or quarantined.
+    /// `None` until they have been read.
+    pub(crate) standings: Option<Arc<Standings>>,
+    /// Crashes that are not reported yet.
+    pub(crate) crashes: PendingCrashes<CrashReport>,
     pools: Map<PoolKey, Pool>,
     senders: u32,
     next_ticket: Ticket,
@@ -70,6 +77,8 @@
             leaving_since: None,
             stall_detector: StallDetector::new(),
             active_requests: Map::default(),
+            standings: None,
+            crashes: PendingCrashes::new(),
             pools: Map::default(),
             senders: 1,
             next_ticket: Ticket::default(),
@@ -95,6 +104,7 @@
             destination: None,
             streaming: false,
             may_repeat: request.may_repeat(),
+            digest: request.digest,
         };
         self.active_requests.insert(ticket, active);
         let mut out = Vec::new();
@@ -199,6 +209,19 @@
         offered.filter(|offered| offered.slot_ms > 0.0).collect()
     }
 
+    /// Removes and returns the crashes that are due to be reported.
+    pub(crate) fn take_due_crashes(&mut self, now: TimeMs) -> Vec<CrashReport> {
+        let active = &self.active_requests;
+        self.crashes.take_due(now, |digest| {
+            active.values().any(|active| active.digest == digest && active.streaming)
+        })
+    }
+
+    /// Returns the standing of a request; `None` if it has none.
+    pub(crate) fn standing(&self, digest: RequestDigest) -> Option<Standing> {
+        self.standings.as_ref()?.get(&digest).copied()
+    }
+
     /// Returns the number of requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -77,6 +77,7 @@
             state.addresses = update.addresses;
             state.ready = update.ready;
             state.cut_off_until = update.cut_off_until;
+            state.standings = update.standings;
             state.set_senders(now, update.senders);
             state.set_destinations(now, update.destinations);
         }
@@ -92,6 +93,7 @@
             }
             self.metrics.queued.set(self.state.borrow().queued() as i64);
             self.report_offered_load();
+            self.report_crashes();
         }
     }
 
@@ -149,6 +151,7 @@
 
     /// Records that the caller has the complete answer.
     pub(crate) fn completed(&self, ticket: Ticket, events: u32, request: &CallerRequest) {
+        self.acquit(request.digest);
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.notify_pool(ticket, |pool, out| {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -47,6 +47,8 @@
     pub(crate) failed_answer: Option<(AnswerParts, Bytes)>,
     pub(crate) ticket: Ticket,
     pub(crate) instructions: Receiver<Instruction>,
+    /// Whether a quarantined request is sent once, to see whether it still ends its target.
+    is_trial: bool,
     completed: bool,
 }
 
@@ -82,10 +84,18 @@
             failed_answer: None,
             ticket,
             instructions,
+            is_trial: false,
             completed: false,
         }
     }
 
+    /// Makes this the trial of a quarantined request, which is sent only once.
+    pub(crate) fn with_trial(mut self) -> Self {
+        self.is_trial = true;
+        self.request.route.attempts_max = 1;
+        self
+    }
+
     /// Sends the request to targets until the caller has a final answer.
     pub(crate) async fn run(mut self) {
         loop {
@@ -100,6 +110,10 @@
                     return self.refuse(refusal).await;
                 }
                 Instruction::Send(destination) => {
+                    if let Some(refusal) = self.quarantine_refusal() {
+                        self.dispatcher.abandoned(self.ticket);
+                        return self.refuse(refusal).await;
+                    }
                     self.attempts += 1;
                     self.delivery.record_sent(self.dispatcher.now());
                     self.target = Some(destination.target.clone());
@@ -132,6 +146,14 @@
         smol::future::or(async { Ok(future.await) }, smol::future::or(cancel, deadline)).await
     }
 
+    /// Returns the refusal if the request was quarantined while it waited.
+    fn quarantine_refusal(&self) -> Option<Refusal> {
+        match self.is_trial {
+            true => None,
+            false => self.dispatcher.quarantine_refusal(self.request.digest),
+        }
+    }
+
     /// Returns the time until the caller's deadline.
     pub(crate) fn time_left(&self) -> Duration {
         Duration::from_millis(self.request.deadline.since(self.dispatcher.now()))
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -83,6 +83,9 @@
         mut parts: Option<AnswerParts>,
         may_resume: bool,
     ) -> AttemptOutcome {
+        if self.exchange.splitter.is_inside_event() {
+            self.record_crash();
+        }
         if self.exchange.splitter.is_inside_event() && may_resume {
             self.exchange.splitter.drop_pending();
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
@@ -169,6 +172,7 @@
                 Ok(None) => return ReadResult::Complete,
                 Ok(Some(Err(_))) => {
                     self.log_end("answer broke off", StatusCode::OK.as_u16());
+                    self.record_crash();
                     return ReadResult::Ended(AttemptOutcome::Failed(Verdict::MayHaveRun));
                 }
                 Ok(Some(Ok(frame))) => {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod forward;
 mod pool;
+mod quarantine_gate;
 mod sink;
 mod update;
 
@@ -17,5 +18,8 @@
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use exchange::Exchange;
+pub(crate) use quarantine_gate::Admission;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
-pub(crate) use update::{Destination, DestinationName, OfferedLoad, TrafficReport, TrafficUpdate};
+pub(crate) use update::{
+    CrashReport, Destination, DestinationName, OfferedLoad, TrafficReport, TrafficUpdate,
+};
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{ReplicaKey, RouteTable};
-use celeryhaven_types::{ModelName, ServiceName, TimeMs, VmName};
+use celeryhaven_quarantine::{RequestDigest, Standings};
+use celeryhaven_types::{ModelName, OrganisationName, ServiceName, TimeMs, VmName};
 
 state! {
     /// Identifies a destination.
@@ -30,6 +32,23 @@
         pub(crate) address: SocketAddr,
         /// Maximum number of concurrent requests.
         pub(crate) slots: u32,
+        /// Start time of the target's process, in Unix milliseconds.
+        pub(crate) started_at_ms: Option<u64>,
+    }
+
+    /// A target that ended while it ran a request of this node.
+    #[derive(Eq)]
+    pub(crate) struct CrashReport {
+        /// The request.
+        pub(crate) digest: RequestDigest,
+        /// Organisation of the caller.
+        pub(crate) organisation: Option<OrganisationName>,
+        /// Name of the route.
+        pub(crate) route: String,
+        /// The target.
+        pub(crate) target: VmName,
+        /// Start time of the target's process, in Unix milliseconds.
+        pub(crate) started_at_ms: Option<u64>,
     }
 }
 
@@ -58,6 +77,9 @@
     pub(crate) ready: bool,
     /// Time until which this node counts as cut off from the store.
     pub(crate) cut_off_until: Option<TimeMs>,
+    /// Requests that are suspected of ending their targets, or quarantined.
+    /// `None` until they have been read.
+    pub(crate) standings: Option<Arc<Standings>>,
 }
 
 impl TrafficUpdate {
@@ -67,12 +89,17 @@
             (Some(own), Some(others)) => Arc::ptr_eq(own, others),
             (own, others) => own.is_none() && others.is_none(),
         };
+        let standings = match (&self.standings, &other.standings) {
+            (Some(own), Some(others)) => Arc::ptr_eq(own, others),
+            (own, others) => own.is_none() && others.is_none(),
+        };
         routes
             && Arc::ptr_eq(&self.destinations, &other.destinations)
             && self.addresses == other.addresses
             && self.senders == other.senders
             && self.ready == other.ready
             && self.cut_off_until == other.cut_off_until
+            && standings
     }
 }
 
@@ -97,4 +124,10 @@
     LossReported(VmName),
     /// Load that callers have offered since the last report.
     Offered(Vec<OfferedLoad>),
+    /// Targets that ended while they ran requests.
+    Crashed(Vec<CrashReport>),
+    /// A suspected request has completed.
+    Completed(RequestDigest),
+    /// A trial of a quarantined request is due; the answer tells whether this node may make it.
+    TrialDue(RequestDigest, Sender<bool>),
 }
--- /dev/null
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -0,0 +1,104 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_types::TimeMs;
+
+use crate::RequestDigest;
+
+/// Time from a crash until it is reported, in milliseconds.
+///
+/// Most of the requests on a target that ends are innocent and complete elsewhere meanwhile.
+const SETTLE_MS: u64 = 800;
+
+/// The same for a request that is streaming from another target, in milliseconds.
+const SETTLE_STREAMING_MS: u64 = 1_500;
+
+/// Maximum number of requests with crashes that are not reported yet.
+const PENDING_MAX: usize = 1_024;
+
+/// A crash that a node has seen, with what it reports of it.
+pub trait PendingCrash: PartialEq {
+    /// Returns the request that was running.
+    fn digest(&self) -> RequestDigest;
+}
+
+/// Crashes that one node has seen and not reported yet.
+///
+/// Where many targets end at once, a request that runs everywhere is on several of them. It
+/// completes on the targets that remain before its crashes are reported.
+///
+/// ```
+/// use celeryhaven_quarantine::{PendingCrash, PendingCrashes, RequestDigest};
+/// use celeryhaven_types::TimeMs;
+///
+/// #[derive(PartialEq)]
+/// struct Crash(RequestDigest, &'static str);
+///
+/// impl PendingCrash for Crash {
+///     fn digest(&self) -> RequestDigest {
+///         self.0
+///     }
+/// }
+///
+/// let digest = RequestDigest::of(["POST"], b"");
+/// let mut pending = PendingCrashes::new();
+/// pending.record(TimeMs::new(0), Crash(digest, "vm-1"));
+/// pending.completed(digest);
+/// assert!(pending.take_due(TimeMs::new(10_000), |_| false).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct PendingCrashes<C> {
+    by_request: BTreeMap<RequestDigest, Vec<(TimeMs, C)>>,
+}
+
+impl<C: PendingCrash> PendingCrashes<C> {
+    /// Creates an empty set.
+    pub fn new() -> Self {
+        Self { by_request: BTreeMap::new() }
+    }
+
+    /// Records that a target ended while it ran a request.
+    ///
+    /// Several copies of the request on the same target count once. A crash is not recorded if
+    /// too many requests have pending ones.
+    pub fn record(&mut self, now: TimeMs, crash: C) {
+        let digest = crash.digest();
+        if self.by_request.len() >= PENDING_MAX && !self.by_request.contains_key(&digest) {
+            return;
+        }
+        let crashes = self.by_request.entry(digest).or_default();
+        if !crashes.iter().any(|(_, known)| *known == crash) {
+            crashes.push((now, crash));
+        }
+    }
+
+    /// Records that a target has completed a request, which acquits it of the crashes so far.
+    pub fn completed(&mut self, digest: RequestDigest) {
+        self.by_request.remove(&digest);
+    }
+
+    /// Removes and returns the crashes that are due to be reported.
+    pub fn take_due(
+        &mut self,
+        now: TimeMs,
+        mut is_streaming: impl FnMut(RequestDigest) -> bool,
+    ) -> Vec<C> {
+        let mut due = Vec::new();
+        self.by_request.retain(|digest, crashes| {
+            let is_settled = |at: TimeMs| now.since(at) >= SETTLE_MS;
+            if !crashes.iter().any(|(at, _)| is_settled(*at)) {
+                return true;
+            }
+            let settle_ms = if is_streaming(*digest) { SETTLE_STREAMING_MS } else { SETTLE_MS };
+            let is_due = |(at, _): &mut (TimeMs, C)| now.since(*at) >= settle_ms;
+            due.extend(crashes.extract_if(.., is_due).map(|(_, crash)| crash));
+            !crashes.is_empty()
+        });
+        due
+    }
+}
+
+impl<C: PendingCrash> Default for PendingCrashes<C> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/quarantine.rs
@@ -0,0 +1,269 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_types::TimeMs;
+use celeryhaven_types::store::ObjectVersion;
+
+use crate::{CrashRecord, QuarantineWrite, RequestDigest, Standing, Standings, WriteOutcome};
+
+/// Pauses before the trials of a quarantined request, in milliseconds.
+///
+/// A trial shows whether a request was quarantined by coincidence. There are few, because each may
+/// end a target.
+const TRIAL_PAUSES_MS: [u64; 2] = [5_000, 30_000];
+
+/// How long the record of a request that is not quarantined is kept, in milliseconds.
+const SUSPECT_RETENTION_MS: u64 = 2 * 60 * 1_000;
+
+/// How long the record of a quarantined request is kept, in milliseconds.
+const QUARANTINE_RETENTION_MS: u64 = 30 * 60 * 1_000;
+
+/// Maximum number of records in the store, and of unwritten reports of one node.
+const RECORDS_MAX: usize = 256;
+
+/// Pause before a failed write is repeated, in milliseconds.
+const WRITE_RETRY_MS: u64 = 400;
+
+/// A record as read from the store.
+#[derive(Clone, Debug)]
+struct StoredRecord {
+    version: ObjectVersion,
+    record: CrashRecord,
+    /// When this node first saw the version.
+    seen_at: TimeMs,
+}
+
+/// What this node has to add to a record.
+#[derive(Clone, Debug)]
+struct Unwritten {
+    addition: CrashRecord,
+    is_being_written: bool,
+    retry_at: TimeMs,
+}
+
+/// The requests that were running when targets ended, as one node knows them.
+///
+/// The records are in the store, where they outlive every node. A node follows them, adds its own
+/// reports by conditional writes, and acts on its reports before they are written.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    stored: BTreeMap<RequestDigest, StoredRecord>,
+    unwritten: BTreeMap<RequestDigest, Unwritten>,
+    /// Records that this node is removing.
+    deleting: BTreeMap<RequestDigest, TimeMs>,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces all records by those that the store held at a version.
+    pub fn replace(
+        &mut self,
+        now: TimeMs,
+        version: ObjectVersion,
+        records: impl IntoIterator<Item = (RequestDigest, ObjectVersion, CrashRecord)>,
+    ) {
+        let before = std::mem::take(&mut self.stored);
+        for (digest, version, record) in records {
+            self.put(now, digest, version, record);
+        }
+        // A list of a relay may be older than this node's last write.
+        for (digest, stored) in before {
+            match self.stored.get(&digest) {
+                Some(listed) if listed.version > stored.version => {}
+                Some(_) => drop(self.stored.insert(digest, stored)),
+                None if stored.version > version => drop(self.stored.insert(digest, stored)),
+                None => {}
+            }
+        }
+    }
+
+    /// Sets a record, unless a newer version is known.
+    pub fn put(
+        &mut self,
+        now: TimeMs,
+        digest: RequestDigest,
+        version: ObjectVersion,
+        record: CrashRecord,
+    ) {
+        if self.stored.get(&digest).is_none_or(|known| known.version < version) {
+            self.stored.insert(digest, StoredRecord { version, record, seen_at: now });
+        }
+    }
+
+    /// Removes a record that the store no longer holds as of a version.
+    pub fn remove(&mut self, digest: RequestDigest, version: ObjectVersion) {
+        if self.stored.get(&digest).is_some_and(|known| known.version <= version) {
+            self.stored.remove(&digest);
+        }
+    }
+
+    /// Returns the record of a request, with this node's own reports.
+    pub fn record(&self, digest: RequestDigest) -> Option<CrashRecord> {
+        let stored = self.stored.get(&digest).map(|stored| stored.record.clone());
+        let Some(unwritten) = self.unwritten.get(&digest) else { return stored };
+        let mut record = stored.unwrap_or_default();
+        record.merge(&unwritten.addition);
+        Some(record)
+    }
+
+    /// Returns the standing of every request that has one.
+    pub fn standings(&self) -> Standings {
+        let digests = self.stored.keys().chain(self.unwritten.keys());
+        digests.filter_map(|digest| Some((*digest, self.standing(*digest)?))).collect()
+    }
+
+    fn standing(&self, digest: RequestDigest) -> Option<Standing> {
+        let record = self.record(digest)?;
+        if record.completed || record.crashes.is_empty() {
+            return None;
+        }
+        if !record.is_quarantined() {
+            return Some(Standing::Suspected);
+        }
+        let pause_ms = TRIAL_PAUSES_MS.get(record.trials as usize);
+        let seen_at = self.stored.get(&digest).map(|stored| stored.seen_at);
+        let trial_at = seen_at.zip(pause_ms).map(|(at, pause_ms)| at.after(*pause_ms));
+        Some(Standing::Quarantined { trial_at })
+    }
+
+    /// Adds what this node has seen of a request; returns whether it is remembered.
+    ///
+    /// While too many reports are unwritten, further ones are dropped.
+    pub fn report(&mut self, now: TimeMs, digest: RequestDigest, addition: &CrashRecord) -> bool {
+        if self.unwritten.len() >= RECORDS_MAX && !self.unwritten.contains_key(&digest) {
+            return false;
+        }
+        let unwritten = self.unwritten.entry(digest).or_insert_with(|| Unwritten {
+            addition: CrashRecord::default(),
+            is_being_written: false,
+            retry_at: now,
+        });
+        unwritten.addition.merge(addition);
+        true
+    }
+
+    /// Returns the write that claims a trial of a quarantined request, if one is due.
+    ///
+    /// The write succeeds at one node only, however many nodes claim the same trial.
+    pub fn claim_trial(&self, now: TimeMs, digest: RequestDigest) -> Option<QuarantineWrite> {
+        let Standing::Quarantined { trial_at: Some(trial_at) } = self.standing(digest)? else {
+            return None;
+        };
+        let stored = self.stored.get(&digest).filter(|_| trial_at <= now)?;
+        let record = CrashRecord { trials: stored.record.trials + 1, ..stored.record.clone() };
+        Some(QuarantineWrite::Put { digest, version: Some(stored.version), record })
+    }
+
+    /// Returns the writes that are due; `removes_expired` holds at the node that cleans up.
+    pub fn due_writes(&mut self, now: TimeMs, removes_expired: bool) -> Vec<QuarantineWrite> {
+        let mut writes = Vec::new();
+        let stored = &self.stored;
+        self.unwritten.retain(|digest, unwritten| {
+            let known = stored.get(digest);
+            let mut record = known.map(|known| known.record.clone()).unwrap_or_default();
+            record.merge(&unwritten.addition);
+            let adds_nothing = known.is_some_and(|known| known.record == record);
+            // Only a record that exists needs to be told that its request has completed.
+            if adds_nothing || (known.is_none() && record.completed) {
+                return unwritten.is_being_written;
+            }
+            if !unwritten.is_being_written && unwritten.retry_at <= now {
+                unwritten.is_being_written = true;
+                let version = known.map(|known| known.version);
+                writes.push(QuarantineWrite::Put { digest: *digest, version, record });
+            }
+            true
+        });
+        let created = writes.iter().filter(|write| !stored.contains_key(&write.digest())).count();
+        self.make_room(now, created, &mut writes);
+        if removes_expired {
+            self.remove_expired(now, &mut writes);
+        }
+        writes
+    }
+
+    /// Removes the oldest records of requests that are not quarantined, if there are too many.
+    ///
+    /// A flood of distinct requests must not make the fleet forget a quarantined one.
+    fn make_room(&mut self, now: TimeMs, created: usize, writes: &mut Vec<QuarantineWrite>) {
+        let excess = (self.stored.len() + created).saturating_sub(RECORDS_MAX).min(created);
+        let suspects = self.stored.iter().filter(|(_, stored)| !stored.record.is_quarantined());
+        let mut suspects: Vec<_> =
+            suspects.map(|(digest, stored)| (stored.seen_at, *digest, stored.version)).collect();
+        suspects.sort();
+        let removed = suspects.len().min(excess);
+        for (_, digest, version) in suspects.into_iter().take(removed) {
+            self.delete(now, digest, version, writes);
+        }
+        // Without room, only the reporting node acts on a new report.
+        let mut missing = excess - removed;
+        writes.retain(|write| {
+            let digest = write.digest();
+            let is_dropped = missing > 0 && !self.stored.contains_key(&digest);
+            if is_dropped {
+                missing -= 1;
+                if let Some(unwritten) = self.unwritten.get_mut(&digest) {
+                    unwritten.is_being_written = false;
+                    unwritten.retry_at = now.after(SUSPECT_RETENTION_MS);
+                }
+            }
+            !is_dropped
+        });
+    }
+
+    fn remove_expired(&mut self, now: TimeMs, writes: &mut Vec<QuarantineWrite>) {
+        let is_expired = |stored: &StoredRecord| {
+            let retention_ms = match stored.record.is_quarantined() {
+                true => QUARANTINE_RETENTION_MS,
+                false => SUSPECT_RETENTION_MS,
+            };
+            now.since(stored.seen_at) >= retention_ms
+        };
+        let expired = self.stored.iter().filter(|(_, stored)| is_expired(stored));
+        let expired: Vec<_> = expired.map(|(digest, stored)| (*digest, stored.version)).collect();
+        for (digest, version) in expired {
+            self.delete(now, digest, version, writes);
+        }
+    }
+
+    fn delete(
+        &mut self,
+        now: TimeMs,
+        digest: RequestDigest,
+        version: ObjectVersion,
+        writes: &mut Vec<QuarantineWrite>,
+    ) {
+        self.deleting.retain(|_, until| *until > now);
+        if self.deleting.insert(digest, now.after(WRITE_RETRY_MS)).is_none() {
+            writes.push(QuarantineWrite::Delete { digest, version });
+        }
+    }
+
+    /// Applies the outcome of a write.
+    pub fn written(&mut self, now: TimeMs, write: &QuarantineWrite, outcome: WriteOutcome) {
+        let digest = write.digest();
+        match (write, outcome) {
+            (QuarantineWrite::Put { record, .. }, WriteOutcome::Written(version)) => {
+                self.put(now, digest, version, record.clone());
+            }
+            (QuarantineWrite::Delete { .. }, WriteOutcome::Written(version)) => {
+                self.remove(digest, version);
+            }
+            (_, WriteOutcome::Found(version, record)) => self.put(now, digest, version, record),
+            (_, WriteOutcome::Missing) => drop(self.stored.remove(&digest)),
+            (_, WriteOutcome::Failed) => {
+                if let Some(unwritten) = self.unwritten.get_mut(&digest) {
+                    unwritten.retry_at = now.after(WRITE_RETRY_MS);
+                }
+            }
+        }
+        if let (QuarantineWrite::Put { .. }, Some(unwritten)) =
+            (write, self.unwritten.get_mut(&digest))
+        {
+            unwritten.is_being_written = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -0,0 +1,73 @@
+//! Crashes that wait to be reported.
+
+use celeryhaven_quarantine::{PendingCrash, PendingCrashes, RequestDigest};
+use celeryhaven_types::TimeMs;
+
+#[derive(Clone, Debug, PartialEq)]
+struct Crash(RequestDigest, &'static str);
+
+impl PendingCrash for Crash {
+    fn digest(&self) -> RequestDigest {
+        self.0
+    }
+}
+
+fn at(ms: u64) -> TimeMs {
+    TimeMs::new(ms)
+}
+
+fn digest(number: u64) -> RequestDigest {
+    RequestDigest::of(["POST"], &number.to_le_bytes())
+}
+
+#[test]
+fn take_due_after_settling() {
+    let mut pending = PendingCrashes::new();
+    pending.record(at(0), Crash(digest(1), "vm-1"));
+    pending.record(at(500), Crash(digest(1), "vm-2"));
+    assert_eq!(pending.take_due(at(799), |_| false), []);
+    assert_eq!(pending.take_due(at(800), |_| false), [Crash(digest(1), "vm-1")]);
+    assert_eq!(pending.take_due(at(1_300), |_| false), [Crash(digest(1), "vm-2")]);
+}
+
+/// A popular request that ran on all targets of a rack when it went dark completes elsewhere before
+/// its crashes are reported.
+#[test]
+fn take_due_completed() {
+    let mut pending = PendingCrashes::new();
+    for target in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        pending.record(at(0), Crash(digest(1), target));
+    }
+    pending.completed(digest(1));
+    assert_eq!(pending.take_due(at(10_000), |_| false), []);
+}
+
+/// A second attempt that streams is likely to complete, so its crash waits longer, but not for
+/// ever.
+#[test]
+fn take_due_streaming() {
+    let mut pending = PendingCrashes::new();
+    pending.record(at(0), Crash(digest(1), "vm-1"));
+    assert_eq!(pending.take_due(at(1_499), |_| true), []);
+    assert_eq!(pending.take_due(at(1_500), |_| true), [Crash(digest(1), "vm-1")]);
+}
+
+/// Several copies of a request on one target are ended by one end of it.
+#[test]
+fn record_same_target() {
+    let mut pending = PendingCrashes::new();
+    for _ in 0..5 {
+        pending.record(at(0), Crash(digest(1), "vm-1"));
+    }
+    assert_eq!(pending.take_due(at(800), |_| false).len(), 1);
+}
+
+/// Memory stays bounded while many targets end.
+#[test]
+fn record_many_requests() {
+    let mut pending = PendingCrashes::new();
+    for number in 0..100_000 {
+        pending.record(at(0), Crash(digest(number), "vm-1"));
+    }
+    assert_eq!(pending.take_due(at(800), |_| false).len(), 1_024);
+}
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,252 @@
+//! Quarantine of requests, as the nodes of a fleet see it through the store.
+
+use std::collections::BTreeMap;
+
+use celeryhaven_quarantine::{
+    CRASHES_MAX, Crash, CrashRecord, Quarantine, QuarantineWrite, RequestDigest, Standing,
+    WriteOutcome,
+};
+use celeryhaven_types::store::ObjectVersion;
+use celeryhaven_types::{NodeName, TimeMs, VmName};
+
+const RECORDS_MAX: usize = 256;
+
+/// A store of records with conditional writes.
+#[derive(Default)]
+struct Store {
+    version: u64,
+    records: BTreeMap<RequestDigest, (ObjectVersion, CrashRecord)>,
+}
+
+impl Store {
+    fn execute(&mut self, write: &QuarantineWrite) -> WriteOutcome {
+        let digest = write.digest();
+        let found = self.records.get(&digest).cloned();
+        let expected = match write {
+            QuarantineWrite::Put { version, .. } => *version,
+            QuarantineWrite::Delete { version, .. } => Some(*version),
+        };
+        match (write, found) {
+            (_, Some((version, record))) if Some(version) != expected => {
+                WriteOutcome::Found(version, record)
+            }
+            (_, None) if expected.is_some() => WriteOutcome::Missing,
+            (QuarantineWrite::Put { record, .. }, _) => {
+                self.version += 1;
+                let version = ObjectVersion::new(self.version);
+                self.records.insert(digest, (version, record.clone()));
+                WriteOutcome::Written(version)
+            }
+            (QuarantineWrite::Delete { version, .. }, _) => {
+                self.records.remove(&digest);
+                WriteOutcome::Written(*version)
+            }
+        }
+    }
+
+    /// Carries out the writes of a node until it has none.
+    fn execute_all(&mut self, now: TimeMs, node: &mut Quarantine) {
+        for _ in 0..10 {
+            for write in node.due_writes(now, false) {
+                let outcome = self.execute(&write);
+                node.written(now, &write, outcome);
+            }
+        }
+    }
+
+    fn list_to(&self, now: TimeMs, node: &mut Quarantine) {
+        let records = self.records.iter();
+        let records =
+            records.map(|(digest, (version, record))| (*digest, *version, record.clone()));
+        node.replace(now, ObjectVersion::new(self.version), records);
+    }
+}
+
+fn at(ms: u64) -> TimeMs {
+    TimeMs::new(1_000_000 + ms)
+}
+
+fn digest(number: usize) -> RequestDigest {
+    RequestDigest::of(["POST"], &number.to_le_bytes())
+}
+
+fn crash(target: &str) -> CrashRecord {
+    let crash = Crash {
+        target: VmName::new(target),
+        started_at_ms: Some(1),
+        node: NodeName::new("entry-1"),
+    };
+    CrashRecord { route: "r".into(), crashes: vec![crash], ..CrashRecord::default() }
+}
+
+fn completed() -> CrashRecord {
+    CrashRecord { completed: true, ..CrashRecord::default() }
+}
+
+fn is_quarantined(node: &Quarantine, digest: RequestDigest) -> bool {
+    node.standings().get(&digest).is_some_and(|standing| standing.is_quarantined())
+}
+
+/// Reports crashes of distinct targets and writes them.
+fn quarantine(store: &mut Store, node: &mut Quarantine, digest: RequestDigest) {
+    for target in ["vm-1", "vm-2", "vm-3"] {
+        node.report(at(0), digest, &crash(target));
+    }
+    store.execute_all(at(0), node);
+}
+
+/// Three nodes that each saw one crash must all refuse the request, and so must one that starts.
+#[test]
+fn report_by_several_nodes() {
+    let mut store = Store::default();
+    let mut nodes = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+    for (node, target) in nodes.iter_mut().zip(["vm-1", "vm-2", "vm-3"]) {
+        node.report(at(0), digest(1), &crash(target));
+        store.execute_all(at(0), node);
+    }
+    let mut started = Quarantine::new();
+    for node in nodes.iter_mut().chain([&mut started]) {
+        store.list_to(at(100), node);
+        assert!(is_quarantined(node, digest(1)));
+    }
+}
+
+/// One end that several nodes saw, or a write repeated after a lost answer, must count once.
+#[test]
+fn report_of_same_end() {
+    let mut store = Store::default();
+    let mut nodes = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+    for node in &mut nodes {
+        node.report(at(0), digest(1), &crash("vm-1"));
+        let lost = node.due_writes(at(0), false);
+        lost.iter().for_each(|write| drop(store.execute(write)));
+        lost.iter().for_each(|write| node.written(at(0), write, WriteOutcome::Failed));
+        store.execute_all(at(1_000), node);
+    }
+    store.list_to(at(1_000), &mut nodes[0]);
+    assert_eq!(nodes[0].record(digest(1)).map(|record| record.crashes.len()), Some(1));
+    assert_eq!(nodes[0].standings().get(&digest(1)), Some(&Standing::Suspected));
+}
+
+/// A node must refuse what it has seen itself while the store rejects its reports, and write them
+/// once the store accepts them.
+#[test]
+fn report_store_unavailable() {
+    let mut node = Quarantine::new();
+    for target in ["vm-1", "vm-2", "vm-3"] {
+        node.report(at(0), digest(1), &crash(target));
+    }
+    for ms in (0..5_000).step_by(100) {
+        for write in node.due_writes(at(ms), false) {
+            node.written(at(ms), &write, WriteOutcome::Failed);
+        }
+        assert!(is_quarantined(&node, digest(1)));
+    }
+    let mut store = Store::default();
+    store.execute_all(at(6_000), &mut node);
+    assert_eq!(store.records[&digest(1)].1.crashes.len(), CRASHES_MAX);
+}
+
+/// A completed request does not end every target that runs it, whatever is reported afterwards.
+#[test]
+fn report_completed() {
+    let mut store = Store::default();
+    let (mut node, mut other) = (Quarantine::new(), Quarantine::new());
+    quarantine(&mut store, &mut node, digest(1));
+    store.list_to(at(100), &mut other);
+    other.report(at(100), digest(1), &completed());
+    assert!(!is_quarantined(&other, digest(1)));
+    store.execute_all(at(100), &mut other);
+    node.report(at(150), digest(1), &crash("vm-4"));
+    store.execute_all(at(150), &mut node);
+    store.list_to(at(200), &mut node);
+    assert!(!is_quarantined(&node, digest(1)));
+}
+
+/// A completion alone must not be written: every request completes.
+#[test]
+fn report_completed_without_record() {
+    let mut node = Quarantine::new();
+    node.report(at(0), digest(1), &completed());
+    assert_eq!(node.due_writes(at(0), false), []);
+}
+
+/// Nodes that try at the same time must be granted one trial together, and two in all.
+#[test]
+fn claim_trial_by_several_nodes() {
+    let mut store = Store::default();
+    let mut nodes = [Quarantine::new(), Quarantine::new(), Quarantine::new()];
+    quarantine(&mut store, &mut nodes[0], digest(1));
+    nodes.iter_mut().for_each(|node| store.list_to(at(0), node));
+    let mut granted = Vec::new();
+    for ms in (0..1_800_000).step_by(100) {
+        let claims: Vec<_> = nodes.iter().map(|node| node.claim_trial(at(ms), digest(1))).collect();
+        for (node, claim) in nodes.iter_mut().zip(claims) {
+            let Some(write) = claim else { continue };
+            let outcome = store.execute(&write);
+            if matches!(outcome, WriteOutcome::Written(_)) {
+                granted.push(ms);
+            }
+            node.written(at(ms), &write, outcome);
+        }
+    }
+    assert_eq!(granted, [5_000, 35_000]);
+}
+
+/// A flood of distinct suspected requests must not make the fleet forget a quarantined one, and the
+/// number of records stays bounded.
+#[test]
+fn due_writes_flood() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    quarantine(&mut store, &mut node, digest(0));
+    for number in 1..4 * RECORDS_MAX {
+        node.report(at(number as u64), digest(number), &crash("vm-1"));
+        store.execute_all(at(number as u64), &mut node);
+    }
+    assert!(store.records.len() <= RECORDS_MAX, "{} records", store.records.len());
+    assert!(is_quarantined(&node, digest(0)));
+    let last = digest(4 * RECORDS_MAX - 1);
+    assert!(store.records.contains_key(&last), "the newest report was not written");
+}
+
+/// Where every record is of a quarantined request, a new one is refused by the node that saw it and
+/// the number of records stays bounded.
+#[test]
+fn due_writes_all_quarantined() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    for number in 0..=RECORDS_MAX {
+        quarantine(&mut store, &mut node, digest(number));
+    }
+    assert_eq!(store.records.len(), RECORDS_MAX);
+    assert!(is_quarantined(&node, digest(RECORDS_MAX)));
+}
+
+/// Records are removed after their retention period: quarantined ones later than others.
+#[test]
+fn due_writes_expired() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    quarantine(&mut store, &mut node, digest(1));
+    node.report(at(0), digest(2), &crash("vm-1"));
+    store.execute_all(at(0), &mut node);
+    let mut removed = Vec::new();
+    for ms in (0..3_600_000).step_by(1_000) {
+        for write in node.due_writes(at(ms), true) {
+            let outcome = store.execute(&write);
+            removed.push((write.digest(), ms));
+            node.written(at(ms), &write, outcome);
+        }
+    }
+    assert_eq!(removed, [(digest(2), 120_000), (digest(1), 1_800_000)]);
+    assert!(node.standings().is_empty());
+}
+
+/// A list of a relay that is behind must not undo this node's last write.
+#[test]
+fn replace_by_older_list() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    quarantine(&mut store, &mut node, digest(1));
+    node.replace(at(0), ObjectVersion::new(0), []);
+    assert!(is_quarantined(&node, digest(1)));
+    node.replace(at(0), ObjectVersion::new(store.version + 1), []);
+    assert!(!is_quarantined(&node, digest(1)), "an operator has removed the record");
+}
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -24,6 +24,10 @@
     pub domains: Gauge,
     /// Orders to targets, by kind and outcome.
     pub orders: Family<OutcomeLabel, Counter>,
+    /// Requests that are refused because targets ended each time they ran them.
+    pub quarantined: Gauge,
+    /// Ends of targets that this node has attributed to a request it had sent.
+    pub crash_reports: Counter,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -42,6 +46,7 @@
         let request_time = latency_histogram();
         let (queued, replicas_whole, domains) =
             (Gauge::default(), Gauge::default(), Gauge::default());
+        let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -58,6 +63,16 @@
             );
             registry.register("domains", "Fabric domains decided here", domains.clone());
             registry.register("orders", "Orders to targets", orders.clone());
+            registry.register(
+                "quarantined",
+                "Requests that are kept away from targets",
+                quarantined.clone(),
+            );
+            registry.register(
+                "crash_reports",
+                "Ends of targets attributed to a request",
+                crash_reports.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -68,6 +83,8 @@
             replicas_whole,
             domains,
             orders,
+            quarantined,
+            crash_reports,
             store_calls,
         }
     }
--- a/crates/types/src/request/refusal.rs
+++ b/crates/types/src/request/refusal.rs
@@ -41,6 +41,8 @@
         IssuerGone,
         /// The caller disconnected.
         CallerGone,
+        /// Targets have ended each time they began to run this request.
+        Quarantined,
     }
 }
 
@@ -61,6 +63,7 @@
             Self::DeadlineUnreachable
             | Self::NoReplica
             | Self::NodeUnavailable
+            | Self::Quarantined
             | Self::ClaimUnavailable => 503,
         }
     }
