gateway: one kind of objects for what nodes have seen, and one table for such records

The quarantine had a kind of its own in the store, and a table of versions of its own. What nodes have seen of targets will need both as well, and a further feed a kind would cost each node a watch or a long poll more. No change in what a node does.

The tests of quarantine and records pass.

--- /dev/null
+++ b/crates/gateway/src/control/advisories.rs
@@ -0,0 +1,119 @@
+use std::sync::Arc;
+
+use celeryhaven_quarantine::RequestDigest;
+use celeryhaven_records::{RecordWrite, WriteOutcome};
+use celeryhaven_store::StoreCodec;
+use celeryhaven_types::TimeMs;
+use celeryhaven_types::store::{
+    Object, ObjectChange, ObjectKey, ObjectVersion, StoreReply, StoreRequest,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::adapter::Adapter;
+use crate::control::Control;
+use crate::control::counted_store::{CountedStore, StoreCallKind};
+
+/// Prefix of the advisories in the store: what nodes have seen of requests and of targets.
+pub(super) const ADVISORIES_PREFIX: &str = "advisories/";
+
+/// Start of the names of advisories on requests.
+const REQUEST_NAME: &str = "request-";
+
+/// What an advisory is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Subject {
+    Request(RequestDigest),
+}
+
+impl Subject {
+    fn parse(key: &ObjectKey) -> Option<Self> {
+        let name = key.as_str().strip_prefix(ADVISORIES_PREFIX)?;
+        name.strip_prefix(REQUEST_NAME)?.parse().ok().map(Self::Request)
+    }
+}
+
+/// Returns the key of the advisory on a request.
+pub(super) fn request_key(digest: RequestDigest) -> ObjectKey {
+    ObjectKey::new(format!("{ADVISORIES_PREFIX}{REQUEST_NAME}{digest}"))
+}
+
+impl<A: Adapter> Control<A> {
+    /// Replaces all advisories by those of a list.
+    pub(super) fn replace_advisories(
+        &mut self,
+        now: TimeMs,
+        version: ObjectVersion,
+        objects: &[Object],
+    ) {
+        let mut requests = Vec::new();
+        for object in objects {
+            match Subject::parse(&object.key) {
+                Some(Subject::Request(digest)) => {
+                    let record = parse(&object.value);
+                    requests.extend(record.map(|record| (digest, object.version, record)));
+                }
+                None => {}
+            }
+        }
+        self.quarantine.stored_mut().replace(now, version, requests);
+        self.advisories_listed = true;
+        self.update_standings();
+    }
+
+    /// Applies changes of advisories; returns whether there were any.
+    pub(super) fn apply_advisory_changes(&mut self, now: TimeMs, changes: &[ObjectChange]) -> bool {
+        for ObjectChange { key, version, value } in changes {
+            let (version, value) = (*version, value.as_deref());
+            match Subject::parse(key) {
+                Some(Subject::Request(digest)) => match value.and_then(parse) {
+                    Some(record) => self.quarantine.stored_mut().put(now, digest, version, record),
+                    None => self.quarantine.stored_mut().remove(&digest, version),
+                },
+                None => {}
+            }
+        }
+        self.update_standings();
+        !changes.is_empty()
+    }
+}
+
+/// Carries out a write, and reads the record if the store holds another version.
+pub(super) async fn write_advisory<W: StoreCodec, K, R: Serialize + DeserializeOwned>(
+    store: &CountedStore<W>,
+    key: ObjectKey,
+    write: &RecordWrite<K, R>,
+) -> WriteOutcome<R> {
+    let request = match write {
+        RecordWrite::Put { version, record, .. } => {
+            let Ok(value) = serde_json::to_string(record) else { return WriteOutcome::Failed };
+            let (key, value): (_, Arc<str>) = (key.clone(), value.into());
+            match *version {
+                Some(version) => StoreRequest::Update { key, version, value },
+                None => StoreRequest::Create { key, value },
+            }
+        }
+        RecordWrite::Delete { version, .. } => {
+            StoreRequest::Delete { key: key.clone(), version: *version }
+        }
+    };
+    match store.call(StoreCallKind::Advisories, &request).await {
+        StoreReply::Written { version } => WriteOutcome::Written(version),
+        StoreReply::Conflict => {
+            match store.call(StoreCallKind::Advisories, &StoreRequest::Get { key }).await {
+                StoreReply::Found(object) => match parse(&object.value) {
+                    Some(record) => WriteOutcome::Found(object.version, record),
+                    None => WriteOutcome::Failed,
+                },
+                StoreReply::Missing => WriteOutcome::Missing,
+                _ => WriteOutcome::Failed,
+            }
+        }
+        // Repeating a write that took effect conflicts, and adds nothing.
+        _ => WriteOutcome::Failed,
+    }
+}
+
+fn parse<R: DeserializeOwned>(value: &str) -> Option<R> {
+    serde_json::from_str(value).ok()
+}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -22,13 +22,13 @@
 use smol::{LocalExecutor, Timer};
 
 use crate::adapter::Adapter;
+use crate::control::advisories::ADVISORIES_PREFIX;
 use crate::control::changes::Changes;
 use crate::control::coordinators::Coordinators;
 use crate::control::counted_store::CountedStore;
 use crate::control::event::{ControlEvent, FeedKind};
 use crate::control::feed::{Feed, FeedConditions};
 use crate::control::heartbeats::own_record;
-use crate::control::quarantine::QUARANTINE_PREFIX;
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
@@ -86,7 +86,7 @@
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
     pub(super) quarantine: Quarantine,
-    pub(super) quarantine_listed: bool,
+    pub(super) advisories_listed: bool,
     /// Last standings published to traffic.
     pub(super) standings: Arc<Standings>,
     pub(super) nodes_probed_at: TimeMs,
@@ -122,7 +122,7 @@
             relay,
             recent_suspicions: RecentSuspicions::default(),
             quarantine: Quarantine::new(),
-            quarantine_listed: false,
+            advisories_listed: false,
             standings: Arc::default(),
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
@@ -166,7 +166,7 @@
         let key = self.parts.adapter.configuration_key();
         let prefix = key.as_str().rsplit_once('/').map_or("", |(folder, _)| folder);
         self.start_feed(ObjectKey::new(format!("{prefix}/")), FeedKind::Configuration);
-        self.start_feed(ObjectKey::new(QUARANTINE_PREFIX), FeedKind::Quarantine);
+        self.start_feed(ObjectKey::new(ADVISORIES_PREFIX), FeedKind::Advisories);
         let tick_sender = self.parts.events.0.clone();
         let send_ticks = async move {
             while tick_sender.send(ControlEvent::Tick).await.is_ok() {
--- a/crates/gateway/src/control/counted_store.rs
+++ b/crates/gateway/src/control/counted_store.rs
@@ -17,8 +17,8 @@
     Nodes,
     /// Records of fabric domains.
     Placement,
-    /// Records of requests that were running when targets ended.
-    Quarantine,
+    /// What nodes have seen of targets and of requests.
+    Advisories,
 }
 
 impl StoreCallKind {
@@ -29,7 +29,7 @@
             Self::Targets => "targets",
             Self::Nodes => "nodes",
             Self::Placement => "placement",
-            Self::Quarantine => "quarantine",
+            Self::Advisories => "advisories",
         }
     }
 }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,7 +1,8 @@
 use celeryhaven_fleet::StoreContact;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_peers::{NodeRecord, ProbeResult};
-use celeryhaven_quarantine::{QuarantineWrite, WriteOutcome};
+use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
+use celeryhaven_records::WriteOutcome;
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
 use celeryhaven_types::{DomainName, NodeName};
 
@@ -15,8 +16,8 @@
     Configuration,
     /// The listed targets.
     Targets,
-    /// Records of requests that were running when targets ended.
-    Quarantine,
+    /// What nodes have seen of targets and of requests, for all nodes.
+    Advisories,
 }
 
 impl FeedKind {
@@ -25,7 +26,7 @@
         match self {
             Self::Configuration => StoreCallKind::Configuration,
             Self::Targets => StoreCallKind::Targets,
-            Self::Quarantine => StoreCallKind::Quarantine,
+            Self::Advisories => StoreCallKind::Advisories,
         }
     }
 
@@ -34,7 +35,7 @@
         match self {
             Self::Configuration => "configuration",
             Self::Targets => "targets",
-            Self::Quarantine => "quarantine",
+            Self::Advisories => "advisories",
         }
     }
 }
@@ -68,7 +69,7 @@
     /// Version of a domain record after a read or write.
     RecordVersion(DomainName, Option<ObjectVersion>),
     /// Outcome of a write of a quarantine record.
-    QuarantineWritten(QuarantineWrite, WriteOutcome),
+    QuarantineWritten(QuarantineWrite, WriteOutcome<CrashRecord>),
     /// Report from traffic.
     Traffic(TrafficReport),
     /// Periodic timer.
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -46,16 +46,16 @@
                         let first = !std::mem::replace(&mut self.targets_listed, true);
                         Changes::targets(changed | first)
                     }
-                    FeedKind::Quarantine => {
-                        self.replace_quarantine(now, version, &objects);
+                    FeedKind::Advisories => {
+                        self.replace_advisories(now, version, &objects);
                         Changes::nodes(true)
                     }
                 }
             }
             FeedUpdate::Changed { changes, store } => {
                 self.keep_lapsed_entries(now, store);
-                if kind == FeedKind::Quarantine {
-                    return Changes::nodes(self.apply_quarantine_changes(now, &changes));
+                if kind == FeedKind::Advisories {
+                    return Changes::nodes(self.apply_advisory_changes(now, &changes));
                 }
                 let changed = changes.iter().fold(false, |changed, change| {
                     changed | self.apply_change(now, kind, &change.key, change.value.as_deref())
@@ -77,7 +77,7 @@
             (FeedKind::Configuration, Some(value)) => {
                 *key == self.parts.adapter.configuration_key() && self.apply_configuration(value)
             }
-            (FeedKind::Configuration, None) | (FeedKind::Quarantine, _) => false,
+            (FeedKind::Configuration, None) | (FeedKind::Advisories, _) => false,
             (FeedKind::Targets, value) => {
                 let entry = value.and_then(|value| self.parse_target(key, value));
                 match entry {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: store feeds, coordination of domains, updates for traffic.
 
 mod actions;
+mod advisories;
 mod changes;
 mod control_loop;
 mod coordination;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -32,7 +32,7 @@
             senders: self.peers.live_count() as u32 + 1,
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
-            standings: self.quarantine_listed.then(|| self.standings.clone()),
+            standings: self.advisories_listed.then(|| self.standings.clone()),
         };
         if !self.published.as_ref().is_some_and(|last| last.is_same_as(&update)) {
             self.published = Some(update.clone());
@@ -43,7 +43,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.routes.is_some() && self.targets_listed && self.quarantine_listed && !self.leaving
+        self.routes.is_some() && self.targets_listed && self.advisories_listed && !self.leaving
     }
 
     /// Returns the addresses to advertise to callers.
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -2,58 +2,18 @@
 
 use async_channel::Sender;
 use celeryhaven_fleet::TargetPhase;
-use celeryhaven_quarantine::{
-    Crash, CrashRecord, QuarantineWrite, RequestDigest, Standing, WriteOutcome,
-};
-use celeryhaven_store::StoreCodec;
-use celeryhaven_types::store::{
-    Object, ObjectChange, ObjectKey, ObjectVersion, StoreReply, StoreRequest,
-};
+use celeryhaven_quarantine::{Crash, CrashRecord, QuarantineWrite, RequestDigest, Standing};
+use celeryhaven_records::WriteOutcome;
 use celeryhaven_types::{OrganisationName, TimeMs};
 use slog::{info, warn};
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::counted_store::{CountedStore, StoreCallKind};
+use crate::control::advisories::{request_key, write_advisory};
 use crate::control::event::ControlEvent;
 use crate::traffic::CrashReport;
 
-/// Prefix of the quarantine records in the store.
-pub(super) const QUARANTINE_PREFIX: &str = "quarantine/";
-
 impl<A: Adapter> Control<A> {
-    /// Replaces all records by those of a list.
-    pub(super) fn replace_quarantine(
-        &mut self,
-        now: TimeMs,
-        version: ObjectVersion,
-        objects: &[Object],
-    ) {
-        let records = objects.iter().filter_map(|object| {
-            Some((digest_of(&object.key)?, object.version, parse_record(&object.value)?))
-        });
-        self.quarantine.replace(now, version, records);
-        self.quarantine_listed = true;
-        self.update_standings();
-    }
-
-    /// Applies changes of records; returns whether there were any.
-    pub(super) fn apply_quarantine_changes(
-        &mut self,
-        now: TimeMs,
-        changes: &[ObjectChange],
-    ) -> bool {
-        for change in changes {
-            let Some(digest) = digest_of(&change.key) else { continue };
-            match change.value.as_deref().and_then(parse_record) {
-                Some(record) => self.quarantine.put(now, digest, change.version, record),
-                None => self.quarantine.remove(digest, change.version),
-            }
-        }
-        self.update_standings();
-        !changes.is_empty()
-    }
-
     /// Records crashes that this node's traffic has seen, unless the target had announced its end.
     pub(super) fn report_crashes(&mut self, now: TimeMs, crashes: Vec<CrashReport>) {
         for report in crashes {
@@ -103,7 +63,7 @@
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let log = self.parts.log.clone();
         let claim = async move {
-            let outcome = execute(&store, &write).await;
+            let outcome = write_advisory(&store, request_key(*write.key()), &write).await;
             let is_granted = matches!(outcome, WriteOutcome::Written(_));
             info!(log, "quarantine trial"; "digest" => digest.to_string(), "granted" => is_granted);
             reply.try_send(is_granted).unwrap_or_default();
@@ -118,7 +78,7 @@
         for write in self.quarantine.due_writes(now, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
-                let outcome = execute(&store, &write).await;
+                let outcome = write_advisory(&store, request_key(*write.key()), &write).await;
                 let event = ControlEvent::QuarantineWritten(write, outcome);
                 events.send(event).await.unwrap_or_default();
             };
@@ -131,7 +91,7 @@
         &mut self,
         now: TimeMs,
         write: &QuarantineWrite,
-        outcome: WriteOutcome,
+        outcome: WriteOutcome<CrashRecord>,
     ) {
         self.quarantine.written(now, write, outcome);
         self.write_quarantine(now);
@@ -139,7 +99,7 @@
     }
 
     /// Updates the standings for traffic, and logs what has changed.
-    fn update_standings(&mut self) {
+    pub(super) fn update_standings(&mut self) {
         let standings = self.quarantine.standings();
         if standings == *self.standings {
             return;
@@ -177,44 +137,3 @@
             "route" => &record.route, "crashes" => crashes.join(", "));
     }
 }
-
-/// Carries out a write, and reads the record if the store holds another version.
-async fn execute<W: StoreCodec>(store: &CountedStore<W>, write: &QuarantineWrite) -> WriteOutcome {
-    let key = ObjectKey::new(format!("{QUARANTINE_PREFIX}{}", write.digest()));
-    let request = match write {
-        QuarantineWrite::Put { version, record, .. } => {
-            let Ok(value) = serde_json::to_string(record) else { return WriteOutcome::Failed };
-            let (key, value) = (key.clone(), value.into());
-            match *version {
-                Some(version) => StoreRequest::Update { key, version, value },
-                None => StoreRequest::Create { key, value },
-            }
-        }
-        QuarantineWrite::Delete { version, .. } => {
-            StoreRequest::Delete { key: key.clone(), version: *version }
-        }
-    };
-    match store.call(StoreCallKind::Quarantine, &request).await {
-        StoreReply::Written { version } => WriteOutcome::Written(version),
-        StoreReply::Conflict => {
-            match store.call(StoreCallKind::Quarantine, &StoreRequest::Get { key }).await {
-                StoreReply::Found(object) => {
-                    let record = parse_record(&object.value).unwrap_or_default();
-                    WriteOutcome::Found(object.version, record)
-                }
-                StoreReply::Missing => WriteOutcome::Missing,
-                _ => WriteOutcome::Failed,
-            }
-        }
-        // Repeating a write that took effect conflicts, and adds nothing.
-        _ => WriteOutcome::Failed,
-    }
-}
-
-fn digest_of(key: &ObjectKey) -> Option<RequestDigest> {
-    key.as_str().strip_prefix(QUARANTINE_PREFIX)?.parse().ok()
-}
-
-fn parse_record(value: &str) -> Option<CrashRecord> {
-    serde_json::from_str(value).ok()
-}
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -24,7 +24,7 @@
     token: Rc<str>,
     configuration: Rc<RelayLog>,
     targets: Rc<RelayLog>,
-    quarantine: Rc<RelayLog>,
+    advisories: Rc<RelayLog>,
     /// Demand of the followers and of the fleet.
     pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
@@ -44,7 +44,7 @@
             token: token.into(),
             configuration: Rc::default(),
             targets: Rc::default(),
-            quarantine: Rc::default(),
+            advisories: Rc::default(),
             demand: Rc::default(),
         }
     }
@@ -119,7 +119,7 @@
         match kind {
             FeedKind::Configuration => &self.configuration,
             FeedKind::Targets => &self.targets,
-            FeedKind::Quarantine => &self.quarantine,
+            FeedKind::Advisories => &self.advisories,
         }
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,13 +19,11 @@
 mod crash_record;
 mod pending_crashes;
 mod quarantine;
-mod quarantine_write;
 mod request_digest;
 mod standing;
 
 pub use crash_record::{CRASHES_MAX, Crash, CrashRecord};
 pub use pending_crashes::{PendingCrash, PendingCrashes};
-pub use quarantine::Quarantine;
-pub use quarantine_write::{QuarantineWrite, WriteOutcome};
+pub use quarantine::{Quarantine, QuarantineWrite};
 pub use request_digest::{InvalidDigest, RequestDigest};
 pub use standing::{Standing, Standings};
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,9 +1,13 @@
 use std::collections::BTreeMap;
 
+use celeryhaven_records::{RecordTable, RecordWrite, StoredRecord, WriteOutcome};
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectVersion;
 
-use crate::{CrashRecord, QuarantineWrite, RequestDigest, Standing, Standings, WriteOutcome};
+use crate::{CrashRecord, RequestDigest, Standing, Standings};
+
+/// A write of a record.
+pub type QuarantineWrite = RecordWrite<RequestDigest, CrashRecord>;
 
 /// Pauses before the trials of a quarantined request, in milliseconds.
 ///
@@ -23,15 +27,6 @@
 /// Pause before a failed write is repeated, in milliseconds.
 const WRITE_RETRY_MS: u64 = 400;
 
-/// A record as read from the store.
-#[derive(Clone, Debug)]
-struct StoredRecord {
-    version: ObjectVersion,
-    record: CrashRecord,
-    /// When this node first saw the version.
-    seen_at: TimeMs,
-}
-
 /// What this node has to add to a record.
 #[derive(Clone, Debug)]
 struct Unwritten {
@@ -46,7 +41,7 @@
 /// reports by conditional writes, and acts on its reports before they are written.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    stored: BTreeMap<RequestDigest, StoredRecord>,
+    stored: RecordTable<RequestDigest, CrashRecord>,
     unwritten: BTreeMap<RequestDigest, Unwritten>,
     /// Records that this node is removing.
     deleting: BTreeMap<RequestDigest, TimeMs>,
@@ -58,46 +53,9 @@
         Self::default()
     }
 
-    /// Replaces all records by those that the store held at a version.
-    pub fn replace(
-        &mut self,
-        now: TimeMs,
-        version: ObjectVersion,
-        records: impl IntoIterator<Item = (RequestDigest, ObjectVersion, CrashRecord)>,
-    ) {
-        let before = std::mem::take(&mut self.stored);
-        for (digest, version, record) in records {
-            self.put(now, digest, version, record);
-        }
-        // A list of a relay may be older than this node's last write.
-        for (digest, stored) in before {
-            match self.stored.get(&digest) {
-                Some(listed) if listed.version > stored.version => {}
-                Some(_) => drop(self.stored.insert(digest, stored)),
-                None if stored.version > version => drop(self.stored.insert(digest, stored)),
-                None => {}
-            }
-        }
-    }
-
-    /// Sets a record, unless a newer version is known.
-    pub fn put(
-        &mut self,
-        now: TimeMs,
-        digest: RequestDigest,
-        version: ObjectVersion,
-        record: CrashRecord,
-    ) {
-        if self.stored.get(&digest).is_none_or(|known| known.version < version) {
-            self.stored.insert(digest, StoredRecord { version, record, seen_at: now });
-        }
-    }
-
-    /// Removes a record that the store no longer holds as of a version.
-    pub fn remove(&mut self, digest: RequestDigest, version: ObjectVersion) {
-        if self.stored.get(&digest).is_some_and(|known| known.version <= version) {
-            self.stored.remove(&digest);
-        }
+    /// Returns the records of the store, to be updated from what the store holds.
+    pub fn stored_mut(&mut self) -> &mut RecordTable<RequestDigest, CrashRecord> {
+        &mut self.stored
     }
 
     /// Returns the record of a request, with this node's own reports.
@@ -111,7 +69,7 @@
 
     /// Returns the standing of every request that has one.
     pub fn standings(&self) -> Standings {
-        let digests = self.stored.keys().chain(self.unwritten.keys());
+        let digests = self.stored.iter().map(|(digest, _)| digest).chain(self.unwritten.keys());
         digests.filter_map(|digest| Some((*digest, self.standing(*digest)?))).collect()
     }
 
@@ -154,7 +112,7 @@
         };
         let stored = self.stored.get(&digest).filter(|_| trial_at <= now)?;
         let record = CrashRecord { trials: stored.record.trials + 1, ..stored.record.clone() };
-        Some(QuarantineWrite::Put { digest, version: Some(stored.version), record })
+        Some(RecordWrite::Put { key: digest, version: Some(stored.version), record })
     }
 
     /// Returns the writes that are due; `removes_expired` holds at the node that cleans up.
@@ -173,11 +131,11 @@
             if !unwritten.is_being_written && unwritten.retry_at <= now {
                 unwritten.is_being_written = true;
                 let version = known.map(|known| known.version);
-                writes.push(QuarantineWrite::Put { digest: *digest, version, record });
+                writes.push(RecordWrite::Put { key: *digest, version, record });
             }
             true
         });
-        let created = writes.iter().filter(|write| !stored.contains_key(&write.digest())).count();
+        let created = writes.iter().filter(|write| stored.get(write.key()).is_none()).count();
         self.make_room(now, created, &mut writes);
         if removes_expired {
             self.remove_expired(now, &mut writes);
@@ -201,11 +159,10 @@
         // Without room, only the reporting node acts on a new report.
         let mut missing = excess - removed;
         writes.retain(|write| {
-            let digest = write.digest();
-            let is_dropped = missing > 0 && !self.stored.contains_key(&digest);
+            let is_dropped = missing > 0 && self.stored.get(write.key()).is_none();
             if is_dropped {
                 missing -= 1;
-                if let Some(unwritten) = self.unwritten.get_mut(&digest) {
+                if let Some(unwritten) = self.unwritten.get_mut(write.key()) {
                     unwritten.is_being_written = false;
                     unwritten.retry_at = now.after(SUSPECT_RETENTION_MS);
                 }
@@ -215,7 +172,7 @@
     }
 
     fn remove_expired(&mut self, now: TimeMs, writes: &mut Vec<QuarantineWrite>) {
-        let is_expired = |stored: &StoredRecord| {
+        let is_expired = |stored: &StoredRecord<CrashRecord>| {
             let retention_ms = match stored.record.is_quarantined() {
                 true => QUARANTINE_RETENTION_MS,
                 false => SUSPECT_RETENTION_MS,
@@ -238,32 +195,25 @@
     ) {
         self.deleting.retain(|_, until| *until > now);
         if self.deleting.insert(digest, now.after(WRITE_RETRY_MS)).is_none() {
-            writes.push(QuarantineWrite::Delete { digest, version });
+            writes.push(RecordWrite::Delete { key: digest, version });
         }
     }
 
     /// Applies the outcome of a write.
-    pub fn written(&mut self, now: TimeMs, write: &QuarantineWrite, outcome: WriteOutcome) {
-        let digest = write.digest();
-        match (write, outcome) {
-            (QuarantineWrite::Put { record, .. }, WriteOutcome::Written(version)) => {
-                self.put(now, digest, version, record.clone());
-            }
-            (QuarantineWrite::Delete { .. }, WriteOutcome::Written(version)) => {
-                self.remove(digest, version);
-            }
-            (_, WriteOutcome::Found(version, record)) => self.put(now, digest, version, record),
-            (_, WriteOutcome::Missing) => drop(self.stored.remove(&digest)),
-            (_, WriteOutcome::Failed) => {
-                if let Some(unwritten) = self.unwritten.get_mut(&digest) {
-                    unwritten.retry_at = now.after(WRITE_RETRY_MS);
-                }
-            }
-        }
-        if let (QuarantineWrite::Put { .. }, Some(unwritten)) =
-            (write, self.unwritten.get_mut(&digest))
+    pub fn written(
+        &mut self,
+        now: TimeMs,
+        write: &QuarantineWrite,
+        outcome: WriteOutcome<CrashRecord>,
+    ) {
+        if let (RecordWrite::Put { .. }, Some(unwritten)) =
+            (write, self.unwritten.get_mut(write.key()))
         {
             unwritten.is_being_written = false;
+            if outcome == WriteOutcome::Failed {
+                unwritten.retry_at = now.after(WRITE_RETRY_MS);
+            }
         }
+        self.stored.apply_write(now, write, outcome);
     }
 }
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -4,8 +4,8 @@
 
 use celeryhaven_quarantine::{
     CRASHES_MAX, Crash, CrashRecord, Quarantine, QuarantineWrite, RequestDigest, Standing,
-    WriteOutcome,
 };
+use celeryhaven_records::{RecordWrite, WriteOutcome};
 use celeryhaven_types::store::ObjectVersion;
 use celeryhaven_types::{NodeName, TimeMs, VmName};
 
@@ -19,25 +19,25 @@
 }
 
 impl Store {
-    fn execute(&mut self, write: &QuarantineWrite) -> WriteOutcome {
-        let digest = write.digest();
+    fn execute(&mut self, write: &QuarantineWrite) -> WriteOutcome<CrashRecord> {
+        let digest = *write.key();
         let found = self.records.get(&digest).cloned();
         let expected = match write {
-            QuarantineWrite::Put { version, .. } => *version,
-            QuarantineWrite::Delete { version, .. } => Some(*version),
+            RecordWrite::Put { version, .. } => *version,
+            RecordWrite::Delete { version, .. } => Some(*version),
         };
         match (write, found) {
             (_, Some((version, record))) if Some(version) != expected => {
                 WriteOutcome::Found(version, record)
             }
             (_, None) if expected.is_some() => WriteOutcome::Missing,
-            (QuarantineWrite::Put { record, .. }, _) => {
+            (RecordWrite::Put { record, .. }, _) => {
                 self.version += 1;
                 let version = ObjectVersion::new(self.version);
                 self.records.insert(digest, (version, record.clone()));
                 WriteOutcome::Written(version)
             }
-            (QuarantineWrite::Delete { version, .. }, _) => {
+            (RecordWrite::Delete { version, .. }, _) => {
                 self.records.remove(&digest);
                 WriteOutcome::Written(*version)
             }
@@ -58,7 +58,7 @@
         let records = self.records.iter();
         let records =
             records.map(|(digest, (version, record))| (*digest, *version, record.clone()));
-        node.replace(now, ObjectVersion::new(self.version), records);
+        node.stored_mut().replace(now, ObjectVersion::new(self.version), records);
     }
 }
 
@@ -232,7 +232,7 @@
     for ms in (0..3_600_000).step_by(1_000) {
         for write in node.due_writes(at(ms), true) {
             let outcome = store.execute(&write);
-            removed.push((write.digest(), ms));
+            removed.push((*write.key(), ms));
             node.written(at(ms), &write, outcome);
         }
     }
@@ -245,8 +245,8 @@
 fn replace_by_older_list() {
     let (mut store, mut node) = (Store::default(), Quarantine::new());
     quarantine(&mut store, &mut node, digest(1));
-    node.replace(at(0), ObjectVersion::new(0), []);
+    node.stored_mut().replace(at(0), ObjectVersion::new(0), []);
     assert!(is_quarantined(&node, digest(1)));
-    node.replace(at(0), ObjectVersion::new(store.version + 1), []);
+    node.stored_mut().replace(at(0), ObjectVersion::new(store.version + 1), []);
     assert!(!is_quarantined(&node, digest(1)), "an operator has removed the record");
 }
