gateway: hold the rates that targets name, summed over all nodes (LIMIT)

Targets in need named in their answers what they take and got what they had got before: 21 requests in four seconds where 11 are allowed, from nodes that had all been told.

Cause: the answer's limit was read nowhere. Held by each node for itself it would still be broken: the first requests of eight nodes alone are more than a limit of one a second allows, and 340 nodes much more.

Change: the adapter reads the limit of any answer; one that cannot be read is neither a limit nor its end. New crate target-limits: the live nodes are ranked for each limited target, as many as the rate has requests a second and one more share it, the others send elsewhere. A record in the store (advisories/target-NAME) tells all nodes, also those that were never told and those that start, and its removal that the limit has ended: only a served answer to a request sent after the limit was known shows that, and only nodes that still send can see it. A restarted target has no limit. Without a record a node acts on what it was told for ten seconds and more, growing with the fleet. The policy paces a limited target with tokens before it is chosen, so that no request waits for a token while another target is free; counts it as the slots that it fills at its rate, so that what can only wait is refused at once; and lets the rate grow over five seconds after the end, since all nodes return then. Class slots are a float for this. Where targets are pooled, a node adds those it has a part of.

New metric targets_limited.

--- a/crates/gateway/src/adapter/messages.rs
+++ b/crates/gateway/src/adapter/messages.rs
@@ -51,8 +51,20 @@
         pub last_event_id: Option<&'a str>,
     }
 
+    /// Limit that a target names in an answer.
+    #[derive(Copy, Default)]
+    pub enum LimitHeader {
+        /// The answer names none.
+        #[default]
+        Absent,
+        /// The answer names one that cannot be read.
+        Invalid,
+        /// Requests a second from all nodes together; finite and not negative.
+        RatePerS(f64),
+    }
+
     /// Fields of a target's answer head besides the status.
-    #[derive(Default, Eq)]
+    #[derive(Default)]
     pub struct AnswerHead {
         /// The echoed request id.
         pub request_id: Option<String>,
@@ -60,6 +72,8 @@
         pub not_run: bool,
         /// Load of the target.
         pub load: Option<ReportedLoad>,
+        /// Limit that the target names.
+        pub limit: LimitHeader,
         /// Member of the replica that the target reports as lost.
         pub reported_lost: Option<VmName>,
         /// How long the target keeps an idle connection open, in seconds, if reported.
--- a/crates/gateway/src/adapter/mod.rs
+++ b/crates/gateway/src/adapter/mod.rs
@@ -6,6 +6,7 @@
 
 pub use adapter_trait::Adapter;
 pub use messages::{
-    AddressAnswer, AnswerHead, CallerHead, Paths, ReportedLoad, TargetCall, TargetRequestHead,
+    AddressAnswer, AnswerHead, CallerHead, LimitHeader, Paths, ReportedLoad, TargetCall,
+    TargetRequestHead,
 };
 pub use parse_error::ParseError;
--- a/crates/gateway/src/control/advisories.rs
+++ b/crates/gateway/src/control/advisories.rs
@@ -3,10 +3,10 @@
 use celeryhaven_quarantine::RequestDigest;
 use celeryhaven_records::{RecordWrite, WriteOutcome};
 use celeryhaven_store::StoreCodec;
-use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::{
     Object, ObjectChange, ObjectKey, ObjectVersion, StoreReply, StoreRequest,
 };
+use celeryhaven_types::{TimeMs, VmName};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -17,19 +17,25 @@
 /// Prefix of the advisories in the store: what nodes have seen of requests and of targets.
 pub(super) const ADVISORIES_PREFIX: &str = "advisories/";
 
-/// Start of the names of advisories on requests.
+/// Starts of the names of advisories, by what they are about.
 const REQUEST_NAME: &str = "request-";
+const TARGET_NAME: &str = "target-";
 
 /// What an advisory is about.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Subject {
     Request(RequestDigest),
+    Target(VmName),
 }
 
 impl Subject {
     fn parse(key: &ObjectKey) -> Option<Self> {
         let name = key.as_str().strip_prefix(ADVISORIES_PREFIX)?;
-        name.strip_prefix(REQUEST_NAME)?.parse().ok().map(Self::Request)
+        match (name.strip_prefix(REQUEST_NAME), name.strip_prefix(TARGET_NAME)) {
+            (Some(digest), _) => digest.parse().ok().map(Self::Request),
+            (None, Some(target)) => Some(Self::Target(VmName::new(target))),
+            (None, None) => None,
+        }
     }
 }
 
@@ -38,6 +44,11 @@
     ObjectKey::new(format!("{ADVISORIES_PREFIX}{REQUEST_NAME}{digest}"))
 }
 
+/// Returns the key of the advisory on a target.
+pub(super) fn target_key(target: &VmName) -> ObjectKey {
+    ObjectKey::new(format!("{ADVISORIES_PREFIX}{TARGET_NAME}{target}"))
+}
+
 impl<A: Adapter> Control<A> {
     /// Replaces all advisories by those of a list.
     pub(super) fn replace_advisories(
@@ -46,19 +57,25 @@
         version: ObjectVersion,
         objects: &[Object],
     ) {
-        let mut requests = Vec::new();
+        let (mut requests, mut targets) = (Vec::new(), Vec::new());
         for object in objects {
             match Subject::parse(&object.key) {
                 Some(Subject::Request(digest)) => {
                     let record = parse(&object.value);
                     requests.extend(record.map(|record| (digest, object.version, record)));
                 }
+                Some(Subject::Target(target)) => {
+                    let record = parse(&object.value);
+                    targets.extend(record.map(|record| (target, object.version, record)));
+                }
                 None => {}
             }
         }
         self.quarantine.stored_mut().replace(now, version, requests);
+        self.limits.stored_mut().replace(now, version, targets);
         self.advisories_listed = true;
         self.update_standings();
+        self.update_limits(now);
     }
 
     /// Applies changes of advisories; returns whether there were any.
@@ -70,10 +87,15 @@
                     Some(record) => self.quarantine.stored_mut().put(now, digest, version, record),
                     None => self.quarantine.stored_mut().remove(&digest, version),
                 },
+                Some(Subject::Target(target)) => match value.and_then(parse) {
+                    Some(record) => self.limits.stored_mut().put(now, target, version, record),
+                    None => self.limits.stored_mut().remove(&target, version),
+                },
                 None => {}
             }
         }
         self.update_standings();
+        self.update_limits(now);
         !changes.is_empty()
     }
 }
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -13,6 +13,7 @@
 use celeryhaven_quarantine::{Quarantine, Standings};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
+use celeryhaven_target_limits::TargetLimits;
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectKey;
@@ -32,7 +33,7 @@
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
-use crate::traffic::{Destination, OfferedLoad, TrafficReport, TrafficUpdate};
+use crate::traffic::{Destination, OfferedLoad, TargetLimitMap, TrafficReport, TrafficUpdate};
 
 /// Interval between two [`ControlEvent::Tick`] events.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -89,6 +90,9 @@
     pub(super) advisories_listed: bool,
     /// Last standings published to traffic.
     pub(super) standings: Arc<Standings>,
+    pub(super) limits: TargetLimits,
+    /// Last limits published to traffic.
+    pub(super) node_limits: Arc<TargetLimitMap>,
     pub(super) nodes_probed_at: TimeMs,
     pub(super) demand: DemandMeter,
     pub(super) shares: ModelShares,
@@ -124,6 +128,8 @@
             quarantine: Quarantine::new(),
             advisories_listed: false,
             standings: Arc::default(),
+            limits: TargetLimits::new(),
+            node_limits: Arc::default(),
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
             shares: ModelShares::new(),
@@ -236,15 +242,21 @@
                 self.record_quarantine_write(now, &write, outcome);
                 Changes::nodes(true)
             }
+            ControlEvent::LimitWritten(write, outcome) => {
+                self.record_limit_write(now, &write, outcome);
+                Changes::nodes(true)
+            }
             ControlEvent::Traffic(report) => {
                 self.handle_traffic_report(now, report);
-                Changes::FORMING
+                Changes::nodes(true) | Changes::FORMING
             }
             ControlEvent::Tick => {
                 self.probe_nodes(now);
                 self.log_store_calls(now);
                 self.update_demand_shares(now);
                 self.write_quarantine(now);
+                self.write_limits(now);
+                self.update_limits(now);
                 let expired = Changes::targets(self.fleet.expire(now));
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -295,6 +307,7 @@
             TrafficReport::Offered(loads) => self.record_offered_load(now, &loads),
             TrafficReport::Crashed(crashes) => self.report_crashes(now, crashes),
             TrafficReport::Completed(digest) => self.report_completed(now, digest),
+            TrafficReport::LimitNamed(named) => self.observe_limit(now, &named),
             TrafficReport::TrialDue(digest, reply) => self.claim_trial(now, digest, reply),
         }
     }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -3,6 +3,7 @@
 use celeryhaven_peers::{NodeRecord, ProbeResult};
 use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
 use celeryhaven_records::WriteOutcome;
+use celeryhaven_target_limits::{LimitRecord, LimitWrite};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
 use celeryhaven_types::{DomainName, NodeName};
 
@@ -70,6 +71,8 @@
     RecordVersion(DomainName, Option<ObjectVersion>),
     /// Outcome of a write of a quarantine record.
     QuarantineWritten(QuarantineWrite, WriteOutcome<CrashRecord>),
+    /// Outcome of a write of a target's limit.
+    LimitWritten(LimitWrite, WriteOutcome<LimitRecord>),
     /// Report from traffic.
     Traffic(TrafficReport),
     /// Periodic timer.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod feed;
 mod feed_updates;
 mod heartbeats;
+mod limits;
 mod publish;
 mod quarantine;
 mod relay;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -32,6 +32,7 @@
             senders: self.peers.live_count() as u32 + 1,
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
+            limits: self.node_limits.clone(),
             standings: self.advisories_listed.then(|| self.standings.clone()),
         };
         if !self.published.as_ref().is_some_and(|last| last.is_same_as(&update)) {
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -39,6 +39,7 @@
 
     /// Sends the request and forwards the answer.
     pub(crate) async fn run(mut self) -> AttemptOutcome {
+        let sent_at = self.exchange.dispatcher.now();
         let (connection, response) = match self.send().await {
             Ok(sent) => sent,
             Err(outcome) => return outcome,
@@ -48,6 +49,8 @@
         if let Some(load) = head.load {
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
         }
+        let is_served = response.status().is_success();
+        dispatcher.limit_named(self.destination, head.limit, sent_at, is_served);
         if head.not_run {
             return self.refused(&response, &head);
         }
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -8,7 +8,9 @@
 use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
 
 use crate::traffic::pool::{Pool, RetryLimits};
-use crate::traffic::{CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad};
+use crate::traffic::{
+    CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, TargetLimitMap,
+};
 
 /// Identifies a pool: the service, and the model if the service has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -57,6 +59,8 @@
     pub(crate) standings: Option<Arc<Standings>>,
     /// Crashes that are not reported yet.
     pub(crate) crashes: PendingCrashes<CrashReport>,
+    /// Limits of targets, and this node's parts of them.
+    pub(crate) limits: Arc<TargetLimitMap>,
     pools: Map<PoolKey, Pool>,
     senders: u32,
     next_ticket: Ticket,
@@ -79,6 +83,7 @@
             active_requests: Map::default(),
             standings: None,
             crashes: PendingCrashes::new(),
+            limits: Arc::default(),
             pools: Map::default(),
             senders: 1,
             next_ticket: Ticket::default(),
@@ -148,6 +153,21 @@
         }
     }
 
+    /// Sets the limits of targets.
+    pub(crate) fn set_limits(&mut self, now: TimeMs, limits: Arc<TargetLimitMap>) {
+        if Arc::ptr_eq(&self.limits, &limits) {
+            return;
+        }
+        self.limits = limits;
+        for key in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let mut out = Vec::new();
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.set_limits(now, &self.limits, &mut out);
+            }
+            self.execute(&key, out);
+        }
+    }
+
     /// Sets the number of nodes that send to the same targets.
     pub(crate) fn set_senders(&mut self, now: TimeMs, senders: u32) {
         if senders == self.senders {
@@ -285,6 +305,7 @@
         let mut pool = Pool::new(class, self.seed, engine, self.retry_limits());
         let mut out = Vec::new();
         pool.set_senders(now, self.senders, self.retry_limits(), &mut out);
+        pool.set_limits(now, &self.limits, &mut out);
         pool.set_targets(now, &self.eligible_destinations(now, key), &mut out);
         pool
     }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -80,6 +80,7 @@
             state.standings = update.standings;
             state.set_senders(now, update.senders);
             state.set_destinations(now, update.destinations);
+            state.set_limits(now, update.limits);
         }
     }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod dispatcher;
 mod exchange;
 mod forward;
+mod limits;
 mod pool;
 mod quarantine_gate;
 mod sink;
@@ -18,8 +19,10 @@
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use exchange::Exchange;
+pub(crate) use limits::TargetLimitMap;
 pub(crate) use quarantine_gate::Admission;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
-    CrashReport, Destination, DestinationName, OfferedLoad, TrafficReport, TrafficUpdate,
+    CrashReport, Destination, DestinationName, NamedLimit, OfferedLoad, TrafficReport,
+    TrafficUpdate,
 };
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use celeryhaven_fleet::{EngineProfile, ModelProfile};
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
@@ -6,7 +8,7 @@
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
 
 use crate::adapter::ReportedLoad;
-use crate::traffic::{Destination, DestinationName};
+use crate::traffic::{Destination, DestinationName, TargetLimitMap};
 
 /// Initial estimate of the time for a plain answer, in milliseconds.
 const INITIAL_PLAIN_ANSWER_MS: f64 = 40.0;
@@ -43,6 +45,8 @@
     /// All eligible destinations, of which this node may use a subset.
     all_destinations: Vec<Destination>,
     subset: TargetSubset,
+    /// Limits of targets, and this node's parts of them.
+    limits: Arc<TargetLimitMap>,
     senders: u32,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
@@ -131,6 +135,7 @@
             next_key: TargetKey::default(),
             all_destinations: Vec::new(),
             subset: TargetSubset::new(seed),
+            limits: Arc::default(),
             senders: 1,
             tokens_per_event,
             request_times,
@@ -165,7 +170,7 @@
         let all = std::mem::take(&mut self.all_destinations);
         let sharing = self.sharing(&all);
         let selected: Vec<&Destination> = match sharing {
-            Sharing::Pooled => self.subset.choose(&all, |destination| destination.name.as_str()),
+            Sharing::Pooled => self.choose_subset(&all),
             _ => all.iter().collect(),
         };
         let senders = TargetSubset::senders_per_target(self.senders, selected.len(), all.len());
@@ -191,6 +196,43 @@
             }
         }
         self.all_destinations = all;
+        self.apply_limits(now, out);
+    }
+
+    /// Chooses the targets that this node sends to: of the limited ones, those that it has a part
+    /// of.
+    fn choose_subset<'a>(&self, all: &'a [Destination]) -> Vec<&'a Destination> {
+        let node_rate_per_s = |destination: &&Destination| {
+            self.limits.get(&destination.target).map(|limit| limit.node_rate_per_s)
+        };
+        let unlimited: Vec<&Destination> =
+            all.iter().filter(|destination| node_rate_per_s(destination).is_none()).collect();
+        let chosen = self.subset.choose(&unlimited, |destination| destination.name.as_str());
+        let limited = all.iter().filter(|destination| node_rate_per_s(destination) > Some(0.0));
+        let selected: Vec<&Destination> = chosen.into_iter().copied().chain(limited).collect();
+        match selected.is_empty() {
+            true => all.iter().collect(),
+            false => selected,
+        }
+    }
+
+    /// Sets the limits of targets.
+    pub(crate) fn set_limits(
+        &mut self,
+        now: TimeMs,
+        limits: &Arc<TargetLimitMap>,
+        out: &mut Vec<Decision>,
+    ) {
+        self.limits = limits.clone();
+        self.update_targets(now, out);
+    }
+
+    fn apply_limits(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
+        for (&target, destination) in &self.destinations {
+            let limit = self.limits.get(&destination.target);
+            let rate_per_s = limit.map(|limit| limit.node_rate_per_s);
+            self.policy.handle(now, PolicyEvent::Limited { target, rate_per_s }, out);
+        }
     }
 
     fn sharing(&self, all: &[Destination]) -> Sharing {
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -7,6 +7,8 @@
 use celeryhaven_quarantine::{RequestDigest, Standings};
 use celeryhaven_types::{ModelName, OrganisationName, ServiceName, TimeMs, VmName};
 
+use crate::traffic::TargetLimitMap;
+
 state! {
     /// Identifies a destination.
     #[derive(Eq, Hash, PartialOrd, Ord)]
@@ -36,6 +38,16 @@
         pub(crate) started_at_ms: Option<u64>,
     }
 
+    /// The limit that an answer of a target has named.
+    pub(crate) struct NamedLimit {
+        /// The target.
+        pub(crate) target: VmName,
+        /// Start time of the target's process, in Unix milliseconds.
+        pub(crate) started_at_ms: Option<u64>,
+        /// Requests a second from all nodes; `None` if the limit has ended.
+        pub(crate) rate_per_s: Option<f64>,
+    }
+
     /// A target that ended while it ran a request of this node.
     #[derive(Eq)]
     pub(crate) struct CrashReport {
@@ -78,6 +90,8 @@
     /// Time until which this node counts as cut off from the store.
     pub(crate) cut_off_until: Option<TimeMs>,
     /// Requests that are suspected of ending their targets, or quarantined.
+    /// Limits of targets, and this node's parts of them.
+    pub(crate) limits: Arc<TargetLimitMap>,
     /// `None` until they have been read.
     pub(crate) standings: Option<Arc<Standings>>,
 }
@@ -100,6 +114,7 @@
             && self.ready == other.ready
             && self.cut_off_until == other.cut_off_until
             && standings
+            && Arc::ptr_eq(&self.limits, &other.limits)
     }
 }
 
@@ -128,6 +143,8 @@
     Crashed(Vec<CrashReport>),
     /// A suspected request has completed.
     Completed(RequestDigest),
+    /// An answer has named a limit of its target that was not known, or named none.
+    LimitNamed(NamedLimit),
     /// A trial of a quarantined request is due; the answer tells whether this node may make it.
     TrialDue(RequestDigest, Sender<bool>),
 }
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -178,6 +178,7 @@
             PolicyEvent::Reported { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
+            | PolicyEvent::Limited { .. }
             | PolicyEvent::Organisations { .. } => {}
         }
         self.dispatch_queued(now, out);
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -289,6 +289,21 @@
         Upstream { relay, is_relay }
     }
 
+    /// Returns the number of live nodes that precede this one in the order for a key, and the
+    /// number of live nodes including this one.
+    ///
+    /// A node that is leaving comes last.
+    pub fn position_for(&self, key: &str, own_is_leaving: bool) -> (usize, usize) {
+        let order = Ranking::new(key);
+        let own = order.weight(&self.own);
+        let live = self.nodes.values().filter(|state| state.is_live());
+        let preceding = live.filter(|state| {
+            own_is_leaving
+                || (order.weight(&state.record.node), &state.record.node) < (own, &self.own)
+        });
+        (preceding.count(), self.live_count + 1)
+    }
+
     /// Returns the relays of this node's data centre that follow the roots.
     fn relays_below(&self, roots: &[NodeName]) -> Vec<&NodeName> {
         let relay_count = (self.near_relays.len() / NODES_PER_RELAY).max(1);
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -240,3 +240,16 @@
         }
     }
 }
+
+/// Nodes that share a rate must each have a place of their own; one that leaves comes last.
+#[test]
+fn position_for_each_node() {
+    for nodes in [1, 2, 9, 60] {
+        let fleet = fleet(nodes, &[]);
+        let places: BTreeSet<_> =
+            fleet.iter().map(|peers| peers.position_for("vm-1", false)).collect();
+        let expected: BTreeSet<_> = (0..nodes).map(|rank| (rank, nodes)).collect();
+        assert_eq!(places, expected);
+        assert_eq!(fleet[0].position_for("vm-1", true), (nodes - 1, nodes));
+    }
+}
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -82,7 +82,8 @@
             PolicyEvent::Started { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
-            | PolicyEvent::Organisations { .. } => return,
+            | PolicyEvent::Organisations { .. }
+            | PolicyEvent::Limited { .. } => return,
         }
         self.dispatch_queued(out);
     }
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -35,8 +35,8 @@
     wait_feedback: bool,
     pub(crate) output_lengths: OutputTokenEstimates,
     pub(crate) retry_schedule: RetrySchedule,
-    /// Total slots of the targets.
-    pub(crate) slots: u32,
+    /// Slots of the targets that count towards its capacity.
+    pub(crate) slots: f64,
     /// Requests of this node at the targets.
     pub(crate) in_flight: InFlight,
     /// Expected completion times of the requests at the targets, in milliseconds.
@@ -81,7 +81,7 @@
             wait_feedback: settings.wait_feedback,
             output_lengths: OutputTokenEstimates::default(),
             retry_schedule: RetrySchedule::new(),
-            slots: 0,
+            slots: 0.0,
             in_flight: InFlight::default(),
             expected_ends: BTreeSet::new(),
             ratio_sum: 0.0,
@@ -110,7 +110,7 @@
         if !self.pooled {
             return !self.available.is_empty();
         }
-        let share = f64::from(self.slots) / f64::from(senders.max(1));
+        let share = self.slots / f64::from(senders.max(1));
         let is_full = self.reported_utilisation.value() >= FULL_UTILISATION;
         let limit = if is_full { share } else { share * POOLED_SHARE_FACTOR };
         let below_limit = self.in_flight.count < limit.ceil() as u32;
@@ -129,7 +129,7 @@
     pub(crate) fn capacity(&self, senders: u32) -> f64 {
         let healthy_count = self.targets.len().saturating_sub(self.ejected) as f64;
         let healthy_fraction = healthy_count / self.targets.len().max(1) as f64;
-        let even_share = f64::from(self.slots) * healthy_fraction / f64::from(senders.max(1));
+        let even_share = self.slots * healthy_fraction / f64::from(senders.max(1));
         even_share.max(f64::from(self.in_flight.count))
     }
 
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -1,6 +1,7 @@
 use celeryhaven_queue::QueueEntry;
 use celeryhaven_types::{RefusalCode, TimeMs};
 
+use crate::fair::policy::Timer;
 use crate::fair::request::{Phase, Pick, RequestState};
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::{Decision, TargetKey, Ticket};
@@ -176,6 +177,10 @@
         let class = &mut self.classes[state.class.get() as usize];
         let available = state.can_accept(now, self.settings.sharing, class.average());
         class.available.set(target, available);
-        class.healthy.set(target, state.up && state.health.state == HealthState::Healthy);
+        let is_healthy = state.up && state.health.state == HealthState::Healthy;
+        class.healthy.set(target, is_healthy && state.is_paced_to_accept(now));
+        if let Some(next_at) = state.pace.and_then(|pace| pace.next_send_at(now)) {
+            self.timers.insert((next_at, Timer::Pace(target)));
+        }
     }
 }
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -36,7 +36,7 @@
         self.targets.insert(target, state);
         let class = self.class(class_key);
         class.targets.insert(target);
-        class.slots += profile.slots;
+        class.slots += f64::from(profile.slots);
         class.in_flight.merge(in_flight);
         class.ratio_sum += ratio;
         self.refresh_availability(now, target);
@@ -53,12 +53,12 @@
             self.timers.remove(&(silent_at, Timer::Silence(target)));
         }
         let (class_key, in_flight) = (state.class, state.in_flight);
-        let (slots, ratio) = (state.slots, state.health.ratio());
+        let (slots, ratio) = (state.counted_slots, state.health.ratio());
         let ejected = state.health.state != HealthState::Healthy;
         let adapters = std::mem::take(&mut state.adapters);
         let class = &mut self.classes[class_key.get() as usize];
         class.targets.remove(&target);
-        class.slots -= slots;
+        class.slots = (class.slots - slots).max(0.0);
         class.in_flight.subtract(in_flight);
         class.ratio_sum -= ratio;
         class.ejected -= usize::from(ejected);
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod fleet;
 mod keys;
+mod limits;
 mod outcomes;
 mod policy;
 mod request;
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -25,6 +25,8 @@
         Silence(TargetKey),
         /// The end of an ejection.
         Ejection(TargetKey),
+        /// A limited target may receive its next request.
+        Pace(TargetKey),
         /// The next check of the queue of a class.
         Shed(ClassKey),
     }
@@ -173,6 +175,7 @@
                 Timer::Request(ticket) => self.check_running(now, ticket, out),
                 Timer::Silence(target) => self.check_silence(now, target, out),
                 Timer::Ejection(target) => self.probe(now, target, out),
+                Timer::Pace(target) => self.pace_target(now, target, out),
                 Timer::Shed(class) => self.shed(now, class, out),
             }
         }
@@ -199,6 +202,9 @@
             }
             PolicyEvent::TargetDown { target } => self.target_down(target),
             PolicyEvent::Reported { target, load } => self.apply_report(now, target, &load, out),
+            PolicyEvent::Limited { target, rate_per_s } => {
+                self.limit_target(now, target, rate_per_s, out);
+            }
             PolicyEvent::CacheChanged { target, added, removed } => {
                 self.cache_changed(target, added, removed);
             }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -60,6 +60,13 @@
         /// Its load when the report was made.
         load: TargetLoad,
     },
+    /// A target has named a limit, or this node's part of it has changed.
+    Limited {
+        /// The target.
+        target: TargetKey,
+        /// Requests a second that this node may send to it; `None` if the limit has ended.
+        rate_per_s: Option<f64>,
+    },
     /// The prefix cache of a target changed; events may be late or lost.
     CacheChanged {
         /// The target.
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -6,7 +6,7 @@
 use crate::estimate::Mean;
 use crate::fair::{AdapterKey, ClassKey, Sharing};
 use crate::interface::{TargetLoad, TargetProfile, Ticket};
-use crate::targets::{AttemptEstimate, Health, HealthState, InFlight, LoadedAdapter};
+use crate::targets::{AttemptEstimate, Health, HealthState, InFlight, LoadedAdapter, Pace};
 
 /// Maximum number of sends, and of completions, recorded since the last report. It bounds the
 /// memory of a target that stops reporting; the oldest are dropped.
@@ -17,6 +17,10 @@
     pub(crate) struct TargetState {
         pub(crate) class: ClassKey,
         pub(crate) slots: u32,
+        /// Slots that count towards the capacity of the class; fewer while the target is limited.
+        pub(crate) counted_slots: f64,
+        /// How often this node may send, while the target is limited or has just been.
+        pub(crate) pace: Option<Pace>,
         pub(crate) distance_ms: f64,
         pub(crate) up: bool,
         /// Requests of this node at the target.
@@ -74,6 +78,8 @@
         Self {
             class,
             slots: profile.slots,
+            counted_slots: f64::from(profile.slots),
+            pace: None,
             distance_ms: f64::from(profile.distance_us) / 1_000.0,
             up: true,
             in_flight: InFlight::default(),
@@ -94,6 +100,9 @@
     pub(crate) fn record_sent(&mut self, now: TimeMs, ticket: Ticket, estimate: AttemptEstimate) {
         self.tickets.insert(ticket);
         self.in_flight.add(estimate);
+        if let Some(pace) = &mut self.pace {
+            pace.record_sent(now);
+        }
         push_bounded(&mut self.sends, now);
     }
 
@@ -191,12 +200,20 @@
         self.load(now, average) / f64::from(self.slots.max(1))
     }
 
+    /// Whether the pace of a limited target lets this node send now.
+    pub(crate) fn is_paced_to_accept(&self, now: TimeMs) -> bool {
+        self.pace.is_none_or(|pace| pace.may_send(now))
+    }
+
     pub(crate) fn can_accept(
         &self,
         now: TimeMs,
         sharing: Sharing,
         average: Option<ClassAverage>,
     ) -> bool {
+        if !self.is_paced_to_accept(now) {
+            return false;
+        }
         let is_full = || self.load(now, average) >= f64::from(self.slots);
         let has_capacity = match sharing {
             Sharing::Shares | Sharing::Owner { .. } => self.in_flight.count < self.share,
--- /dev/null
+++ b/crates/target-limits/src/target_limit.rs
@@ -0,0 +1,38 @@
+use celeryhaven_derives::state;
+use celeryhaven_types::TimeMs;
+
+use crate::Position;
+
+/// Least rate at which a limited target is asked, per second.
+///
+/// A target that takes nothing would otherwise never be asked whether it takes requests again.
+const RATE_MIN_PER_S: f64 = 0.25;
+
+state! {
+    /// The rate of a limited target.
+    #[derive(Copy)]
+    pub struct TargetLimit {
+        /// Requests a second from all nodes together, as the target named it.
+        pub rate_per_s: f64,
+        /// Requests a second from this node; 0 if other nodes send to the target.
+        pub node_rate_per_s: f64,
+        /// When this node learned of the limit, or of its last change.
+        pub known_since: TimeMs,
+    }
+}
+
+impl TargetLimit {
+    /// Returns the part of a rate that a node may use.
+    ///
+    /// The number of sending nodes grows with the rate, so that each sends about one request a
+    /// second: many nodes with small parts would exceed the rate when all send at the same time.
+    pub fn new(rate_per_s: f64, position: Position, known_since: TimeMs) -> Self {
+        let used_per_s = rate_per_s.max(RATE_MIN_PER_S);
+        let senders = (used_per_s.ceil() as usize).saturating_add(1).min(position.nodes.max(1));
+        let node_rate_per_s = match position.rank < senders {
+            true => used_per_s / senders as f64,
+            false => 0.0,
+        };
+        Self { rate_per_s, node_rate_per_s, known_since }
+    }
+}
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -28,6 +28,8 @@
     pub quarantined: Gauge,
     /// Ends of targets that this node has attributed to a request it had sent.
     pub crash_reports: Counter,
+    /// Targets that name a limit.
+    pub targets_limited: Gauge,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -47,6 +49,7 @@
         let (queued, replicas_whole, domains) =
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
+        let targets_limited = Gauge::default();
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -73,6 +76,11 @@
                 "Ends of targets attributed to a request",
                 crash_reports.clone(),
             );
+            registry.register(
+                "targets_limited",
+                "Targets that name a limit",
+                targets_limited.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -85,6 +93,7 @@
             orders,
             quarantined,
             crash_reports,
+            targets_limited,
             store_calls,
         }
     }
