gateway: only a whole, successful answer acquits a suspected request

An error of a server that fails part of its requests need not mean that it began to run this one, and an answer without a length that ends with its connection looks whole when its target has ended.

--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -152,7 +152,6 @@
 
     /// Records that the caller has the complete answer.
     pub(crate) fn completed(&self, ticket: Ticket, events: u32, request: &CallerRequest) {
-        self.acquit(request.digest);
         let now = self.now();
         let mut state = self.state.borrow_mut();
         state.notify_pool(ticket, |pool, out| {
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -1,6 +1,7 @@
 use bytes::{Bytes, BytesMut};
 use celeryhaven_http::Connection;
 use celeryhaven_types::Verdict;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -33,6 +34,10 @@
     ) -> AttemptOutcome {
         let (parts, body) = response.into_parts();
         let mut headers = parts.headers;
+        // An answer that ends with its connection looks complete when its target ends.
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let acquits = parts.status.is_success() && is_framed;
         strip_hop_by_hop(&mut headers);
         let parts = AnswerParts { status: parts.status, headers, body: None };
         let outcome =
@@ -40,6 +45,9 @@
                 true => self.forward_events(parts, body).await,
                 false => self.forward_plain(parts, body).await,
             };
+        if outcome == AttemptOutcome::Answered && acquits {
+            self.exchange.dispatcher.acquit(self.exchange.request.digest);
+        }
         if outcome == AttemptOutcome::Answered && !head.closes_connection {
             self.pool_connection(connection, &head).await;
         }
