policy, gateway: a target without a limit costs nothing

Each update of the targets drew a random number for each of them, and each report of traffic made the control thread compute coordinators and relays again. Tests of policy and platform pass.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -247,8 +247,7 @@
                 Changes::nodes(true)
             }
             ControlEvent::Traffic(report) => {
-                self.handle_traffic_report(now, report);
-                Changes::nodes(true) | Changes::FORMING
+                self.handle_traffic_report(now, report) | Changes::FORMING
             }
             ControlEvent::Tick => {
                 self.probe_nodes(now);
@@ -295,7 +294,11 @@
         }
     }
 
-    fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) {
+    fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) -> Changes {
+        let advises = matches!(
+            report,
+            TrafficReport::Crashed(_) | TrafficReport::Completed(_) | TrafficReport::LimitNamed(_)
+        );
         match report {
             TrafficReport::FirstRequest => self.traffic_seen = true,
             TrafficReport::Suspected(replica) => {
@@ -310,5 +313,6 @@
             TrafficReport::LimitNamed(named) => self.observe_limit(now, &named),
             TrafficReport::TrialDue(digest, reply) => self.claim_trial(now, digest, reply),
         }
+        Changes::nodes(advises)
     }
 }
--- a/crates/policy/src/fair/limits.rs
+++ b/crates/policy/src/fair/limits.rs
@@ -16,7 +16,6 @@
         rate_per_s: Option<f64>,
         out: &mut Vec<Decision>,
     ) {
-        let phase: f64 = self.rng.random();
         let rate_min_per_s = 1.0 / f64::from(self.senders);
         let Some(state) = self.targets.get_mut(&target).filter(|state| state.up) else { return };
         if state.pace.as_ref().and_then(Pace::limited_rate_per_s) == rate_per_s {
@@ -25,7 +24,10 @@
         match (&mut state.pace, rate_per_s) {
             (Some(pace), Some(rate_per_s)) => pace.set_rate(now, rate_per_s),
             (Some(pace), None) => pace.recover(now, rate_min_per_s),
-            (None, Some(rate_per_s)) => state.pace = Some(Pace::new(now, rate_per_s, phase)),
+            (None, Some(rate_per_s)) => {
+                let phase: f64 = self.rng.random();
+                state.pace = Some(Pace::new(now, rate_per_s, phase));
+            }
             (None, None) => return,
         }
         self.pace_target(now, target, out);
