policy, gateway: a limit holds from the moment a target comes up, and at nodes that start

A target that came up while requests waited got as many as it had slots before its limit was set, such as a replica formed again around a limited head; and a node that did not know the others yet took the whole rate, as would every node after all had been killed. The limit now precedes TargetUp, and a node without the records of the others sends nothing to limited targets.

--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -17,6 +17,8 @@
 struct ControlView<'a> {
     fleet: &'a FleetView,
     peers: &'a Peers,
+    /// Whether the records of the other nodes have been read.
+    nodes_known: bool,
     leaving: bool,
 }
 
@@ -26,8 +28,14 @@
     }
 
     fn position(&self, target: &VmName) -> Position {
-        let (rank, nodes) = self.peers.position_for(target.as_str(), self.leaving);
-        Position { rank, nodes }
+        match self.nodes_known {
+            true => {
+                let (rank, nodes) = self.peers.position_for(target.as_str(), self.leaving);
+                Position { rank, nodes }
+            }
+            // Every node that starts would otherwise take the whole rate.
+            false => Position { rank: usize::MAX, nodes: 1 },
+        }
     }
 }
 
@@ -44,7 +52,12 @@
     /// Starts the writes that are due.
     pub(super) fn write_limits(&mut self, now: TimeMs) {
         let removes_expired = self.feed_conditions.relay.borrow().is_none();
-        let view = ControlView { fleet: &self.fleet, peers: &self.peers, leaving: self.leaving };
+        let view = ControlView {
+            fleet: &self.fleet,
+            peers: &self.peers,
+            nodes_known: self.nodes_listed,
+            leaving: self.leaving,
+        };
         for write in self.limits.due_writes(now, &view, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
@@ -69,7 +82,12 @@
 
     /// Updates the limits for traffic, and logs which have begun or ended.
     pub(super) fn update_limits(&mut self, now: TimeMs) {
-        let view = ControlView { fleet: &self.fleet, peers: &self.peers, leaving: self.leaving };
+        let view = ControlView {
+            fleet: &self.fleet,
+            peers: &self.peers,
+            nodes_known: self.nodes_listed,
+            leaving: self.leaving,
+        };
         let limits = self.limits.limits(now, &view);
         if limits == *self.node_limits {
             return;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -248,6 +248,11 @@
         self.next_key = target.next();
         self.target_keys.insert(destination.name.clone(), target);
         self.destinations.insert(target, destination.clone());
+        // A queue would otherwise go to the target at once, whatever its limit.
+        if let Some(limit) = self.limits.get(&destination.target) {
+            let rate_per_s = Some(limit.node_rate_per_s);
+            self.policy.handle(now, PolicyEvent::Limited { target, rate_per_s }, out);
+        }
         let profile =
             TargetProfile { serves: self.serves.clone(), slots: destination.slots, distance_us: 0 };
         self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -32,6 +32,7 @@
         }
         let in_flight = state.in_flight;
         state.share = self.share_of(target, profile.slots);
+        state.pace = self.take_announced_pace(now, target);
         let ratio = state.health.ratio();
         self.targets.insert(target, state);
         let class = self.class(class_key);
@@ -39,6 +40,7 @@
         class.slots += f64::from(profile.slots);
         class.in_flight.merge(in_flight);
         class.ratio_sum += ratio;
+        self.count_slots(target);
         self.refresh_availability(now, target);
         self.dispatch_queued(now, class_key, out);
     }
--- a/crates/policy/src/fair/limits.rs
+++ b/crates/policy/src/fair/limits.rs
@@ -17,7 +17,12 @@
         out: &mut Vec<Decision>,
     ) {
         let rate_min_per_s = 1.0 / f64::from(self.senders);
-        let Some(state) = self.targets.get_mut(&target).filter(|state| state.up) else { return };
+        let Some(state) = self.targets.get_mut(&target).filter(|state| state.up) else {
+            if let Some(rate_per_s) = rate_per_s {
+                self.announced_limits.insert(target, rate_per_s);
+            }
+            return;
+        };
         if state.pace.as_ref().and_then(Pace::limited_rate_per_s) == rate_per_s {
             return;
         }
@@ -33,9 +38,15 @@
         self.pace_target(now, target, out);
     }
 
+    /// Returns the pace of a target that is coming up, if its limit has been announced.
+    pub(crate) fn take_announced_pace(&mut self, now: TimeMs, target: TargetKey) -> Option<Pace> {
+        let rate_per_s = self.announced_limits.remove(&target)?;
+        Some(Pace::new(now, rate_per_s, self.rng.random()))
+    }
+
     /// Counts the slots that a limited target fills at this node's rate, as if all nodes had the
     /// same, so that requests which could only wait are refused at once.
-    fn count_slots(&mut self, target: TargetKey) {
+    pub(crate) fn count_slots(&mut self, target: TargetKey) {
         let Some(state) = self.targets.get_mut(&target).filter(|state| state.up) else { return };
         let class = &mut self.classes[state.class.get() as usize];
         let slots = f64::from(state.slots);
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -52,6 +52,8 @@
     pub(crate) targets: Map<TargetKey, TargetState>,
     pub(crate) requests: Map<Ticket, RequestState>,
     pub(crate) timers: BTreeSet<(TimeMs, Timer)>,
+    /// Limits of targets that are not up yet.
+    pub(crate) announced_limits: Map<TargetKey, f64>,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) pick_visits: u64,
     class_keys: Map<RequestClass, ClassKey>,
@@ -72,6 +74,7 @@
             targets: Map::default(),
             requests: Map::default(),
             timers: BTreeSet::new(),
+            announced_limits: Map::default(),
             pick_visits: 0,
             class_keys: Map::default(),
             flow_keys: Map::default(),
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -61,6 +61,8 @@
         load: TargetLoad,
     },
     /// A target has named a limit, or this node's part of it has changed.
+    ///
+    /// For a target that comes up with a limit, this event precedes [`PolicyEvent::TargetUp`].
     Limited {
         /// The target.
         target: TargetKey,
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -148,6 +148,22 @@
     assert!(later > 100, "{later} requests in the last four seconds");
 }
 
+/// A limited target that comes up while requests wait must not get them all at once, such as a
+/// replica that is formed again around the same head.
+#[test]
+fn limited_target_comes_up() {
+    let mut node = Node::new(1);
+    node.run(0, 100, 1);
+    assert!(node.policy.queued() > 6);
+    let target = TargetKey::new(1);
+    node.handle(100, PolicyEvent::Limited { target, rate_per_s: Some(2.0) });
+    let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
+    node.handle(100, PolicyEvent::TargetUp { target, profile });
+    node.run(100, 1_500, 1);
+    let sent = node.sent_to(1, 0);
+    assert!((1..=3).contains(&sent), "{sent} requests in one and a half seconds");
+}
+
 /// A rate that changes with each answer neither grants a new request each time nor stops them.
 #[test]
 fn limited_target_changing_rate() {
