quarantine: a request whose copy streams on is not reported

A popular request with answers of more than a second and a half that ran on three targets of a rack when it went dark was reported by then, and refused everywhere until one of its copies elsewhere completed. A copy that has been streaming for a second shows that the request does not end every target that begins to run it: its crashes wait for up to eight seconds, or for the completion that drops them. take_due_streaming_long covers it. The time for requests without such a copy is unchanged.

--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -36,8 +36,8 @@
     pub(crate) pool: PoolKey,
     pub(crate) instructions: Sender<Instruction>,
     pub(crate) destination: Option<DestinationName>,
-    /// Whether its stream has produced an event.
-    pub(crate) streaming: bool,
+    /// When its stream produced the first event; `None` if it has not at this target.
+    pub(crate) streaming_since: Option<TimeMs>,
     /// Whether the request may be sent again after it may have run.
     pub(crate) may_repeat: bool,
     pub(crate) digest: RequestDigest,
@@ -107,7 +107,7 @@
             pool: key.clone(),
             instructions,
             destination: None,
-            streaming: false,
+            streaming_since: None,
             may_repeat: request.may_repeat(),
             digest: request.digest,
         };
@@ -138,7 +138,7 @@
 
     /// Removes a completed request that the policy no longer tracks.
     pub(crate) fn remove(&mut self, ticket: Ticket) {
-        if let Some(ActiveRequest { destination: Some(name), streaming: true, .. }) =
+        if let Some(ActiveRequest { destination: Some(name), streaming_since: Some(_), .. }) =
             self.active_requests.remove(&ticket)
         {
             self.stall_detector.stream_finished(&name);
@@ -233,7 +233,9 @@
     pub(crate) fn take_due_crashes(&mut self, now: TimeMs) -> Vec<CrashReport> {
         let active = &self.active_requests;
         self.crashes.take_due(now, |digest| {
-            active.values().any(|active| active.digest == digest && active.streaming)
+            let copies = active.values().filter(|active| active.digest == digest);
+            let streaming_since = copies.filter_map(|active| active.streaming_since).min();
+            streaming_since.map(|since| now.since(since))
         })
     }
 
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -127,10 +127,10 @@
         let state = &mut *state;
         if let Some(active) = state.active_requests.get_mut(&ticket)
             && is_stream
-            && !active.streaming
+            && active.streaming_since.is_none()
             && let Some(name) = &active.destination
         {
-            active.streaming = true;
+            active.streaming_since = Some(now);
             state.stall_detector.stream_started(now, name);
         }
         state.notify_pool(ticket, |pool, out| pool.started(now, ticket, out));
@@ -167,12 +167,12 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         if let Some(active) = state.active_requests.get_mut(&ticket) {
-            if active.streaming
+            if active.streaming_since.is_some()
                 && let Some(name) = &active.destination
             {
                 state.stall_detector.stream_finished(name);
             }
-            active.streaming = false;
+            active.streaming_since = None;
             active.destination = None;
         }
         state.notify_pool(ticket, |pool, out| pool.attempt_failed(now, ticket, verdict, out));
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -12,6 +12,11 @@
 /// The same for a request that is streaming from another target, in milliseconds.
 const SETTLE_STREAMING_MS: u64 = 1_500;
 
+/// The same for a request that has been streaming for at least `LONG_STREAMING_MS`: it has not ended
+/// that target, although it began to run there.
+const SETTLE_LONG_STREAMING_MS: u64 = 8_000;
+const LONG_STREAMING_MS: u64 = 1_000;
+
 /// Maximum number of requests with crashes that are not reported yet.
 const PENDING_MAX: usize = 1_024;
 
@@ -43,7 +48,7 @@
 /// let mut pending = PendingCrashes::new();
 /// pending.record(TimeMs::new(0), Crash(digest, "vm-1"));
 /// pending.completed(digest);
-/// assert!(pending.take_due(TimeMs::new(10_000), |_| false).is_empty());
+/// assert!(pending.take_due(TimeMs::new(10_000), |_| None).is_empty());
 /// ```
 #[derive(Clone, Debug)]
 pub struct PendingCrashes<C> {
@@ -77,10 +82,12 @@
     }
 
     /// Removes and returns the crashes that are due to be reported.
+    ///
+    /// `streaming_ms` returns how long a request has been streaming from a target by now, if it is.
     pub fn take_due(
         &mut self,
         now: TimeMs,
-        mut is_streaming: impl FnMut(RequestDigest) -> bool,
+        mut streaming_ms: impl FnMut(RequestDigest) -> Option<u64>,
     ) -> Vec<C> {
         let mut due = Vec::new();
         self.by_request.retain(|digest, crashes| {
@@ -88,7 +95,11 @@
             if !crashes.iter().any(|(at, _)| is_settled(*at)) {
                 return true;
             }
-            let settle_ms = if is_streaming(*digest) { SETTLE_STREAMING_MS } else { SETTLE_MS };
+            let settle_ms = match streaming_ms(*digest) {
+                None => SETTLE_MS,
+                Some(ms) if ms < LONG_STREAMING_MS => SETTLE_STREAMING_MS,
+                Some(_) => SETTLE_LONG_STREAMING_MS,
+            };
             let is_due = |(at, _): &mut (TimeMs, C)| now.since(*at) >= settle_ms;
             due.extend(crashes.extract_if(.., is_due).map(|(_, crash)| crash));
             !crashes.is_empty()
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -25,9 +25,9 @@
     let mut pending = PendingCrashes::new();
     pending.record(at(0), Crash(digest(1), "vm-1"));
     pending.record(at(500), Crash(digest(1), "vm-2"));
-    assert_eq!(pending.take_due(at(799), |_| false), []);
-    assert_eq!(pending.take_due(at(800), |_| false), [Crash(digest(1), "vm-1")]);
-    assert_eq!(pending.take_due(at(1_300), |_| false), [Crash(digest(1), "vm-2")]);
+    assert_eq!(pending.take_due(at(799), |_| None), []);
+    assert_eq!(pending.take_due(at(800), |_| None), [Crash(digest(1), "vm-1")]);
+    assert_eq!(pending.take_due(at(1_300), |_| None), [Crash(digest(1), "vm-2")]);
 }
 
 /// A popular request that ran on all targets of a rack when it went dark completes elsewhere before
@@ -39,7 +39,7 @@
         pending.record(at(0), Crash(digest(1), target));
     }
     pending.completed(digest(1));
-    assert_eq!(pending.take_due(at(10_000), |_| false), []);
+    assert_eq!(pending.take_due(at(10_000), |_| None), []);
 }
 
 /// A second attempt that streams is likely to complete, so its crash waits longer, but not for
@@ -48,8 +48,20 @@
 fn take_due_streaming() {
     let mut pending = PendingCrashes::new();
     pending.record(at(0), Crash(digest(1), "vm-1"));
-    assert_eq!(pending.take_due(at(1_499), |_| true), []);
-    assert_eq!(pending.take_due(at(1_500), |_| true), [Crash(digest(1), "vm-1")]);
+    assert_eq!(pending.take_due(at(1_499), |_| Some(500)), []);
+    assert_eq!(pending.take_due(at(1_500), |_| Some(500)), [Crash(digest(1), "vm-1")]);
+}
+
+/// A popular request with long answers was running on several targets of a rack that went dark, and
+/// goes on elsewhere: it must not be reported while a copy runs on.
+#[test]
+fn take_due_streaming_long() {
+    let mut pending = PendingCrashes::new();
+    for target in ["vm-1", "vm-2", "vm-3"] {
+        pending.record(at(0), Crash(digest(1), target));
+    }
+    assert_eq!(pending.take_due(at(5_000), |_| Some(6_000)), []);
+    assert_eq!(pending.take_due(at(8_000), |_| Some(9_000)).len(), 3);
 }
 
 /// Several copies of a request on one target are ended by one end of it.
@@ -59,7 +71,7 @@
     for _ in 0..5 {
         pending.record(at(0), Crash(digest(1), "vm-1"));
     }
-    assert_eq!(pending.take_due(at(800), |_| false).len(), 1);
+    assert_eq!(pending.take_due(at(800), |_| None).len(), 1);
 }
 
 /// Memory stays bounded while many targets end.
@@ -69,5 +81,5 @@
     for number in 0..100_000 {
         pending.record(at(0), Crash(digest(number), "vm-1"));
     }
-    assert_eq!(pending.take_due(at(800), |_| false).len(), 1_024);
+    assert_eq!(pending.take_due(at(800), |_| None).len(), 1_024);
 }
