quarantine, gateway: the least suspected records make room; limits in the order of targets

Where records have to make room, those with the fewest crashes go first, so that a flood of distinct requests does not displace one that has ended two targets; due_writes_flood covers it. Limits are applied to targets in the order of their keys instead of that of a map.

--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -228,7 +228,9 @@
     }
 
     fn apply_limits(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
-        for (&target, destination) in &self.destinations {
+        let mut targets: Vec<_> = self.destinations.iter().collect();
+        targets.sort_unstable_by_key(|(target, _)| **target);
+        for (&target, destination) in targets {
             let limit = self.limits.get(&destination.target);
             let rate_per_s = limit.map(|limit| limit.node_rate_per_s);
             self.policy.handle(now, PolicyEvent::Limited { target, rate_per_s }, out);
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -143,17 +143,22 @@
         writes
     }
 
-    /// Removes the oldest records of requests that are not quarantined, if there are too many.
+    /// Removes the records of requests that are not quarantined, if there are too many: those with
+    /// the fewest crashes and of these the oldest.
     ///
-    /// A flood of distinct requests must not make the fleet forget a quarantined one.
+    /// A flood of distinct requests must not make the fleet forget a guilty one.
     fn make_room(&mut self, now: TimeMs, created: usize, writes: &mut Vec<QuarantineWrite>) {
         let excess = (self.stored.len() + created).saturating_sub(RECORDS_MAX).min(created);
         let suspects = self.stored.iter().filter(|(_, stored)| !stored.record.is_quarantined());
-        let mut suspects: Vec<_> =
-            suspects.map(|(digest, stored)| (stored.seen_at, *digest, stored.version)).collect();
+        let suspects = suspects.map(|(digest, stored)| {
+            let StoredRecord { version, record, seen_at } = stored;
+            let crashes = if record.completed { 0 } else { record.crashes.len() };
+            (crashes, *seen_at, *digest, *version)
+        });
+        let mut suspects: Vec<_> = suspects.collect();
         suspects.sort();
         let removed = suspects.len().min(excess);
-        for (_, digest, version) in suspects.into_iter().take(removed) {
+        for (_, _, digest, version) in suspects.into_iter().take(removed) {
             self.delete(now, digest, version, writes);
         }
         // Without room, only the reporting node acts on a new report.
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -199,12 +199,17 @@
 fn due_writes_flood() {
     let (mut store, mut node) = (Store::default(), Quarantine::new());
     quarantine(&mut store, &mut node, digest(0));
+    let twice_suspected = digest(usize::MAX);
+    node.report(at(0), twice_suspected, &crash("vm-1"));
+    node.report(at(0), twice_suspected, &crash("vm-2"));
+    store.execute_all(at(0), &mut node);
     for number in 1..4 * RECORDS_MAX {
         node.report(at(number as u64), digest(number), &crash("vm-1"));
         store.execute_all(at(number as u64), &mut node);
     }
     assert!(store.records.len() <= RECORDS_MAX, "{} records", store.records.len());
     assert!(is_quarantined(&node, digest(0)));
+    assert!(store.records.contains_key(&twice_suspected));
     let last = digest(4 * RECORDS_MAX - 1);
     assert!(store.records.contains_key(&last), "the newest report was not written");
 }
