--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -295,7 +295,7 @@
     }
 
     fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) -> Changes {
-        let advises = matches!(
+        let changes_advisories = matches!(
             report,
             TrafficReport::Crashed(_) | TrafficReport::Completed(_) | TrafficReport::LimitNamed(_)
         );
@@ -313,6 +313,6 @@
             TrafficReport::LimitNamed(named) => self.observe_limit(now, &named),
             TrafficReport::TrialDue(digest, reply) => self.claim_trial(now, digest, reply),
         }
-        Changes::nodes(advises)
+        Changes::nodes(changes_advisories)
     }
 }
