policy: a target whose limit has ended is tried again within seconds

Cause: the next check of its pace was set by the rate of that moment, which is small after a limit and only grows afterwards; a node that had no part of the rate waited for seconds, and would wait for minutes in a fleet of hundreds.

--- a/crates/policy/src/targets/pace.rs
+++ b/crates/policy/src/targets/pace.rs
@@ -11,6 +11,9 @@
 const RECOVERY_DOUBLING_MS: f64 = 1_000.0;
 const RECOVERY_MS: u64 = 5_000;
 
+/// Interval between two checks of a pace whose rate grows, in milliseconds.
+const RECOVERY_CHECK_MS: f64 = 250.0;
+
 state! {
     /// Limits how often a node sends to one target.
     #[derive(Copy)]
@@ -69,6 +72,11 @@
             return None;
         }
         let wait_ms = (1.0 - self.tokens_at(now)) / rate_per_s * 1_000.0;
+        // At the rate of this moment, a node of a large fleet would wait for minutes.
+        let wait_ms = match self.recovers_since {
+            Some(_) => wait_ms.min(RECOVERY_CHECK_MS),
+            None => wait_ms,
+        };
         Some(now.after(wait_ms.ceil().max(1.0) as u64))
     }
 
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -148,6 +148,21 @@
     assert!(later > 100, "{later} requests in the last four seconds");
 }
 
+/// A node of a large fleet that had no part of the rate must return to the target within seconds.
+#[test]
+fn limited_target_recovers_in_large_fleet() {
+    let mut node = Node::new(4);
+    node.handle(0, PolicyEvent::Senders { nodes: 6 });
+    node.limit(0, 0, Some(0.0));
+    node.run(0, 2_000, 5);
+    node.handle(2_000, PolicyEvent::Senders { nodes: 340 });
+    node.limit(2_000, 0, None);
+    node.handle(2_000, PolicyEvent::Senders { nodes: 6 });
+    node.run(2_000, 8_000, 5);
+    let (sent, other) = (node.sent_to(0, 8_000), node.sent_to(1, 8_000));
+    assert!(sent * 2 > other, "{sent} requests, {other} to another target");
+}
+
 /// A limited target that comes up while requests wait must not get them all at once, such as a
 /// replica that is formed again around the same head.
 #[test]
