gateway, quarantine: reports wait while the store is unavailable

By reading: while the store is away, each node repeated each report every 400 ms, rejected calls included.

--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -51,6 +51,9 @@
 
     /// Starts the writes that are due.
     pub(super) fn write_limits(&mut self, now: TimeMs) {
+        if self.store_unavailable {
+            return;
+        }
         let removes_expired = self.feed_conditions.relay.borrow().is_none();
         let view = ControlView {
             fleet: &self.fleet,
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -73,7 +73,12 @@
     }
 
     /// Starts the writes that are due.
+    ///
+    /// Reports wait while the store is unavailable: each rejected call counts against its rate.
     pub(super) fn write_quarantine(&mut self, now: TimeMs) {
+        if self.store_unavailable {
+            return;
+        }
         let removes_expired = self.feed_conditions.relay.borrow().is_none();
         for write in self.quarantine.due_writes(now, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -24,14 +24,17 @@
 /// Maximum number of records in the store, and of unwritten reports of one node.
 const RECORDS_MAX: usize = 256;
 
-/// Pause before a failed write is repeated, in milliseconds.
+/// Pause before a failed write is repeated, in milliseconds; it doubles with each failure up to the
+/// maximum, which leaves time to tell all nodes within three seconds of the store's return.
 const WRITE_RETRY_MS: u64 = 400;
+const WRITE_RETRY_DOUBLINGS_MAX: u32 = 2;
 
 /// What this node has to add to a record.
 #[derive(Clone, Debug)]
 struct Unwritten {
     addition: CrashRecord,
     is_being_written: bool,
+    failures: u32,
     retry_at: TimeMs,
 }
 
@@ -97,6 +100,7 @@
         let unwritten = self.unwritten.entry(digest).or_insert_with(|| Unwritten {
             addition: CrashRecord::default(),
             is_being_written: false,
+            failures: 0,
             retry_at: now,
         });
         unwritten.addition.merge(addition);
@@ -216,7 +220,9 @@
         {
             unwritten.is_being_written = false;
             if outcome == WriteOutcome::Failed {
-                unwritten.retry_at = now.after(WRITE_RETRY_MS);
+                let doublings = unwritten.failures.min(WRITE_RETRY_DOUBLINGS_MAX);
+                unwritten.retry_at = now.after(WRITE_RETRY_MS << doublings);
+                unwritten.failures += 1;
             }
         }
         self.stored.apply_write(now, write, outcome);
