target-limits: an answer under way when the record came does not hold the limit

Cause: a limit that an answer named a moment after the node had the record counted as newer than the record. When another node saw the limit's end and deleted the record, such a node wrote it again, and if it was not one of the few that send it kept away from the target for ten seconds, at 986 nodes for twenty minutes (1,250 ms a node).

Change: a record that says the same as the answer counts as recorded, so its removal ends the limit. A limit named at another rate still outlives the removal of the old record.

Measured: limits_answer_after_record failed before (record written again, limit held), passes now.

--- a/crates/target-limits/src/target_limits.rs
+++ b/crates/target-limits/src/target_limits.rs
@@ -47,6 +47,16 @@
     }
 }
 
+impl Observation {
+    /// Whether a record holds what the target has named.
+    fn is_same_as(&self, record: &LimitRecord) -> bool {
+        record.started_at_ms == self.started_at_ms
+            && self.rate_per_s.is_some_and(|rate_per_s| {
+                (record.rate_per_s - rate_per_s).abs() <= rate_per_s * RATE_CHANGE_MIN
+            })
+    }
+}
+
 /// The limited targets, as one node knows them.
 #[derive(Clone, Debug, Default)]
 pub struct TargetLimits {
@@ -98,8 +108,10 @@
         let stored = &self.stored;
         self.observed.retain(|target, observation| {
             let record = stored.get(target);
-            observation.is_recorded |=
-                record.is_some_and(|record| record.seen_at >= observation.at);
+            // An answer under way when the record arrived names the same limit a little later.
+            observation.is_recorded |= record.is_some_and(|stored| {
+                stored.seen_at >= observation.at || observation.is_same_as(&stored.record)
+            });
             record.is_some() || !observation.is_recorded
         });
     }
@@ -204,11 +216,7 @@
     let delay_ms = (view.position(target).rank as u64).saturating_mul(CREATE_DELAY_MS_PER_RANK);
     let is_due = match stored {
         None => now.since(observation.since) >= delay_ms.min(CREATE_DELAY_MS_MAX),
-        Some(stored) => {
-            let change = (stored.record.rate_per_s - rate_per_s).abs();
-            stored.record.started_at_ms != record.started_at_ms
-                || change > rate_per_s * RATE_CHANGE_MIN
-        }
+        Some(stored) => !observation.is_same_as(&stored.record),
     };
     let version = stored.map(|stored| stored.version);
     is_due.then(|| RecordWrite::Put { key: target.clone(), version, record })
--- a/crates/target-limits/tests/target_limits.rs
+++ b/crates/target-limits/tests/target_limits.rs
@@ -150,6 +150,36 @@
     assert!(fleet.store.records.is_empty());
 }
 
+/// An answer that was under way when the record arrived must not hold the limit beyond the record:
+/// nodes that do not send would keep away from the target for the whole time without a record.
+#[test]
+fn limits_answer_after_record() {
+    let mut fleet = Fleet::new(6);
+    fleet.observe_all(at(0), Some(1.0));
+    fleet.run(0, 2_000);
+    fleet.observe_all(at(2_000), Some(1.0));
+    fleet.run(2_000, 500);
+    let (view, node) = &mut fleet.nodes[0];
+    node.observe(at(2_500), &target(), Some(view.started_at_ms), None);
+    fleet.run(2_500, 500);
+    assert!(fleet.store.records.is_empty());
+    assert!(fleet.rates(at(3_000)).iter().all(Option::is_none));
+}
+
+/// A limit that a target names again after its end must hold although the old record is still to
+/// be removed.
+#[test]
+fn limits_named_again_at_another_rate() {
+    let view = View { rank: 0, nodes: 1, started_at_ms: 1 };
+    let mut node = TargetLimits::new();
+    let old = LimitRecord { started_at_ms: Some(1), rate_per_s: 8.0 };
+    node.stored_mut().put(at(0), target(), ObjectVersion::new(1), old);
+    node.observe(at(100), &target(), Some(1), Some(2.0));
+    assert!(node.limits(at(100), &view).contains_key(&target()));
+    node.stored_mut().remove(&target(), ObjectVersion::new(1));
+    assert!(node.limits(at(200), &view).contains_key(&target()));
+}
+
 /// All nodes learn of a limit at once; the store must not get a write from each.
 #[test]
 fn due_writes_of_many_nodes() {
