fleet: relays pass on a removal whose version is that of the last write

Cause: the change log of a relay told followers only changes with a version above theirs. A store may give a removed object the version of its last write, which every follower has: relays and the nodes that poll the store saw the removal, their followers never did. Found by a test of evacuations: two nodes of six saw the end, four did not, for 30 s. It is the second cause of limits_ended: followers held a limit whose record was gone.

Change: a removal counts as included from the end of the batch that brought it.

--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -75,7 +75,8 @@
     /// The version after which `changes` is complete.
     complete_since: ObjectVersion,
     objects: BTreeMap<ObjectKey, Object>,
-    changes: VecDeque<ObjectChange>,
+    /// The changes, each with the version from which followers have it.
+    changes: VecDeque<(ObjectVersion, ObjectChange)>,
     /// Whether `objects` is complete, rather than only what has changed since a gap.
     has_full_list: bool,
     contact_at: Option<TimeMs>,
@@ -123,7 +124,11 @@
             self.complete_since = from;
         }
         self.version = self.version.max(version);
+        let mut included_from = from;
         for change in changes {
+            // A removed object may have the version of its last write, which followers have.
+            let known_at = change.value.as_ref().map_or(version, |_| change.version);
+            included_from = included_from.max(known_at);
             let (key, version) = (change.key.clone(), change.version);
             match &change.value {
                 Some(value) => {
@@ -134,14 +139,13 @@
                     self.objects.remove(&key);
                 }
             }
-            self.changes.push_back(change.clone());
+            self.changes.push_back((included_from, change.clone()));
         }
         let retained_max =
             RETAINED_CHANGES_MIN.max(self.objects.len() * RETAINED_CHANGES_PER_OBJECT);
         while self.changes.len() > retained_max {
             // A dropped change may share its version with a retained one.
-            let dropped =
-                self.changes.pop_front().map_or(self.complete_since, |change| change.version);
+            let dropped = self.changes.pop_front().map_or(self.complete_since, |(at, _)| at);
             self.complete_since = self.complete_since.max(dropped);
         }
     }
@@ -204,7 +208,8 @@
     /// Returns the last change of each object after a version, in order.
     fn last_changes(&self, from: ObjectVersion) -> Vec<ObjectChange> {
         let mut seen = Set::default();
-        let new = self.changes.iter().rev().take_while(|change| change.version > from);
+        let new = self.changes.iter().rev().take_while(|(included_from, _)| *included_from > from);
+        let new = new.map(|(_, change)| change);
         let mut last: Vec<_> = new.filter(|change| seen.insert(&change.key)).cloned().collect();
         last.reverse();
         last
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -70,10 +70,18 @@
         for version in 2..1_200_u64 {
             let key = ["a", "b", "c", "d"][usize::arbitrary(&mut random) % 4];
             let value = bool::arbitrary(&mut random).then(|| version.to_string());
-            let change = change(key, version, value.as_deref());
+            let mut change = change(key, version, value.as_deref());
             match value {
                 Some(value) => store.insert(change.key.clone(), value),
-                None => store.remove(&change.key),
+                None => {
+                    // A removed object may have the version of its last write.
+                    let removed = store.remove(&change.key);
+                    let last_write = removed.and_then(|value| value.parse().ok());
+                    if let Some(last_write) = last_write.filter(|_| seed % 2 == 0) {
+                        change.version = ObjectVersion::new(last_write);
+                    }
+                    None
+                }
             };
             for ((log, pending), at) in logs.iter_mut().zip(&mut pending).zip(&mut at) {
                 pending.push(change.clone());
@@ -99,6 +107,22 @@
     }
 }
 
+/// Guards against a removal that followers never learn of because its version is that of the last
+/// write, which they have.
+#[test]
+fn relay_removal_with_old_version() {
+    let mut log = log_with_empty_list(5);
+    let at = ObjectVersion::new;
+    log.apply_changes(at(5), at(6), &[change("a", 6, Some("x"))]);
+    log.apply_changes(at(6), at(9), &[change("a", 6, None)]);
+    let Some(RelayAnswer::Changes { version, changes, .. }) = log.changes_since(NOW, Some(at(6)))
+    else {
+        panic!("the removal is not passed on")
+    };
+    assert_eq!((version, changes), (at(9), vec![change("a", 6, None)]));
+    assert_eq!(log.changes_since(NOW, Some(at(9))), None);
+}
+
 /// Guards against a relay that is cut off from the store and still confirms the state of its
 /// followers.
 #[test]
