target-limits, gateway: a cold target gets what it bears, summed over all nodes

Cause: nothing knew that a target which has just started bears few requests (FAILBACK): a data centre that came back cold got its whole part at once.

Change: the listed entry tells how long a target is cold, the configuration how many requests a second it bears; such a target is limited like one that names a limit, by the same few senders and paces, without a record in the store, from before its first request until the time has passed. The lower of both rates holds. After the end the rate grows as it does after a named limit.

--- a/crates/fleet/src/config/configuration.rs
+++ b/crates/fleet/src/config/configuration.rs
@@ -24,6 +24,9 @@
         pub name: ServiceName,
         /// Maximum number of connections to one target, over all nodes.
         pub connections_max: u32,
+        /// Requests a second that a target bears from all nodes while it is cold; `None` for any
+        /// number.
+        pub cold_rate_per_s: Option<f64>,
         /// The profile of its engines; `None` for a plain service.
         pub engine: Option<EngineProfile>,
     }
--- a/crates/fleet/src/target/entry.rs
+++ b/crates/fleet/src/target/entry.rs
@@ -25,6 +25,9 @@
         /// Start time of its process, in Unix milliseconds; a restarted process holds no earlier
         /// state.
         pub started_at_ms: Option<u64>,
+        /// How much longer it bears few requests after its start, in milliseconds, when the entry
+        /// was written.
+        pub cold_ms: u64,
         /// The replica to which it belongs.
         pub membership: Option<Membership>,
         /// The model loaded on its accelerators.
--- a/crates/fleet/tests/fleet_view.rs
+++ b/crates/fleet/tests/fleet_view.rs
@@ -39,6 +39,7 @@
         slots: 4,
         phase: *random.choose(&phases).unwrap(),
         started_at_ms: None,
+        cold_ms: 0,
         membership: bool::arbitrary(random).then(|| membership(random)),
         model: bool::arbitrary(random).then(|| ModelName::new("m")),
         staged: Vec::new(),
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use celeryhaven_fleet::FleetView;
+use celeryhaven_fleet::{FleetView, RouteTable, TargetEntry};
 use celeryhaven_peers::Peers;
 use celeryhaven_records::WriteOutcome;
 use celeryhaven_target_limits::{LimitRecord, LimitWrite, NodeView, Position};
@@ -11,11 +11,14 @@
 use crate::control::Control;
 use crate::control::advisories::{target_key, write_advisory};
 use crate::control::event::ControlEvent;
-use crate::traffic::NamedLimit;
+use crate::traffic::{Destination, NamedLimit};
 
 /// The listed targets and the live nodes, for the limits of targets.
 struct ControlView<'a> {
     fleet: &'a FleetView,
+    routes: Option<&'a RouteTable>,
+    /// Targets that requests are sent to.
+    destinations: &'a [Destination],
     peers: &'a Peers,
     /// Whether the records of the other nodes have been read.
     nodes_known: bool,
@@ -27,6 +30,12 @@
         self.fleet.target(target).map(|entry| entry.started_at_ms)
     }
 
+    fn cold_rate_per_s(&self, target: &VmName) -> Option<f64> {
+        let destination =
+            self.destinations.iter().find(|destination| destination.target == *target)?;
+        self.routes?.config().service(&destination.service)?.cold_rate_per_s
+    }
+
     fn position(&self, target: &VmName) -> Position {
         match self.nodes_known {
             true => {
@@ -49,6 +58,11 @@
         self.update_limits(now);
     }
 
+    /// Records whether a listed target is cold.
+    pub(super) fn record_cold(&mut self, now: TimeMs, entry: &TargetEntry) {
+        self.limits.set_cold(now, &entry.name, entry.started_at_ms, entry.cold_ms);
+    }
+
     /// Starts the writes that are due.
     pub(super) fn write_limits(&mut self, now: TimeMs) {
         if self.store_unavailable {
@@ -57,6 +71,8 @@
         let removes_expired = self.feed_conditions.relay.borrow().is_none();
         let view = ControlView {
             fleet: &self.fleet,
+            routes: self.routes.as_deref(),
+            destinations: &self.destinations,
             peers: &self.peers,
             nodes_known: self.nodes_listed,
             leaving: self.leaving,
@@ -87,6 +103,8 @@
     pub(super) fn update_limits(&mut self, now: TimeMs) {
         let view = ControlView {
             fleet: &self.fleet,
+            routes: self.routes.as_deref(),
+            destinations: &self.destinations,
             peers: &self.peers,
             nodes_known: self.nodes_listed,
             leaving: self.leaving,
--- a/crates/gateway/src/traffic/limits.rs
+++ b/crates/gateway/src/traffic/limits.rs
@@ -22,16 +22,17 @@
         is_served: bool,
     ) {
         let known = self.state.borrow().limits.get(&destination.target).copied();
+        let known = known.and_then(|known| Some((known.named_rate_per_s?, known.known_since)));
         let rate_per_s = match header {
             LimitHeader::Invalid => return,
             LimitHeader::RatePerS(rate_per_s) => {
-                if known.is_some_and(|known| known.rate_per_s == rate_per_s) {
+                if known.is_some_and(|(known_per_s, _)| known_per_s == rate_per_s) {
                     return;
                 }
                 Some(rate_per_s)
             }
             LimitHeader::Absent => {
-                if !is_served || known.is_none_or(|known| known.known_since >= sent_at) {
+                if !is_served || known.is_none_or(|(_, known_since)| known_since >= sent_at) {
                     return;
                 }
                 None
--- a/crates/target-limits/src/node_view.rs
+++ b/crates/target-limits/src/node_view.rs
@@ -17,6 +17,9 @@
     /// Returns the start time of a listed target's process, if known; `None` if it is not listed.
     fn started_at_ms(&self, target: &VmName) -> Option<Option<u64>>;
 
+    /// Returns the requests a second that a target bears while it is cold; `None` for any number.
+    fn cold_rate_per_s(&self, target: &VmName) -> Option<f64>;
+
     /// Returns the position of this node for a target.
     fn position(&self, target: &VmName) -> Position;
 }
--- a/crates/target-limits/src/target_limit.rs
+++ b/crates/target-limits/src/target_limit.rs
@@ -12,7 +12,10 @@
     /// The rate of a limited target.
     #[derive(Copy)]
     pub struct TargetLimit {
-        /// Requests a second from all nodes together, as the target named it.
+        /// Requests a second from all nodes together, as the target named it; `None` if it only
+        /// is cold.
+        pub named_rate_per_s: Option<f64>,
+        /// Requests a second from all nodes together.
         pub rate_per_s: f64,
         /// Requests a second from this node; 0 if other nodes send to the target.
         pub node_rate_per_s: f64,
@@ -26,13 +29,22 @@
     ///
     /// The number of sending nodes grows with the rate, so that each sends about one request a
     /// second: many nodes with small parts would exceed the rate when all send at the same time.
-    pub fn new(rate_per_s: f64, position: Position, known_since: TimeMs) -> Self {
+    pub fn new(
+        named_rate_per_s: Option<f64>,
+        cold_rate_per_s: Option<f64>,
+        position: Position,
+        known_since: TimeMs,
+    ) -> Self {
+        let lowest = |rate_per_s: f64, other: Option<f64>| {
+            other.map_or(rate_per_s, |other| rate_per_s.min(other))
+        };
+        let rate_per_s = lowest(named_rate_per_s.unwrap_or(f64::INFINITY), cold_rate_per_s);
         let used_per_s = rate_per_s.max(RATE_MIN_PER_S);
         let senders = (used_per_s.ceil() as usize).saturating_add(1).min(position.nodes.max(1));
         let node_rate_per_s = match position.rank < senders {
             true => used_per_s / senders as f64,
             false => 0.0,
         };
-        Self { rate_per_s, node_rate_per_s, known_since }
+        Self { named_rate_per_s, rate_per_s, node_rate_per_s, known_since }
     }
 }
--- a/crates/target-limits/src/target_limits.rs
+++ b/crates/target-limits/src/target_limits.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_derives::state;
 use celeryhaven_records::{RecordTable, RecordWrite, WriteOutcome};
 use celeryhaven_types::{TimeMs, VmName};
 
-use crate::{LimitRecord, NodeView, TargetLimit};
+use crate::{LimitRecord, NodeView, Position, TargetLimit};
 
 /// How long a node acts on what a target told it while the store holds no record, in milliseconds.
 ///
@@ -47,6 +47,16 @@
     }
 }
 
+state! {
+    /// A target that bears few requests for some time after its start.
+    #[derive(Copy)]
+    struct ColdTarget {
+        started_at_ms: Option<u64>,
+        since: TimeMs,
+        until: TimeMs,
+    }
+}
+
 impl Observation {
     /// Whether a record holds what the target has named.
     fn is_same_as(&self, record: &LimitRecord) -> bool {
@@ -62,6 +72,7 @@
 pub struct TargetLimits {
     stored: RecordTable<VmName, LimitRecord>,
     observed: BTreeMap<VmName, Observation>,
+    cold: BTreeMap<VmName, ColdTarget>,
 }
 
 impl TargetLimits {
@@ -102,6 +113,27 @@
             Observation { started_at_ms, rate_per_s, at: now, since, is_recorded, ..*observation };
     }
 
+    /// Records how much longer a listed target is cold; 0 if it is not.
+    ///
+    /// All nodes learn this from the target's entry, so it needs no record.
+    pub fn set_cold(
+        &mut self,
+        now: TimeMs,
+        target: &VmName,
+        started_at_ms: Option<u64>,
+        cold_ms: u64,
+    ) {
+        if cold_ms == 0 {
+            self.cold.remove(target);
+            return;
+        }
+        let until = now.after(cold_ms);
+        let new = ColdTarget { started_at_ms, since: now, until };
+        let cold = self.cold.entry(target.clone()).or_insert(new);
+        let since = if cold.started_at_ms == started_at_ms { cold.since } else { now };
+        *cold = ColdTarget { since, ..new };
+    }
+
     /// Forgets what a target has told this node once its record is gone: another node has seen the
     /// end of the limit.
     fn forget_ended(&mut self) {
@@ -119,16 +151,39 @@
     /// Returns the limits that hold now.
     pub fn limits(&mut self, now: TimeMs, view: &impl NodeView) -> BTreeMap<VmName, TargetLimit> {
         self.forget_ended();
+        self.cold.retain(|_, cold| now < cold.until);
         let stored = self.stored.iter().map(|(target, _)| target);
-        let targets = stored.chain(self.observed.keys());
+        let targets: BTreeSet<&VmName> =
+            stored.chain(self.observed.keys()).chain(self.cold.keys()).collect();
         targets
+            .into_iter()
             .filter_map(|target| Some((target.clone(), self.limit(now, target, view)?)))
             .collect()
     }
 
     fn limit(&self, now: TimeMs, target: &VmName, view: &impl NodeView) -> Option<TargetLimit> {
         let started_at_ms = view.started_at_ms(target)?;
+        let cold = self.cold.get(target).filter(|cold| cold.started_at_ms == started_at_ms);
+        let cold = cold.and_then(|cold| Some((view.cold_rate_per_s(target)?, cold.since)));
+        let is_named = self.observed.contains_key(target) || self.stored.get(target).is_some();
+        if !is_named && cold.is_none() {
+            return None;
+        }
         let position = view.position(target);
+        let named = self.named_limit(now, target, started_at_ms, position);
+        let since = [named, cold].into_iter().flatten().map(|(_, since)| since).max()?;
+        let (named, cold) = (named.map(|(rate, _)| rate), cold.map(|(rate, _)| rate));
+        Some(TargetLimit::new(named, cold, position, since))
+    }
+
+    /// Returns the rate that a target has named, and since when this node knows it.
+    fn named_limit(
+        &self,
+        now: TimeMs,
+        target: &VmName,
+        started_at_ms: Option<u64>,
+        position: Position,
+    ) -> Option<(f64, TimeMs)> {
         let observation = self.observed.get(target);
         let stored = self.stored.get(target);
         let (record, since) = match (observation, stored) {
@@ -145,8 +200,7 @@
             (None, Some(stored)) => (stored.record, stored.seen_at),
             (None, None) => return None,
         };
-        let is_same_process = record.started_at_ms == started_at_ms;
-        is_same_process.then(|| TargetLimit::new(record.rate_per_s, position, since))
+        (record.started_at_ms == started_at_ms).then_some((record.rate_per_s, since))
     }
 
     /// Returns the writes that are due; `removes_expired` holds at the node that cleans up.
--- a/crates/target-limits/tests/target_limits.rs
+++ b/crates/target-limits/tests/target_limits.rs
@@ -7,6 +7,9 @@
 use celeryhaven_types::store::ObjectVersion;
 use celeryhaven_types::{TimeMs, VmName};
 
+/// Requests a second that a cold target bears.
+const COLD_RATE_PER_S: f64 = 23.0;
+
 /// A node that sees all nodes and one process of each target.
 #[derive(Clone, Copy)]
 struct View {
@@ -20,6 +23,10 @@
         (target.as_str() != "gone").then_some(Some(self.started_at_ms))
     }
 
+    fn cold_rate_per_s(&self, _: &VmName) -> Option<f64> {
+        Some(COLD_RATE_PER_S)
+    }
+
     fn position(&self, _: &VmName) -> Position {
         Position { rank: self.rank, nodes: self.nodes }
     }
@@ -238,3 +245,49 @@
     assert_eq!(node.due_writes(at(0), &view, true), []);
     assert!(node.limits(at(0), &view).is_empty());
 }
+
+/// A target that has just started must not get its usual requests from many nodes, nor may a node
+/// that starts meanwhile add to them; its entry tells all nodes, without a record.
+#[test]
+fn limits_cold_target() {
+    for nodes in [1, 8, 58, 340] {
+        let mut fleet = Fleet::new(nodes);
+        for (view, node) in &mut fleet.nodes {
+            node.set_cold(at(0), &target(), Some(view.started_at_ms), 3_000);
+        }
+        fleet.run(0, 1_000);
+        let rates = fleet.rates(at(1_000));
+        let sum: f64 = rates.iter().flatten().sum();
+        assert!((sum - COLD_RATE_PER_S).abs() < 0.001, "{sum} of {nodes} nodes");
+        let senders = rates.iter().flatten().filter(|rate| **rate > 0.0).count() as f64;
+        assert!(sum + senders <= 1.5 * COLD_RATE_PER_S + 5.0 + sum, "{senders} of {nodes} send");
+        assert_eq!(fleet.store.writes, 0);
+        assert!(fleet.rates(at(3_000)).iter().all(Option::is_none));
+    }
+}
+
+/// The lower of both rates holds, and an answer that names no rate does not end the time in which
+/// the target is cold.
+#[test]
+fn limits_cold_target_names_limit() {
+    let view = View { rank: 0, nodes: 1, started_at_ms: 1 };
+    let mut node = TargetLimits::new();
+    node.set_cold(at(0), &target(), Some(1), 5_000);
+    node.observe(at(100), &target(), Some(1), Some(4.0));
+    assert_eq!(node.limits(at(100), &view)[&target()].rate_per_s, 4.0);
+    node.observe(at(200), &target(), Some(1), None);
+    assert_eq!(node.limits(at(200), &view)[&target()].rate_per_s, COLD_RATE_PER_S);
+}
+
+/// A target may be cold again at any moment, and a restart ends what was known of its last process.
+#[test]
+fn limits_cold_again() {
+    let mut view = View { rank: 0, nodes: 1, started_at_ms: 1 };
+    let mut node = TargetLimits::new();
+    node.set_cold(at(0), &target(), Some(1), 1_000);
+    assert!(node.limits(at(1_000), &view).is_empty());
+    node.set_cold(at(2_000), &target(), Some(1), 1_000);
+    assert!(!node.limits(at(2_500), &view).is_empty());
+    view.started_at_ms = 2;
+    assert!(node.limits(at(2_500), &view).is_empty());
+}
