gateway, forming: evacuated data centres get no requests, loads or joins

Change: nodes follow the evacuations like the list of targets, through relays, and take requests only once they have read them. Targets and replicas of an evacuated data centre are no destinations: what runs there finishes, second attempts and resumed streams go elsewhere. Its domains plan and stage nothing, and the other domains' balance does not count its replicas.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,4 +23,4 @@
 pub use target::{
     CloseMode, MemberState, Membership, OrderOutcome, TargetEntry, TargetOrder, TargetPhase,
 };
-pub use view::{DomainTargets, FleetView, Replica, ReplicaKey};
+pub use view::{DomainTargets, Evacuations, FleetView, Replica, ReplicaKey};
--- a/crates/fleet/src/view/fleet_view.rs
+++ b/crates/fleet/src/view/fleet_view.rs
@@ -4,7 +4,7 @@
 
 use crate::target::TargetEntry;
 use crate::view::replica_index::ReplicaIndex;
-use crate::view::{DomainTargets, Replica, ReplicaKey};
+use crate::view::{DomainTargets, Evacuations, Replica, ReplicaKey};
 
 /// How long a removed entry is retained, in milliseconds.
 ///
@@ -32,6 +32,7 @@
     lapsed_until: Option<TimeMs>,
     replicas: ReplicaIndex,
     domains: BTreeMap<ServiceName, BTreeMap<DomainName, DomainTargets>>,
+    evacuations: Evacuations,
 }
 
 impl FleetView {
@@ -158,6 +159,38 @@
     ) -> impl Iterator<Item = (&DomainName, &DomainTargets)> {
         self.domains.get(service).into_iter().flatten()
     }
+
+    /// Iterates over the fabric domains of a service outside evacuated data centres, by name.
+    pub fn usable_domains(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (&DomainName, &DomainTargets)> {
+        self.domains(service).filter(|(_, targets)| {
+            let mut entries = targets.names().iter().filter_map(|name| self.target(name));
+            self.evacuations.is_empty() || !entries.any(|entry| self.is_evacuated(entry))
+        })
+    }
+
+    /// Returns the evacuations.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the evacuations, to be updated.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// Whether a target is in an evacuated data centre.
+    pub fn is_evacuated(&self, entry: &TargetEntry) -> bool {
+        self.evacuations.contains(&entry.data_centre)
+    }
+
+    /// Whether any listed member of a replica is in an evacuated data centre.
+    pub fn is_replica_evacuated(&self, replica: &Replica) -> bool {
+        let members = replica.members.iter().flatten().filter_map(|name| self.target(name));
+        !self.evacuations.is_empty() && members.into_iter().any(|entry| self.is_evacuated(entry))
+    }
 }
 
 fn with_domain(entry: &TargetEntry) -> Option<(&TargetEntry, &DomainName)> {
--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -177,6 +177,7 @@
 ) -> BTreeMap<ModelName, usize> {
     let mut current = BTreeMap::new();
     let others = view.replicas.values().filter(|r| r.domain.as_ref() != Some(&planner.domain));
+    let others = others.filter(|replica| !view.fleet.is_replica_evacuated(replica));
     let models = others.filter(|replica| !replica.draining).filter_map(|r| model_of(view, r));
     models.for_each(|model| *current.entry(model).or_default() += 1);
     current
--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -141,6 +141,9 @@
         self.retry_orders(now, out);
         self.evaluate_replicas(now, view, out);
         self.advance_dissolving(now, view, out);
+        if self.is_evacuated(view) {
+            return;
+        }
         self.convert(now, view, out);
         if matches!(self.record, RecordState::Known(_)) {
             self.plan(view, out);
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -49,6 +49,11 @@
         names.filter_map(move |name| view.fleet.target(name))
     }
 
+    /// Whether the domain is in an evacuated data centre: its replicas stay, and nothing is added.
+    pub(crate) fn is_evacuated(&self, view: FormingView<'_>) -> bool {
+        view.domains.iter().all(|domain| *domain.name != self.domain)
+    }
+
     /// Returns the number of targets of the domain that can be members.
     pub(crate) fn usable_targets(&self, view: FormingView<'_>) -> usize {
         let ready = self.targets_of_domain(view).filter(|e| e.phase == TargetPhase::Ready);
--- a/crates/forming/src/interface/view.rs
+++ b/crates/forming/src/interface/view.rs
@@ -14,7 +14,7 @@
     pub recently_listed: &'a BTreeSet<ReplicaKey>,
     /// The profile of the engines.
     pub profile: &'a EngineProfile,
-    /// The fabric domains of the service, by name.
+    /// The fabric domains of the service outside evacuated data centres, by name.
     pub domains: &'a [ListedDomain<'a>],
     /// Whether callers have sent requests. Loads are not limited before that.
     pub traffic_seen: bool,
--- a/crates/gateway/src/adapter/adapter_trait.rs
+++ b/crates/gateway/src/adapter/adapter_trait.rs
@@ -19,6 +19,10 @@
     /// Returns the key prefix of the target entries, including the last slash.
     fn targets_prefix(&self) -> ObjectKey;
 
+    /// Returns the key prefix of the evacuations, including the last slash; the rest of a key is
+    /// the name of the evacuated data centre.
+    fn evacuations_prefix(&self) -> ObjectKey;
+
     /// Parses a configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -88,6 +88,7 @@
     pub(super) recent_suspicions: RecentSuspicions,
     pub(super) quarantine: Quarantine,
     pub(super) advisories_listed: bool,
+    pub(super) evacuations_listed: bool,
     /// Last standings published to traffic.
     pub(super) standings: Arc<Standings>,
     pub(super) limits: TargetLimits,
@@ -127,6 +128,7 @@
             recent_suspicions: RecentSuspicions::default(),
             quarantine: Quarantine::new(),
             advisories_listed: false,
+            evacuations_listed: false,
             standings: Arc::default(),
             limits: TargetLimits::new(),
             node_limits: Arc::default(),
@@ -173,6 +175,7 @@
         let prefix = key.as_str().rsplit_once('/').map_or("", |(folder, _)| folder);
         self.start_feed(ObjectKey::new(format!("{prefix}/")), FeedKind::Configuration);
         self.start_feed(ObjectKey::new(ADVISORIES_PREFIX), FeedKind::Advisories);
+        self.start_feed(self.parts.adapter.evacuations_prefix(), FeedKind::Evacuations);
         let tick_sender = self.parts.events.0.clone();
         let send_ticks = async move {
             while tick_sender.send(ControlEvent::Tick).await.is_ok() {
@@ -283,6 +286,7 @@
     fn process_changes(&mut self, changes: Changes) {
         if changes.targets {
             self.destinations = self.find_destinations();
+            self.update_limits(BootClock.now());
         }
         if changes.targets || changes.nodes {
             self.update_coordinated_domains();
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -33,7 +33,7 @@
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine_service(&routes) else { return };
         let profile = self.demand_adjusted_profile(profile);
-        let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
+        let domains: Vec<_> = self.fleet.usable_domains(service).map(ListedDomain::new).collect();
         let store_available = self.is_store_available();
         let view =
             forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, store_available));
@@ -72,7 +72,7 @@
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine_service(&routes) else { return };
         let profile = self.demand_adjusted_profile(profile);
-        let domains: Vec<_> = self.fleet.domains(service).map(ListedDomain::new).collect();
+        let domains: Vec<_> = self.fleet.usable_domains(service).map(ListedDomain::new).collect();
         let store_available = self.is_store_available();
         let view =
             forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, store_available));
@@ -100,7 +100,7 @@
         demand_tree.set_own(self.demand.sample(now));
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine_service(&routes) else { return };
-        let targets = self.fleet.domains(service).map(|(_, targets)| targets.ready()).sum();
+        let targets = self.fleet.usable_domains(service).map(|(_, targets)| targets.ready()).sum();
         let fleet = demand_tree.fleet_demand(now);
         let size = FleetSize { nodes: self.peers.live_count() as u32 + 1, targets };
         if self.shares.update(&profile.models, profile.slots, size, &fleet) {
--- a/crates/gateway/src/control/counted_store.rs
+++ b/crates/gateway/src/control/counted_store.rs
@@ -19,6 +19,7 @@
     Placement,
     /// What nodes have seen of targets and of requests.
     Advisories,
+    Evacuations,
 }
 
 impl StoreCallKind {
@@ -30,6 +31,7 @@
             Self::Nodes => "nodes",
             Self::Placement => "placement",
             Self::Advisories => "advisories",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -19,15 +19,22 @@
     Targets,
     /// What nodes have seen of targets and of requests, for all nodes.
     Advisories,
+    /// The data centres that operators have evacuated.
+    Evacuations,
 }
 
 impl FeedKind {
+    /// All kinds.
+    pub(crate) const ALL: [Self; 4] =
+        [Self::Configuration, Self::Targets, Self::Advisories, Self::Evacuations];
+
     /// Returns the kind under which store calls of this feed are counted.
     pub(crate) const fn store_call_kind(self) -> StoreCallKind {
         match self {
             Self::Configuration => StoreCallKind::Configuration,
             Self::Targets => StoreCallKind::Targets,
             Self::Advisories => StoreCallKind::Advisories,
+            Self::Evacuations => StoreCallKind::Evacuations,
         }
     }
 
@@ -37,6 +44,7 @@
             Self::Configuration => "configuration",
             Self::Targets => "targets",
             Self::Advisories => "advisories",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -41,7 +41,8 @@
                     }
                     FeedKind::Targets => {
                         let read = |object: &Object| self.parse_target(&object.key, &object.value);
-                        let entries = objects.iter().filter_map(read).collect();
+                        let entries: Vec<_> = objects.iter().filter_map(read).collect();
+                        entries.iter().for_each(|entry| self.record_cold(now, entry));
                         let changed = self.fleet.replace(now, entries);
                         let first = !std::mem::replace(&mut self.targets_listed, true);
                         Changes::targets(changed | first)
@@ -50,6 +51,10 @@
                         self.replace_advisories(now, version, &objects);
                         Changes::nodes(true)
                     }
+                    FeedKind::Evacuations => {
+                        self.replace_evacuations(now, &objects);
+                        Changes::targets(true)
+                    }
                 }
             }
             FeedUpdate::Changed { changes, store } => {
@@ -77,9 +82,15 @@
             (FeedKind::Configuration, Some(value)) => {
                 *key == self.parts.adapter.configuration_key() && self.apply_configuration(value)
             }
+            (FeedKind::Evacuations, value) => {
+                self.apply_evacuation_change(now, key, value.is_some())
+            }
             (FeedKind::Configuration, None) | (FeedKind::Advisories, _) => false,
             (FeedKind::Targets, value) => {
                 let entry = value.and_then(|value| self.parse_target(key, value));
+                if let Some(entry) = &entry {
+                    self.record_cold(now, entry);
+                }
                 match entry {
                     Some(entry) => self.fleet.put(entry),
                     None => self.fleet.remove(now, &target_name(key)),
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -32,6 +32,7 @@
             senders: self.peers.live_count() as u32 + 1,
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
+            evacuations: self.fleet.evacuations().clone(),
             limits: self.node_limits.clone(),
             standings: self.advisories_listed.then(|| self.standings.clone()),
         };
@@ -44,7 +45,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.routes.is_some() && self.targets_listed && self.advisories_listed && !self.leaving
+        let is_informed = self.targets_listed && self.advisories_listed && self.evacuations_listed;
+        self.routes.is_some() && is_informed && !self.leaving
     }
 
     /// Returns the addresses to advertise to callers.
@@ -62,11 +64,14 @@
     let plain = config.services.iter().filter(|service| service.engine.is_none());
     let plain = plain.flat_map(|service| {
         let targets = fleet.targets().filter(move |entry| entry.service == service.name);
-        targets.filter(|entry| entry.phase == TargetPhase::Ready).map(|entry| Destination {
+        let ready =
+            targets.filter(|entry| entry.phase == TargetPhase::Ready && !fleet.is_evacuated(entry));
+        ready.map(|entry| Destination {
             name: DestinationName::Plain(entry.name.clone()),
             service: service.name.clone(),
             model: None,
             target: entry.name.clone(),
+            data_centre: entry.data_centre.clone(),
             address: entry.address,
             slots: entry.slots,
             started_at_ms: entry.started_at_ms,
@@ -82,7 +87,7 @@
 ) -> Option<Destination> {
     let engine = config.service(&replica.service)?.engine.as_ref()?;
     let model = engine.model(replica.model.as_ref()?)?;
-    if !replica.is_whole(model.size) {
+    if !replica.is_whole(model.size) || fleet.is_replica_evacuated(replica) {
         return None;
     }
     let head = fleet.target(replica.head()?)?;
@@ -91,6 +96,7 @@
         service: replica.service.clone(),
         model: replica.model.clone(),
         target: head.name.clone(),
+        data_centre: head.data_centre.clone(),
         address: head.address,
         slots: engine.slots,
         started_at_ms: head.started_at_ms,
--- a/crates/gateway/src/control/relay/relay_request.rs
+++ b/crates/gateway/src/control/relay/relay_request.rs
@@ -48,9 +48,7 @@
     pub(super) fn parse(request: &Request<Incoming>) -> Option<Self> {
         let mut segments = request.uri().path().strip_prefix(REQUEST_PATH_PREFIX)?.split('/');
         let segment = segments.next()?;
-        let kind = [FeedKind::Configuration, FeedKind::Targets, FeedKind::Advisories]
-            .into_iter()
-            .find(|kind| kind.as_str() == segment)?;
+        let kind = FeedKind::ALL.into_iter().find(|kind| kind.as_str() == segment)?;
         let from = match segments.next()? {
             "-" => None,
             version => Some(ObjectVersion::new(version.parse().ok()?)),
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -25,6 +25,7 @@
     configuration: Rc<RelayLog>,
     targets: Rc<RelayLog>,
     advisories: Rc<RelayLog>,
+    evacuations: Rc<RelayLog>,
     /// Demand of the followers and of the fleet.
     pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
@@ -45,6 +46,7 @@
             configuration: Rc::default(),
             targets: Rc::default(),
             advisories: Rc::default(),
+            evacuations: Rc::default(),
             demand: Rc::default(),
         }
     }
@@ -120,6 +122,7 @@
             FeedKind::Configuration => &self.configuration,
             FeedKind::Targets => &self.targets,
             FeedKind::Advisories => &self.advisories,
+            FeedKind::Evacuations => &self.evacuations,
         }
     }
 }
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -2,10 +2,12 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use celeryhaven_fleet::RouteTable;
+use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
-use celeryhaven_types::{Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs};
+use celeryhaven_types::{
+    DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
+};
 
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::{
@@ -36,6 +38,8 @@
     pub(crate) pool: PoolKey,
     pub(crate) instructions: Sender<Instruction>,
     pub(crate) destination: Option<DestinationName>,
+    /// Data centre of the last destination.
+    pub(crate) data_centre: Option<DataCentreName>,
     /// When its stream produced the first event; `None` if it has not at this target.
     pub(crate) streaming_since: Option<TimeMs>,
     /// Whether the request may be sent again after it may have run.
@@ -54,8 +58,9 @@
     pub(crate) leaving_since: Option<TimeMs>,
     pub(crate) stall_detector: StallDetector<DestinationName>,
     pub(crate) active_requests: Map<Ticket, ActiveRequest>,
-    /// Requests that are suspected of ending their targets, or quarantined.
-    /// `None` until they have been read.
+    pub(crate) evacuations: Evacuations,
+    /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
+    /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
     /// Crashes that are not reported yet.
     pub(crate) crashes: PendingCrashes<CrashReport>,
@@ -81,6 +86,7 @@
             leaving_since: None,
             stall_detector: StallDetector::new(),
             active_requests: Map::default(),
+            evacuations: Evacuations::default(),
             standings: None,
             crashes: PendingCrashes::new(),
             limits: Arc::default(),
@@ -107,6 +113,7 @@
             pool: key.clone(),
             instructions,
             destination: None,
+            data_centre: None,
             streaming_since: None,
             may_repeat: request.may_repeat(),
             digest: request.digest,
@@ -244,6 +251,13 @@
         self.standings.as_ref()?.get(&digest).copied()
     }
 
+    /// Returns the number of requests that run in evacuated data centres.
+    pub(crate) fn evacuating(&self) -> usize {
+        let running = self.active_requests.values().filter(|active| active.destination.is_some());
+        let data_centres = running.filter_map(|active| active.data_centre.as_ref());
+        data_centres.filter(|data_centre| self.evacuations.contains(data_centre)).count()
+    }
+
     /// Returns the number of requests that wait for a target.
     pub(crate) fn queued(&self) -> usize {
         self.pools.values().map(Pool::queued).sum()
@@ -326,6 +340,7 @@
                     let Some(destination) = destination.cloned() else { continue };
                     if let Some(active) = self.active_requests.get_mut(&ticket) {
                         active.destination = Some(destination.name.clone());
+                        active.data_centre = Some(destination.data_centre.clone());
                     }
                     (ticket, Instruction::Send(destination))
                 }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -32,6 +32,8 @@
     reports: Sender<TrafficReport>,
     first_request_seen: Cell<bool>,
     ticks: Cell<u32>,
+    /// Whether no request runs in an evacuated data centre.
+    is_clear: Cell<bool>,
 }
 
 impl<A: Adapter> Dispatcher<A> {
@@ -57,6 +59,7 @@
             reports,
             first_request_seen,
             ticks,
+            is_clear: Cell::new(true),
         })
     }
 
@@ -78,9 +81,14 @@
             state.ready = update.ready;
             state.cut_off_until = update.cut_off_until;
             state.standings = update.standings;
+            if state.evacuations != update.evacuations {
+                state.evacuations = update.evacuations;
+                self.is_clear.set(false);
+            }
             state.set_senders(now, update.senders);
-            state.set_destinations(now, update.destinations);
+            // A target that comes up must not receive the queue before its limit is known.
             state.set_limits(now, update.limits);
+            state.set_destinations(now, update.destinations);
         }
     }
 
@@ -93,11 +101,28 @@
                 self.suspect_replica(&name, "streams stand still");
             }
             self.metrics.queued.set(self.state.borrow().queued() as i64);
+            self.report_evacuating();
             self.report_offered_load();
             self.report_crashes();
         }
     }
 
+    /// Counts the requests that still run in evacuated data centres, and logs when none is left.
+    fn report_evacuating(&self) {
+        let state = self.state.borrow();
+        if self.is_clear.get() {
+            return;
+        }
+        let running = state.evacuating();
+        self.metrics.evacuating_requests.set(running as i64);
+        if running == 0 {
+            self.is_clear.set(true);
+            if !state.evacuations.is_empty() {
+                info!(self.log, "evacuation clear of requests of this node");
+            }
+        }
+    }
+
     fn report_offered_load(&self) {
         self.ticks.set(self.ticks.get().wrapping_add(1));
         if !self.ticks.get().is_multiple_of(TICKS_PER_LOAD_REPORT) {
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -3,9 +3,9 @@
 
 use async_channel::Sender;
 use celeryhaven_derives::state;
-use celeryhaven_fleet::{ReplicaKey, RouteTable};
+use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
 use celeryhaven_quarantine::{RequestDigest, Standings};
-use celeryhaven_types::{ModelName, OrganisationName, ServiceName, TimeMs, VmName};
+use celeryhaven_types::{DataCentreName, ModelName, OrganisationName, ServiceName, TimeMs, VmName};
 
 use crate::traffic::TargetLimitMap;
 
@@ -30,6 +30,8 @@
         pub(crate) model: Option<ModelName>,
         /// The target that takes the requests.
         pub(crate) target: VmName,
+        /// Its data centre.
+        pub(crate) data_centre: DataCentreName,
         /// The address of that target.
         pub(crate) address: SocketAddr,
         /// Maximum number of concurrent requests.
@@ -89,10 +91,12 @@
     pub(crate) ready: bool,
     /// Time until which this node counts as cut off from the store.
     pub(crate) cut_off_until: Option<TimeMs>,
-    /// Requests that are suspected of ending their targets, or quarantined.
+    /// The evacuated data centres.
+    pub(crate) evacuations: Evacuations,
     /// Limits of targets, and this node's parts of them.
     pub(crate) limits: Arc<TargetLimitMap>,
-    /// `None` until they have been read.
+    /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
+    /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
 }
 
@@ -113,6 +117,7 @@
             && self.senders == other.senders
             && self.ready == other.ready
             && self.cut_off_until == other.cut_off_until
+            && self.evacuations == other.evacuations
             && standings
             && Arc::ptr_eq(&self.limits, &other.limits)
     }
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -30,6 +30,10 @@
     pub crash_reports: Counter,
     /// Targets that name a limit.
     pub targets_limited: Gauge,
+    /// Data centres that are evacuated.
+    pub evacuations: Gauge,
+    /// Requests that still run in evacuated data centres.
+    pub evacuating_requests: Gauge,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -50,6 +54,7 @@
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
         let targets_limited = Gauge::default();
+        let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -81,6 +86,16 @@
                 "Targets that name a limit",
                 targets_limited.clone(),
             );
+            registry.register(
+                "evacuations",
+                "Data centres that are evacuated",
+                evacuations.clone(),
+            );
+            registry.register(
+                "evacuating_requests",
+                "Requests that still run in evacuated data centres",
+                evacuating_requests.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -94,6 +109,8 @@
             quarantined,
             crash_reports,
             targets_limited,
+            evacuations,
+            evacuating_requests,
             store_calls,
         }
     }
