policy: targets that differ by noise share requests

Cause: the better of two random candidates was chosen by a strict order of scores that rest on a few answers. The target that came last in it, by 2 ms in 200, got only the requests for which both candidates were this target, one in 36 of six, and so no answers that could correct the score.

Change: scores within 5 % are equal, and the first candidate is taken.

--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -14,16 +14,23 @@
 /// Fraction of the decode time that a full batch adds to that of an idle target.
 const BATCH_SLOWDOWN: f64 = 0.5;
 
+/// Relative difference up to which two scores are equal.
+///
+/// A strict order of targets that differ only by the noise of a few answers would leave the last
+/// of them almost without requests, and so without answers that could correct it.
+const SCORE_NOISE: f64 = 0.05;
+
 impl FairPolicy {
-    /// Picks the candidate with the least expected latency.
+    /// Picks the candidate with the least expected latency, or the first of several that are equal.
     pub(crate) fn pick(&mut self, now: TimeMs, request: &RequestState) -> Option<Pick> {
         let candidates = self.candidates(request);
         self.pick_visits += candidates.len() as u64;
-        candidates
-            .into_iter()
-            .filter_map(|target| self.score_ms(now, request, target))
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, pick)| pick)
+        let scored =
+            candidates.into_iter().filter_map(|target| self.score_ms(now, request, target));
+        let scored: Vec<(f64, Pick)> = scored.collect();
+        let best_ms = scored.iter().map(|(score_ms, _)| *score_ms).min_by(f64::total_cmp)?;
+        let limit_ms = best_ms * (1.0 + SCORE_NOISE);
+        scored.into_iter().find(|(score_ms, _)| *score_ms <= limit_ms).map(|(_, pick)| pick)
     }
 
     fn candidates(&mut self, request: &RequestState) -> Vec<TargetKey> {
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -23,8 +23,15 @@
     /// Sends: time and target.
     sent: Vec<(u64, TargetKey)>,
     refused: usize,
+    /// Prompt tokens of each request.
+    prompt_tokens: u32,
+    /// A target that takes a little longer than the others.
+    slower: Option<TargetKey>,
 }
 
+/// How much longer the slower target takes.
+const SLOWER_MS: u64 = 2;
+
 impl Node {
     fn new(targets: u32) -> Self {
         let mut policy = FairPolicy::new(FairSettings::new(3).with_times(40.0, 0.0, 0.0));
@@ -33,7 +40,15 @@
             let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
             policy.handle(TimeMs::new(0), PolicyEvent::TargetUp { target, profile }, &mut out);
         }
-        Self { policy, ends: Vec::new(), next: Ticket::new(0), sent: Vec::new(), refused: 0 }
+        Self {
+            policy,
+            ends: Vec::new(),
+            next: Ticket::new(0),
+            sent: Vec::new(),
+            refused: 0,
+            prompt_tokens: 0,
+            slower: None,
+        }
     }
 
     fn limit(&mut self, ms: u64, target: u32, rate_per_s: Option<f64>) {
@@ -48,7 +63,8 @@
             match decision {
                 Decision::Dispatch { ticket, target } => {
                     self.sent.push((ms, target));
-                    self.ends.push((ms + REQUEST_MS, ticket));
+                    let slower_ms = if self.slower == Some(target) { SLOWER_MS } else { 0 };
+                    self.ends.push((ms + REQUEST_MS + slower_ms, ticket));
                 }
                 Decision::Refuse { .. } => self.refused += 1,
                 Decision::Cancel { .. } => {}
@@ -61,6 +77,7 @@
         for ms in from_ms..from_ms + for_ms {
             let due: Vec<_> = self.ends.extract_if(.., |(end_ms, _)| *end_ms <= ms).collect();
             for (_, ticket) in due {
+                self.handle(ms, PolicyEvent::Started { ticket });
                 self.handle(ms, PolicyEvent::Finished { ticket, output_tokens: 1 });
             }
             if self.policy.next_wake().is_some_and(|at| at.get() <= ms) {
@@ -69,7 +86,7 @@
             if ms.is_multiple_of(interval_ms) {
                 let ticket = self.next;
                 self.next = ticket.next();
-                let head = head(ticket);
+                let head = RequestHead { prompt_tokens: self.prompt_tokens, ..head(ticket) };
                 self.handle(ms, PolicyEvent::Arrived { ticket, head: &head });
             }
         }
@@ -190,3 +207,18 @@
     let sent = node.sent_to(0, 0);
     assert!((15..=23).contains(&sent), "{sent} requests in ten seconds at two a second");
 }
+
+/// A target whose last answers took a little longer must get its part after the end of its limit,
+/// not only the requests for which no other target was looked at.
+#[test]
+fn limited_target_slower_by_noise_recovers() {
+    let mut node = Node::new(6);
+    node.prompt_tokens = 100;
+    node.slower = Some(TargetKey::new(0));
+    node.limit(0, 0, Some(1.0));
+    node.run(0, 4_000, 5);
+    node.limit(4_000, 0, None);
+    node.run(4_000, 10_000, 5);
+    let (sent, mean) = (node.sent_to(0, 10_000), 4_000 / 5 / 6);
+    assert!(sent * 2 > mean, "{sent} requests, the mean of all targets is {mean}");
+}
