peers, gateway: nodes of a large fleet learn everything from relays

Cause: at its start every node listed all records of nodes (five pages) and all targets (sixteen pages) from the store, and read the records again every three seconds. The bytes grow with the square of the fleet. Nodes that knew few others also took too large a part of what all share (BUDGET), and few targets (busiest target 79 times the mean).

Change: if the records of all nodes do not fit on one page, the fleet is large. Two of the nodes on the first page list everything and publish a directory of relays, one object; every other node reads that object, follows a relay, and gets the records of nodes as one more feed. Only roots list from the store. A node tries up to three relays before it polls the store, and never lists there. Nodes with more of a core look first, so that the others find the directory. Small fleets follow the path that they had. Whether others may follow a node no longer depends on its being ready, since a starting relay is not; one that leaves still may not be followed.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -27,9 +27,10 @@
 use crate::control::changes::Changes;
 use crate::control::coordinators::Coordinators;
 use crate::control::counted_store::CountedStore;
+use crate::control::directory::DirectoryState;
 use crate::control::event::{ControlEvent, FeedKind};
-use crate::control::feed::{Feed, FeedConditions};
-use crate::control::heartbeats::own_record;
+use crate::control::feed::{Feed, FeedConditions, FleetScale};
+use crate::control::heartbeats::{NODES_PREFIX, own_record};
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
@@ -83,6 +84,7 @@
     /// End of the period in which this node counts as cut off from the store.
     pub(super) cut_off_until: Option<TimeMs>,
     pub(super) nodes_listed: bool,
+    pub(super) directory: DirectoryState,
     pub(super) feed_conditions: Rc<FeedConditions>,
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
@@ -123,6 +125,7 @@
             store_unavailable: false,
             cut_off_until: None,
             nodes_listed: false,
+            directory: DirectoryState::default(),
             feed_conditions: Rc::default(),
             relay,
             recent_suspicions: RecentSuspicions::default(),
@@ -176,6 +179,7 @@
         self.start_feed(ObjectKey::new(format!("{prefix}/")), FeedKind::Configuration);
         self.start_feed(ObjectKey::new(ADVISORIES_PREFIX), FeedKind::Advisories);
         self.start_feed(self.parts.adapter.evacuations_prefix(), FeedKind::Evacuations);
+        self.start_feed(ObjectKey::new(NODES_PREFIX), FeedKind::Nodes);
         let tick_sender = self.parts.events.0.clone();
         let send_ticks = async move {
             while tick_sender.send(ControlEvent::Tick).await.is_ok() {
@@ -202,6 +206,7 @@
             store_retry_at: Instant::now(),
             rng: SmallRng::seed_from_u64(self.parts.boot ^ kind as u64),
             failures: 0,
+            relay_index: 0,
         };
         self.executor.spawn(feed.follow()).detach();
     }
@@ -213,12 +218,19 @@
             ControlEvent::Feed(kind, update) => self.apply_feed_update(now, kind, update),
             ControlEvent::Nodes(records) => {
                 let changed = self.peers.apply_records(now, records);
-                let first = !std::mem::replace(&mut self.nodes_listed, true);
-                if self.peers.has_unprobed() {
-                    self.nodes_probed_at = TimeMs::new(0);
-                    self.probe_nodes(now);
-                }
-                Changes::nodes(changed | first)
+                Changes::nodes(changed | self.record_nodes_listed(now))
+            }
+            ControlEvent::LargeFleet(records) => {
+                self.join_large_fleet(&records);
+                Changes::nodes(true)
+            }
+            ControlEvent::RelayDirectory(directory, version) => {
+                self.apply_directory(directory, version);
+                Changes::nodes(true)
+            }
+            ControlEvent::DirectoryWritten => {
+                self.directory.is_being_written = false;
+                Changes::NONE
             }
             ControlEvent::Probed { node, probe } => {
                 Changes::nodes(self.peers.record_probe(now, &node, probe))
@@ -259,6 +271,7 @@
                 self.write_quarantine(now);
                 self.write_limits(now);
                 self.update_limits(now);
+                self.publish_directory(now);
                 let expired = Changes::targets(self.fleet.expire(now));
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -270,6 +283,18 @@
         }
     }
 
+    /// Records that the records of all nodes are known; returns whether they were not before.
+    pub(super) fn record_nodes_listed(&mut self, now: TimeMs) -> bool {
+        let is_first = !std::mem::replace(&mut self.nodes_listed, true);
+        // In a large fleet most nodes are never probed by this one.
+        let is_large = self.feed_conditions.fleet_scale.get() == FleetScale::Large;
+        if self.peers.has_unprobed() && (is_first || !is_large) {
+            self.nodes_probed_at = TimeMs::new(0);
+            self.probe_nodes(now);
+        }
+        is_first
+    }
+
     /// Records the load that callers have offered to this node.
     fn record_offered_load(&mut self, now: TimeMs, loads: &[OfferedLoad]) {
         loads.iter().for_each(|load| self.demand.add(now, &load.model, load.slot_ms));
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -10,6 +10,7 @@
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::event::ControlEvent;
+use crate::control::feed::FleetScale;
 use crate::control::relay::PeerAddress;
 
 /// Interval between two probes of a node, in milliseconds.
@@ -116,12 +117,19 @@
     pub(super) fn update_upstream(&self) {
         self.feed_conditions.nodes_known.set(self.nodes_listed);
         self.feed_conditions.nodes.set(self.peers.live_count() as u64 + 1);
-        let upstream = self.peers.upstream();
-        let relay = upstream
-            .relay
-            .map(|record| PeerAddress { address: record.peer_address, token: record.token });
+        let upstream = match self.feed_conditions.fleet_scale.get() {
+            FleetScale::Large if !self.nodes_listed => self.upstream_by_directory(),
+            _ => self.peers.upstream(),
+        };
+        // Until there is a directory, its first publishers know where to start.
+        let is_large = self.feed_conditions.fleet_scale.get() == FleetScale::Large;
+        let has_place = self.nodes_listed || upstream.is_relay;
+        self.feed_conditions.may_list.set(is_large && has_place && upstream.relays.is_empty());
+        let relays = upstream.relays.into_iter();
+        let relays =
+            relays.map(|record| PeerAddress { address: record.peer_address, token: record.token });
         self.feed_conditions.is_relay.set(upstream.is_relay);
-        self.feed_conditions.relay.replace(relay);
+        self.feed_conditions.relays.replace(relays.collect());
     }
 
     /// Whether the store has recently rejected or not answered a call of this node.
--- a/crates/gateway/src/control/counted_store.rs
+++ b/crates/gateway/src/control/counted_store.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use celeryhaven_store::{StoreClient, StoreCodec};
+use celeryhaven_store::{Freshness, StoreClient, StoreCodec};
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_telemetry::metrics::StoreCallLabel;
 use celeryhaven_types::store::{StoreReply, StoreRequest};
@@ -15,6 +15,8 @@
     Targets,
     /// Node records.
     Nodes,
+    /// The directory of relays.
+    Relays,
     /// Records of fabric domains.
     Placement,
     /// What nodes have seen of targets and of requests.
@@ -29,6 +31,7 @@
             Self::Configuration => "configuration",
             Self::Targets => "targets",
             Self::Nodes => "nodes",
+            Self::Relays => "relays",
             Self::Placement => "placement",
             Self::Advisories => "advisories",
             Self::Evacuations => "evacuations",
@@ -67,6 +70,21 @@
         self.client.read_stale(request).await
     }
 
+    /// Reads the first page of a list; returns whether there are more.
+    pub(crate) async fn read_first_page(
+        &self,
+        kind: StoreCallKind,
+        request: &StoreRequest,
+        freshness: Freshness,
+    ) -> (StoreReply, bool) {
+        let call = match freshness {
+            Freshness::Latest => "first page",
+            Freshness::Stale => "stale first page",
+        };
+        self.count(kind, call);
+        self.client.read_first_page(request, freshness).await
+    }
+
     /// Logs the number of calls since the last log line, if any.
     pub(crate) fn log_calls(&self, log: &Logger) {
         for ((kind, call), count) in self.unlogged.take() {
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,6 +1,6 @@
 use celeryhaven_fleet::StoreContact;
 use celeryhaven_forming::FormingEvent;
-use celeryhaven_peers::{NodeRecord, ProbeResult};
+use celeryhaven_peers::{NodeRecord, ProbeResult, RelayDirectory};
 use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
 use celeryhaven_records::WriteOutcome;
 use celeryhaven_target_limits::{LimitRecord, LimitWrite};
@@ -21,12 +21,14 @@
     Advisories,
     /// The data centres that operators have evacuated.
     Evacuations,
+    /// Records of all nodes, in a fleet too large for each node to read them from the store.
+    Nodes,
 }
 
 impl FeedKind {
     /// All kinds.
-    pub(crate) const ALL: [Self; 4] =
-        [Self::Configuration, Self::Targets, Self::Advisories, Self::Evacuations];
+    pub(crate) const ALL: [Self; 5] =
+        [Self::Configuration, Self::Targets, Self::Advisories, Self::Evacuations, Self::Nodes];
 
     /// Returns the kind under which store calls of this feed are counted.
     pub(crate) const fn store_call_kind(self) -> StoreCallKind {
@@ -35,6 +37,7 @@
             Self::Targets => StoreCallKind::Targets,
             Self::Advisories => StoreCallKind::Advisories,
             Self::Evacuations => StoreCallKind::Evacuations,
+            Self::Nodes => StoreCallKind::Nodes,
         }
     }
 
@@ -45,6 +48,7 @@
             Self::Targets => "targets",
             Self::Advisories => "advisories",
             Self::Evacuations => "evacuations",
+            Self::Nodes => "nodes",
         }
     }
 }
@@ -67,6 +71,12 @@
     Feed(FeedKind, FeedUpdate),
     /// Records of all nodes, possibly some seconds old.
     Nodes(Vec<NodeRecord>),
+    /// The fleet is too large for each node to read the records of all nodes; some of them.
+    LargeFleet(Vec<NodeRecord>),
+    /// The directory of relays, and its version.
+    RelayDirectory(RelayDirectory, ObjectVersion),
+    /// A write of the directory of relays has ended.
+    DirectoryWritten,
     /// Result of a probe of another node.
     Probed { node: NodeName, probe: ProbeResult },
     /// Suspicion reported by another node.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -38,6 +38,12 @@
 const NODES_WAIT_MAX: Duration = Duration::from_millis(1_500);
 const NODES_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often a starting node checks whether the scale of the fleet is known.
+const SCALE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How often a node of a small fleet checks whether it has grown.
+const GROWTH_POLL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Pause after an update from the store, so that changes in quick succession are fetched together.
 ///
 /// The pause grows with the fleet to limit its total call rate, and is bounded because a stopping
@@ -84,10 +90,33 @@
     pub(crate) is_relay: Cell<bool>,
     /// Number of live nodes, including this one.
     pub(crate) nodes: Cell<u64>,
-    /// Relay to follow; `None` to poll the store.
-    pub(crate) relay: RefCell<Option<PeerAddress>>,
+    /// Relays that may be followed, the preferred one first; none to poll the store.
+    pub(crate) relays: RefCell<Vec<PeerAddress>>,
     /// Whether the records of the other nodes have been read.
     pub(crate) nodes_known: Cell<bool>,
+    /// How a starting node gets its first lists.
+    pub(crate) fleet_scale: Cell<FleetScale>,
+    /// Whether a node of a large fleet may read complete lists from the store.
+    pub(crate) may_list: Cell<bool>,
+}
+
+/// How a starting node gets its first lists.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FleetScale {
+    /// Not known yet.
+    #[default]
+    Unknown,
+    /// From the store.
+    Small,
+    /// From relays: the lists of all nodes together would fill the store's link.
+    Large,
+}
+
+impl FeedConditions {
+    /// Whether this node may read complete lists from the store.
+    fn may_list_store(&self) -> bool {
+        self.fleet_scale.get() == FleetScale::Small || self.may_list.get()
+    }
 }
 
 /// Follows all objects of one kind: lists them once, then fetches the changes since the last
@@ -108,6 +137,8 @@
     pub(crate) relay: RelayState,
     pub(crate) from: Option<ObjectVersion>,
     pub(crate) failures: u32,
+    /// Index of the relay that is followed.
+    pub(crate) relay_index: usize,
     /// End of the period in which the store is polled although there is a relay.
     pub(crate) direct_until: Option<Instant>,
     /// Earliest time of the next store call after a failure.
@@ -118,18 +149,54 @@
 impl<W: StoreCodec> Feed<W> {
     /// Runs until the process ends.
     pub(crate) async fn follow(mut self) {
-        self.poll_store().await;
-        self.wait_for_nodes().await;
+        while self.conditions.fleet_scale.get() == FleetScale::Unknown {
+            Timer::after(SCALE_POLL_INTERVAL).await;
+        }
+        if self.conditions.fleet_scale.get() == FleetScale::Small {
+            if self.kind != FeedKind::Nodes {
+                self.poll_store().await;
+                self.wait_for_nodes().await;
+            }
+            // A small fleet may grow.
+            while self.kind == FeedKind::Nodes
+                && self.conditions.fleet_scale.get() == FleetScale::Small
+            {
+                Timer::after(GROWTH_POLL_INTERVAL).await;
+            }
+        }
         loop {
-            let relay = self.conditions.relay.borrow().clone();
+            let relay = self.followed_relay();
+            let may_use_store = self.from.is_some() || self.conditions.may_list_store();
             let is_direct = self.direct_until.is_some_and(|at| at > Instant::now());
             let may_poll_store = self.store_retry_at <= Instant::now();
             match relay {
-                Some(relay) if !(is_direct && may_poll_store) => self.poll_relay(&relay).await,
-                _ if may_poll_store => self.poll_store().await,
-                _ => {
+                Some(relay) if !(is_direct && may_poll_store && may_use_store) => {
+                    self.poll_relay(&relay).await;
+                }
+                _ if may_poll_store && may_use_store => self.poll_store().await,
+                _ if may_use_store => {
                     Timer::at(self.store_retry_at).await;
                 }
+                _ => {
+                    Timer::after(NODES_POLL_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn followed_relay(&self) -> Option<PeerAddress> {
+        let relays = self.conditions.relays.borrow();
+        relays.get(self.relay_index % relays.len().max(1)).cloned()
+    }
+
+    /// Moves to the next relay, and lets the store be polled once all of them have failed.
+    async fn relay_failed(&mut self) {
+        self.relay_index += 1;
+        let relays = self.conditions.relays.borrow().len().max(1);
+        if self.relay_index.is_multiple_of(relays) {
+            self.direct_until = Some(Instant::now() + DIRECT_POLL_DURATION);
+            if self.store_retry_at > Instant::now() || self.from.is_none() {
+                Timer::after(STALE_RELAY_RETRY_PAUSE).await;
             }
         }
     }
@@ -175,10 +242,7 @@
                 }
             }
             Some(RelayAnswer::Stale) | None => {
-                self.direct_until = Some(Instant::now() + DIRECT_POLL_DURATION);
-                if self.store_retry_at > Instant::now() {
-                    Timer::after(STALE_RELAY_RETRY_PAUSE).await;
-                }
+                self.relay_failed().await;
             }
         }
     }
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
 use celeryhaven_fleet::{RouteTable, StoreContact, TargetEntry};
-use celeryhaven_types::store::{Object, ObjectKey};
-use celeryhaven_types::{TimeMs, VmName};
+use celeryhaven_peers::NodeRecord;
+use celeryhaven_types::store::{Object, ObjectChange, ObjectKey};
+use celeryhaven_types::{NodeName, TimeMs, VmName};
 use slog::{info, warn};
 
 use crate::adapter::Adapter;
@@ -51,6 +52,11 @@
                         self.replace_advisories(now, version, &objects);
                         Changes::nodes(true)
                     }
+                    FeedKind::Nodes => {
+                        let records = objects.iter().filter_map(|object| parse_node(&object.value));
+                        let changed = self.peers.replace_records(now, records.collect());
+                        Changes::nodes(changed | self.record_nodes_listed(now))
+                    }
                     FeedKind::Evacuations => {
                         self.replace_evacuations(now, &objects);
                         Changes::targets(true)
@@ -62,6 +68,9 @@
                 if kind == FeedKind::Advisories {
                     return Changes::nodes(self.apply_advisory_changes(now, &changes));
                 }
+                if kind == FeedKind::Nodes {
+                    return Changes::nodes(self.apply_node_changes(now, &changes));
+                }
                 let changed = changes.iter().fold(false, |changed, change| {
                     changed | self.apply_change(now, kind, &change.key, change.value.as_deref())
                 });
@@ -70,6 +79,17 @@
         }
     }
 
+    /// Applies changes of nodes' records; returns whether any node has changed.
+    fn apply_node_changes(&mut self, now: TimeMs, changes: &[ObjectChange]) -> bool {
+        let written = changes.iter().filter_map(|change| parse_node(change.value.as_deref()?));
+        let changed = self.peers.apply_records(now, written.collect());
+        let removed = changes.iter().filter(|change| change.value.is_none());
+        removed.fold(changed, |changed, change| {
+            let name = NodeName::new(target_name(&change.key).as_str());
+            changed | self.peers.remove_record(&name)
+        })
+    }
+
     /// Applies the change of one object; returns whether it affects traffic.
     pub(super) fn apply_change(
         &mut self,
@@ -85,7 +105,7 @@
             (FeedKind::Evacuations, value) => {
                 self.apply_evacuation_change(now, key, value.is_some())
             }
-            (FeedKind::Configuration, None) | (FeedKind::Advisories, _) => false,
+            (FeedKind::Configuration, None) | (FeedKind::Advisories | FeedKind::Nodes, _) => false,
             (FeedKind::Targets, value) => {
                 let entry = value.and_then(|value| self.parse_target(key, value));
                 if let Some(entry) = &entry {
@@ -141,6 +161,10 @@
     }
 }
 
+fn parse_node(value: &str) -> Option<NodeRecord> {
+    serde_json::from_str(value).ok()
+}
+
 fn target_name(key: &ObjectKey) -> VmName {
     let name = key.as_str().rsplit_once('/').map_or(key.as_str(), |(_, name)| name);
     VmName::new(name)
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -2,13 +2,15 @@
 
 use async_channel::Sender;
 use celeryhaven_peers::{NodeRecord, heartbeat_interval_ms};
-use celeryhaven_store::StoreCodec;
+use celeryhaven_store::{Freshness, StoreCodec};
 use celeryhaven_types::store::{Object, ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use smol::Timer;
 
 use crate::adapter::Adapter;
 use crate::control::counted_store::{CountedStore, StoreCallKind};
+use crate::control::directory::read_directory;
 use crate::control::event::ControlEvent;
+use crate::control::feed::{FeedConditions, FleetScale};
 use crate::control::{Control, ControlParts};
 
 /// Prefix of the node records in the store.
@@ -26,6 +28,19 @@
 const INITIAL_READ_DELAYS: [Duration; 2] =
     [Duration::from_millis(300), Duration::from_millis(1_000)];
 
+/// Delay of a starting node's look at the scale of the fleet per capacity class below the first,
+/// and the largest number of these delays.
+const SCALE_READ_DELAY: Duration = Duration::from_millis(150);
+const FIRST_CAPACITY_CLASS: u32 = 10;
+const SCALE_READS_MAX: u32 = 3;
+const SCALE_READ_DELAYS_MAX: u32 = 3;
+
+/// Interval between two reads of the directory of relays by a starting node.
+const DIRECTORY_READ_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time after which a starting node does not wait for the relays of a directory any longer.
+const RELAYS_WAIT_MAX: Duration = Duration::from_millis(2_500);
+
 /// Attempts of the first write, which fails if the store has a record of an earlier start.
 const INITIAL_WRITES_MAX: u32 = 3;
 
@@ -61,16 +76,23 @@
                     break;
                 }
             }
-            for pause in INITIAL_READ_DELAYS {
-                Timer::after(pause).await;
-                task.read_all(true).await;
+            let [first_pause, second_pause] = INITIAL_READ_DELAYS;
+            Timer::after(first_pause).await;
+            let mut scale = task.find_scale().await;
+            if scale == FleetScale::Small {
+                conditions.fleet_scale.set(scale);
+                Timer::after(second_pause).await;
+                scale = task.read_first_page(Freshness::Latest).await;
             }
+            while scale != FleetScale::Large {
+                Timer::after(READ_INTERVAL).await;
+                task.write_if_due(&conditions).await;
+                scale = task.read_first_page(Freshness::Stale).await;
+            }
+            task.wait_for_relays(&conditions).await;
             loop {
                 Timer::after(READ_INTERVAL).await;
-                if task.is_due(conditions.nodes.get()) {
-                    task.write().await;
-                }
-                task.read_all(false).await;
+                task.write_if_due(&conditions).await;
             }
         }
     }
@@ -103,6 +125,12 @@
         self.written_at.elapsed() >= pause
     }
 
+    async fn write_if_due(&mut self, conditions: &FeedConditions) {
+        if self.is_due(conditions.nodes.get()) {
+            self.write().await;
+        }
+    }
+
     async fn write(&mut self) {
         self.record.heartbeat += 1;
         self.written_at = Instant::now();
@@ -137,20 +165,75 @@
         };
     }
 
-    /// Reads the records of all nodes; without `latest`, they may be some seconds old.
-    async fn read_all(&self, latest: bool) {
+    /// Finds out whether the fleet is too large for each node to read the records of all nodes.
+    ///
+    /// Nodes with more processor time look first: they are the ones that publish the directory,
+    /// and the others then need not read any records. If the store does not answer, the fleet
+    /// counts as small: nothing can be read anyway.
+    async fn find_scale(&self) -> FleetScale {
+        if self.find_directory(Freshness::Stale).await {
+            return FleetScale::Large;
+        }
+        let classes_below = FIRST_CAPACITY_CLASS.saturating_sub(self.record.capacity_class());
+        Timer::after(SCALE_READ_DELAY * classes_below.min(SCALE_READ_DELAYS_MAX)).await;
+        for _ in 0..SCALE_READS_MAX {
+            if self.find_directory(Freshness::Latest).await {
+                return FleetScale::Large;
+            }
+            let scale = self.read_first_page(Freshness::Latest).await;
+            if scale != FleetScale::Unknown {
+                return scale;
+            }
+            Timer::after(DIRECTORY_READ_INTERVAL).await;
+        }
+        FleetScale::Small
+    }
+
+    /// Reads the directory of relays; returns whether there is one.
+    async fn find_directory(&self, freshness: Freshness) -> bool {
+        let found = read_directory(&self.store, freshness).await;
+        let is_found = found.is_some();
+        if let Some((directory, version)) = found {
+            self.notify(ControlEvent::RelayDirectory(directory, version)).await;
+        }
+        is_found
+    }
+
+    /// Reads the first records; if there are more, some of their nodes publish a directory.
+    async fn read_first_page(&self, freshness: Freshness) -> FleetScale {
         let list = StoreRequest::List { prefix: ObjectKey::new(NODES_PREFIX) };
-        let reply = match latest {
-            true => self.store.call(StoreCallKind::Nodes, &list).await,
-            false => self.store.read_stale(StoreCallKind::Nodes, &list).await,
+        let read = self.store.read_first_page(StoreCallKind::Nodes, &list, freshness);
+        let (reply, has_more) = read.await;
+        let StoreReply::Listed { objects, .. } = reply else {
+            self.notify(ControlEvent::StoreCallFailed).await;
+            return FleetScale::Unknown;
         };
-        match reply {
-            StoreReply::Listed { objects, .. } => {
-                let read = |object: &Object| serde_json::from_str::<NodeRecord>(&object.value).ok();
-                self.notify(ControlEvent::Nodes(objects.iter().filter_map(read).collect())).await;
+        let read = |object: &Object| serde_json::from_str::<NodeRecord>(&object.value).ok();
+        let records = objects.iter().filter_map(read).collect();
+        match has_more {
+            true => {
+                self.notify(ControlEvent::LargeFleet(records)).await;
+                FleetScale::Large
+            }
+            false => {
+                self.notify(ControlEvent::Nodes(records)).await;
+                FleetScale::Small
+            }
+        }
+    }
+
+    /// Reads the directory of relays until the records of all nodes have come from one.
+    ///
+    /// A directory whose relays do not answer is from before a restart of all nodes.
+    async fn wait_for_relays(&self, conditions: &FeedConditions) {
+        let mut started = Instant::now();
+        while !conditions.nodes_known.get() {
+            Timer::after(DIRECTORY_READ_INTERVAL).await;
+            self.find_directory(Freshness::Stale).await;
+            if started.elapsed() >= RELAYS_WAIT_MAX && !conditions.nodes_known.get() {
+                started = Instant::now();
+                self.read_first_page(Freshness::Latest).await;
             }
-            reply if !reply.is_processed() => self.notify(ControlEvent::StoreCallFailed).await,
-            _ => {}
         }
     }
 
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -68,7 +68,7 @@
         if self.store_unavailable {
             return;
         }
-        let removes_expired = self.feed_conditions.relay.borrow().is_none();
+        let removes_expired = self.feed_conditions.relays.borrow().is_empty();
         let view = ControlView {
             fleet: &self.fleet,
             routes: self.routes.as_deref(),
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -6,6 +6,7 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
+use crate::control::feed::FleetScale;
 use crate::traffic::{Destination, DestinationName, TrafficUpdate};
 
 impl<A: Adapter> Control<A> {
@@ -46,6 +47,9 @@
 
     fn is_ready(&self) -> bool {
         let is_informed = self.targets_listed && self.advisories_listed && self.evacuations_listed;
+        // A node that knows few others would take too large a part of what all nodes share.
+        let is_informed = is_informed
+            && (self.nodes_listed || self.feed_conditions.fleet_scale.get() != FleetScale::Large);
         self.routes.is_some() && is_informed && !self.leaving
     }
 
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -79,7 +79,7 @@
         if self.store_unavailable {
             return;
         }
-        let removes_expired = self.feed_conditions.relay.borrow().is_none();
+        let removes_expired = self.feed_conditions.relays.borrow().is_empty();
         for write in self.quarantine.due_writes(now, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -26,6 +26,7 @@
     targets: Rc<RelayLog>,
     advisories: Rc<RelayLog>,
     evacuations: Rc<RelayLog>,
+    nodes: Rc<RelayLog>,
     /// Demand of the followers and of the fleet.
     pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
@@ -47,6 +48,7 @@
             targets: Rc::default(),
             advisories: Rc::default(),
             evacuations: Rc::default(),
+            nodes: Rc::default(),
             demand: Rc::default(),
         }
     }
@@ -123,6 +125,7 @@
             FeedKind::Targets => &self.targets,
             FeedKind::Advisories => &self.advisories,
             FeedKind::Evacuations => &self.evacuations,
+            FeedKind::Nodes => &self.nodes,
         }
     }
 }
--- a/crates/peers/src/fleet/node_state.rs
+++ b/crates/peers/src/fleet/node_state.rs
@@ -19,6 +19,8 @@
     /// Time of the last answered probe. A record alone does not show that its node still runs.
     last_answered_at: Option<TimeMs>,
     last_result: Option<ProbeResult>,
+    /// Whether the node has accepted requests since its start.
+    was_ready: bool,
     consecutive_failures: u32,
 }
 
@@ -29,6 +31,7 @@
             changed_at: now,
             last_answered_at: None,
             last_result: None,
+            was_ready: false,
             consecutive_failures: 0,
         }
     }
@@ -43,6 +46,7 @@
                 self.consecutive_failures = 0;
                 self.last_answered_at = Some(now);
                 self.last_result = Some(result);
+                self.was_ready |= result != ProbeResult::NotReady;
             }
         }
     }
@@ -58,6 +62,24 @@
             && self.last_result != Some(ProbeResult::NotReady)
     }
 
+    /// Whether other nodes may follow the node: it answers, and is not leaving.
+    ///
+    /// A node that has just started accepts no requests yet, but may be the one from which the
+    /// others learn what they need to accept requests.
+    pub(crate) fn may_relay(&self) -> bool {
+        let is_leaving = self.last_result == Some(ProbeResult::NotReady) && self.was_ready;
+        self.consecutive_failures < UNANSWERED_PROBES_MAX && !is_leaving
+    }
+
+    /// Replaces the record; a process that has started anew has not been ready yet.
+    pub(crate) fn set_record(&mut self, record: NodeRecord) {
+        if record.boot != self.record.boot {
+            (self.was_ready, self.last_result) = (false, None);
+            self.consecutive_failures = 0;
+        }
+        self.record = record;
+    }
+
     /// Whether the node is live and its last answered probe reported store access.
     pub(crate) fn has_store_access(&self) -> bool {
         self.is_live() && self.last_result == Some(ProbeResult::Ready)
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -2,8 +2,8 @@
 
 use celeryhaven_types::{DataCentreName, DomainName, Map, NodeName, TimeMs};
 
-use crate::fleet::Upstream;
 use crate::fleet::node_state::NodeState;
+use crate::fleet::{RelayDirectory, Upstream};
 use crate::node::{NodeRecord, ProbeResult};
 use crate::ranking::Ranking;
 
@@ -29,6 +29,9 @@
 /// size.
 const ROOT_RELAYS: usize = 2;
 
+/// Relays that a node tries one after the other before it polls the store itself.
+const RELAY_CANDIDATES: usize = 3;
+
 /// Rendezvous key for the order of relays.
 const RELAY_KEY: &str = "relay";
 
@@ -60,11 +63,14 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     own: NodeName,
+    own_record: Option<NodeRecord>,
     nodes: BTreeMap<NodeName, NodeState>,
     /// Number of live nodes, and of live nodes that have store access.
     live_count: usize,
     store_access_count: usize,
     unprobed_count: usize,
+    /// Number of nodes that others may follow.
+    relay_capable_count: usize,
     /// All other nodes, in the order in which this node probes them.
     probe_order: Ranking,
     /// Data centre of this node; if `None`, all nodes are treated as in the same one.
@@ -86,10 +92,12 @@
         let probe_order = Ranking::new(own.as_str());
         Self {
             own,
+            own_record: None,
             nodes: BTreeMap::new(),
             live_count: 0,
             store_access_count: 0,
             unprobed_count: 0,
+            relay_capable_count: 0,
             probe_order,
             data_centre: None,
             capacity_class: 0,
@@ -101,6 +109,7 @@
 
     /// Sets this node's data centre and capacity class from its record.
     pub fn with_own_record(mut self, record: &NodeRecord) -> Self {
+        self.own_record = Some(record.clone());
         self.data_centre = Some(record.data_centre.clone());
         self.capacity_class = record.capacity_class();
         self.relays.insert_with_capacity(&self.own, self.capacity_class);
@@ -118,6 +127,22 @@
         changed_any | self.expire(now)
     }
 
+    /// Applies a complete list of records; a node that is not listed is removed.
+    pub fn replace_records(&mut self, now: TimeMs, records: Vec<NodeRecord>) -> bool {
+        let listed: BTreeSet<&NodeName> = records.iter().map(|record| &record.node).collect();
+        let missing = self.nodes.keys().filter(|node| !listed.contains(node));
+        let missing: Vec<NodeName> = missing.cloned().collect();
+        missing.iter().for_each(|node| self.remove(node));
+        self.apply_records(now, records) | !missing.is_empty()
+    }
+
+    /// Removes a node whose record is gone; returns whether it was known.
+    pub fn remove_record(&mut self, node: &NodeName) -> bool {
+        let is_known = self.nodes.contains_key(node);
+        self.remove(node);
+        is_known
+    }
+
     fn apply_record(&mut self, now: TimeMs, record: NodeRecord) -> bool {
         if record.node == self.own {
             return false;
@@ -136,7 +161,12 @@
             before.record = record;
             return false;
         }
-        before.record = record.clone();
+        if let Some(mut state) = self.nodes.remove(&node) {
+            self.update_counts(&state, false);
+            state.set_record(record.clone());
+            self.update_counts(&state, true);
+            self.nodes.insert(node, state);
+        }
         self.update_rankings(&record);
         true
     }
@@ -174,6 +204,7 @@
             (&mut self.live_count, state.is_live()),
             (&mut self.store_access_count, state.has_store_access()),
             (&mut self.unprobed_count, state.is_unprobed()),
+            (&mut self.relay_capable_count, state.may_relay()),
         ];
         for (counter, is_counted) in counted {
             match is_in {
@@ -219,8 +250,9 @@
     /// Records a probe result; returns whether the node's liveness or store access has changed.
     pub fn record_probe(&mut self, now: TimeMs, node: &NodeName, result: ProbeResult) -> bool {
         let Some(mut state) = self.nodes.remove(node) else { return false };
-        let status =
-            |state: &NodeState| (state.is_live(), state.has_store_access(), state.is_cut_off());
+        let status = |state: &NodeState| {
+            (state.is_live(), state.has_store_access(), state.is_cut_off(), state.may_relay())
+        };
         let before = status(&state);
         self.update_counts(&state, false);
         state.record_probe(now, result);
@@ -267,26 +299,73 @@
     /// form a tree: two roots poll the store, relays in each data centre follow the roots, and all
     /// other nodes follow a relay. Nodes with a higher capacity class are preferred as relays.
     pub fn upstream(&self) -> Upstream {
-        if self.live_count + 1 < RELAYED_FLEET_NODES_MIN {
-            return Upstream { relay: None, is_relay: false };
+        if self.relay_capable_count + 1 < RELAYED_FLEET_NODES_MIN {
+            return Upstream { relays: Vec::new(), is_relay: false };
         }
-        let ready = self.relays.nodes().filter(|node| self.is_live_or_own(node));
-        let roots: Vec<NodeName> = ready.take(ROOT_RELAYS).cloned().collect();
+        let roots = self.roots();
         if roots.contains(&self.own) {
-            return Upstream { relay: None, is_relay: true };
+            return Upstream { relays: Vec::new(), is_relay: true };
         }
-        let below = match (self.live_count + 1) / NODES_PER_RELAY {
-            few if few <= ROOT_RELAYS => Vec::new(),
-            _ => self.relays_below(&roots),
+        let below = match self.has_lower_relays() {
+            true => self.relays_below(&roots),
+            false => Vec::new(),
         };
         let is_relay = below.contains(&&self.own);
-        let followed: Vec<&NodeName> = match is_relay || below.is_empty() {
+        let mut followed: Vec<&NodeName> = match is_relay || below.is_empty() {
             true => roots.iter().collect(),
             false => below,
         };
-        let preferred = followed.into_iter().min_by_key(|node| self.probe_order.weight(node));
-        let relay = preferred.and_then(|node| self.record(node)).cloned();
-        Upstream { relay, is_relay }
+        followed.sort_by_key(|node| self.probe_order.weight(node));
+        let relays = followed.into_iter().filter_map(|node| self.record(node)).cloned();
+        Upstream { relays: relays.take(RELAY_CANDIDATES).collect(), is_relay }
+    }
+
+    /// Whether the fleet needs more relays than the roots.
+    fn has_lower_relays(&self) -> bool {
+        (self.relay_capable_count + 1) / NODES_PER_RELAY > ROOT_RELAYS
+    }
+
+    /// Returns the live nodes that poll the store for the others.
+    pub fn roots(&self) -> Vec<NodeName> {
+        let ready = self.relays.nodes().filter(|node| self.may_relay(node));
+        ready.take(ROOT_RELAYS).cloned().collect()
+    }
+
+    /// Returns the nodes that publish the first directory of relays, given some of all records.
+    ///
+    /// Nodes that see the same records choose the same ones.
+    pub fn first_publishers(records: &[NodeRecord]) -> Vec<NodeName> {
+        let mut ranking = Ranking::new(RELAY_KEY);
+        let ready = records.iter().filter(|record| record.ready);
+        ready.for_each(|record| {
+            ranking.insert_with_capacity(&record.node, record.capacity_class());
+        });
+        ranking.nodes().take(ROOT_RELAYS).cloned().collect()
+    }
+
+    /// Returns the relays of all data centres.
+    pub fn relay_directory(&self) -> RelayDirectory {
+        let record = |node: &NodeName| match *node == self.own {
+            true => self.own_record.as_ref(),
+            false => self.record(node),
+        };
+        let mut nodes_by_data_centre: BTreeMap<&DataCentreName, Vec<&NodeRecord>> = BTreeMap::new();
+        let roots = self.roots();
+        for record in self.relays.nodes().filter_map(record) {
+            nodes_by_data_centre.entry(&record.data_centre).or_default().push(record);
+        }
+        if !self.has_lower_relays() {
+            nodes_by_data_centre.clear();
+        }
+        let relays = nodes_by_data_centre.into_values().flat_map(|nodes| {
+            let count = (nodes.len() / NODES_PER_RELAY).max(1);
+            let live = nodes.into_iter().filter(|record| self.may_relay(&record.node));
+            live.filter(|record| !roots.contains(&record.node)).take(count)
+        });
+        RelayDirectory {
+            relays: relays.cloned().collect(),
+            roots: roots.iter().filter_map(record).cloned().collect(),
+        }
     }
 
     /// Returns the number of live nodes that precede this one in the order for a key, and the
@@ -308,11 +387,11 @@
     fn relays_below(&self, roots: &[NodeName]) -> Vec<&NodeName> {
         let relay_count = (self.near_relays.len() / NODES_PER_RELAY).max(1);
         let candidates = self.near_relays.nodes().filter(|node| !roots.contains(node));
-        candidates.filter(|node| self.is_live_or_own(node)).take(relay_count).collect()
+        candidates.filter(|node| self.may_relay(node)).take(relay_count).collect()
     }
 
-    fn is_live_or_own(&self, node: &NodeName) -> bool {
-        *node == self.own || self.nodes.get(node).is_some_and(NodeState::is_live)
+    fn may_relay(&self, node: &NodeName) -> bool {
+        *node == self.own || self.nodes.get(node).is_some_and(NodeState::may_relay)
     }
 
     /// Whether this node coordinates a domain.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod node;
 pub mod ranking;
 
-pub use fleet::{Peers, Upstream, heartbeat_interval_ms};
+pub use fleet::{Peers, RelayDirectory, Upstream, heartbeat_interval_ms};
 pub use node::{NodeRecord, ProbeResult};
 pub use ranking::Ranking;
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -121,11 +121,11 @@
         let is_relay: BTreeSet<_> =
             (0..nodes).filter(|&n| upstreams[n].is_relay).map(node).collect();
         assert_eq!(is_relay.len(), relays, "{nodes} nodes");
-        let at_store = upstreams.iter().filter(|upstream| upstream.relay.is_none()).count();
+        let at_store = upstreams.iter().filter(|upstream| upstream.relays.is_empty()).count();
         assert_eq!(at_store, if relays == 0 { nodes } else { 2 }, "{nodes} nodes");
         let mut followers: BTreeMap<_, usize> = BTreeMap::new();
         for upstream in &upstreams {
-            let Some(relay) = &upstream.relay else { continue };
+            let Some(relay) = upstream.relays.first() else { continue };
             assert!(is_relay.contains(&relay.node), "{nodes} nodes");
             *followers.entry(relay.node.clone()).or_default() += 1;
         }
@@ -154,17 +154,65 @@
     for own in &records {
         let upstream = peers_of(own);
         assert!(!upstream.is_relay || own.millicores == 500, "{} relays", own.node);
-        if let Some(relay) = upstream.relay.filter(|_| !upstream.is_relay) {
-            assert_eq!(relay.data_centre, own.data_centre, "{}", own.node);
+        if !upstream.is_relay {
+            let relays = &upstream.relays;
+            assert!(
+                relays.iter().all(|relay| relay.data_centre == own.data_centre),
+                "{}",
+                own.node
+            );
         }
     }
 }
 
+/// A starting node that finds no relay of its data centre, or a directory that differs from what all
+/// nodes compute, would send the whole fleet to the store.
+#[test]
+fn relay_directory_as_computed() {
+    let records: Vec<_> = (0..300)
+        .map(|number| NodeRecord {
+            data_centre: DataCentreName::new(["a", "b", "c"][number % 3]),
+            millicores: if number < 30 { 1_000 } else { 120 },
+            ..record(number, 1)
+        })
+        .collect();
+    let peers_of = |own: &NodeRecord| {
+        let mut peers = Peers::new(own.node.clone()).with_own_record(own);
+        peers.replace_records(NOW, records.clone());
+        peers
+    };
+    let fleet: Vec<Peers> = records.iter().map(peers_of).collect();
+    let directory = fleet[0].relay_directory();
+    assert!(fleet.iter().all(|peers| peers.relay_directory() == directory));
+    for (own, peers) in records.iter().zip(&fleet) {
+        let upstream = peers.upstream();
+        assert_eq!(upstream.is_relay, directory.is_relay(&own.node), "{}", own.node);
+        let first = directory.by_preference(&own.node, &own.data_centre)[0];
+        assert_eq!(first.data_centre, own.data_centre);
+    }
+    let page = &records[..60];
+    let publishers = Peers::first_publishers(page);
+    assert_eq!(publishers.len(), 2);
+    assert!(page.iter().filter(|r| publishers.contains(&r.node)).all(|r| r.millicores == 1_000));
+}
+
+/// A node that has left the list must not stay a relay or a coordinator.
+#[test]
+fn replace_records_removes_missing() {
+    let mut peers = Peers::new(node(0));
+    peers.replace_records(NOW, (0..5).map(|number| record(number, 1)).collect());
+    assert!(peers.replace_records(NOW, (0..3).map(|number| record(number, 1)).collect()));
+    assert_eq!(peers.live_count(), 2);
+    assert!(peers.remove_record(&node(1)));
+    assert!(!peers.remove_record(&node(1)));
+    assert_eq!(peers.live_count(), 1);
+}
+
 /// Followers of a root that has become unreachable must follow another one.
 #[test]
 fn upstream_root_silent() {
     let mut fleet = fleet(100, &[]);
-    let root = (0..100).find(|&n| fleet[n].upstream().relay.is_none()).unwrap();
+    let root = (0..100).find(|&n| fleet[n].upstream().relays.is_empty()).unwrap();
     for peers in &mut fleet {
         for _ in 0..2 {
             peers.record_probe(NOW, &node(root), ProbeResult::Unanswered);
@@ -172,8 +220,8 @@
     }
     let others = (0..100).filter(|&n| n != root);
     let upstreams: Vec<_> = others.map(|n| fleet[n].upstream()).collect();
-    assert!(upstreams.iter().flat_map(|upstream| &upstream.relay).all(|r| r.node != node(root)));
-    assert_eq!(upstreams.iter().filter(|upstream| upstream.relay.is_none()).count(), 2);
+    assert!(upstreams.iter().flat_map(|upstream| &upstream.relays).all(|r| r.node != node(root)));
+    assert_eq!(upstreams.iter().filter(|upstream| upstream.relays.is_empty()).count(), 2);
 }
 
 /// Callers must not be sent to a node that has stopped answering probes while its record is still
--- a/crates/store/src/client/store_client.rs
+++ b/crates/store/src/client/store_client.rs
@@ -69,6 +69,16 @@
         self.call_all_pages(request, Freshness::Stale).await
     }
 
+    /// Reads the first page of a list; returns whether there are more.
+    pub async fn read_first_page(
+        &self,
+        request: &StoreRequest,
+        freshness: Freshness,
+    ) -> (StoreReply, bool) {
+        let page = self.call_page(request, freshness, None).await;
+        (page.reply, page.next_page.is_some())
+    }
+
     async fn call_all_pages(&self, request: &StoreRequest, freshness: Freshness) -> StoreReply {
         let mut merged = self.call_page(request, freshness, None).await;
         for _ in 0..PAGES_MAX {
