policy, gateway: second attempts in fleets with more nodes than shared retries

Cause: each node's part of the retries that all may save was an even one; below one (0.37 at 986 nodes) a node could never spend it, so no attempt that failed was made again. A part rounded up would let all nodes together exceed the budget.

Change: below one, a node holds one whole retry with the probability of its part.

Measured: node_part_sums_to_budget, 8 to 4,000 nodes, sums between 0.98 and 1.01 of the budget.

--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -3,11 +3,13 @@
 
 use async_channel::Sender;
 use celeryhaven_fleet::{Evacuations, RouteTable};
-use celeryhaven_policy::{Decision, StallDetector, Ticket};
+use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::{
@@ -71,12 +73,13 @@
     next_ticket: Ticket,
     seed: u64,
     retry_earned_per_arrival: f64,
-    retry_saved_max: f64,
+    shared_retries: SharedRetryBudget,
 }
 
 impl DispatchState {
     /// Creates an empty state; all nodes share `retry_saved_max`.
     pub(crate) fn new(seed: u64, retry_earned_per_arrival: f64, retry_saved_max: f64) -> Self {
+        let node_fraction: f64 = SmallRng::seed_from_u64(seed).random();
         Self {
             routes: None,
             destinations: Arc::default(),
@@ -95,7 +98,7 @@
             next_ticket: Ticket::default(),
             seed,
             retry_earned_per_arrival,
-            retry_saved_max,
+            shared_retries: SharedRetryBudget::new(retry_saved_max, node_fraction),
         }
     }
 
@@ -328,7 +331,7 @@
 
     /// Returns this node's share of the retries allowed to all nodes.
     fn retry_limits(&self) -> RetryLimits {
-        let saved_max = self.retry_saved_max / f64::from(self.senders.max(1));
+        let saved_max = self.shared_retries.node_part(self.senders);
         RetryLimits { earned_per_arrival: self.retry_earned_per_arrival, saved_max }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,5 +25,6 @@
 pub use interface::{
     Decision, PolicyEvent, RequestPolicy, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
+pub use retry::SharedRetryBudget;
 pub use stall::StallDetector;
 pub use targets::TargetSubset;
--- a/crates/policy/tests/fair_retries.rs
+++ b/crates/policy/tests/fair_retries.rs
@@ -2,7 +2,9 @@
 
 mod simulator;
 
-use celeryhaven_policy::{Decision, FairSettings, PolicyEvent, RequestPolicy, Ticket};
+use celeryhaven_policy::{
+    Decision, FairSettings, PolicyEvent, RequestPolicy, SharedRetryBudget, Ticket,
+};
 use celeryhaven_types::{Idempotency, RefusalCode, RequestHead, TimeMs, Verdict};
 use simulator::{Outcome, Simulator, head};
 
@@ -214,3 +216,19 @@
         assert_eq!(cancelled, cancel_late_rest, "{decisions:?}");
     }
 }
+
+/// With more nodes than retries, equal parts would leave every node without a second attempt, and
+/// parts rounded up would let all of them together exceed the budget.
+#[test]
+fn node_part_sums_to_budget() {
+    let all = 1_000.0;
+    for nodes in [8_u32, 100, 986, 2_000, 4_000] {
+        let fraction = |node: u32| (f64::from(node) + 0.5) / f64::from(nodes);
+        let parts: Vec<f64> = (0..nodes)
+            .map(|node| SharedRetryBudget::new(all, fraction(node)).node_part(nodes))
+            .collect();
+        let sum: f64 = parts.iter().sum();
+        assert!(sum <= all * 1.01 && sum >= all * 0.98, "{sum} of {nodes} nodes");
+        assert!(parts.iter().all(|part| *part == 0.0 || *part >= 1.0));
+    }
+}
