fleet, forming: replicas serve on while entries of members lapse

Cause: targets that are cut off from the store lose their entries while requests reach them. A replica with such a member got no requests any more, and its coordinator closed it as if the member were leaving.

Change: a replica that was whole receives requests until a listed member is seen outside of it, or drains, or the head stops: a lost member shows in the streams first. Of the replicas whose members answer though their entries are gone, a tenth of a model's replicas, at least one, closes at a time.

--- a/crates/fleet/src/view/replica.rs
+++ b/crates/fleet/src/view/replica.rs
@@ -28,6 +28,9 @@
         pub model: Option<ModelName>,
         /// Listed members by rank; `None` for a rank without a listed member.
         pub members: Vec<Option<VmName>>,
+        /// Number of members that were all listed and ready at the same time, and of which none has
+        /// been listed outside the replica since.
+        pub formed_size: usize,
         /// State of the head; `None` if it is not listed.
         pub head_state: Option<MemberState>,
         /// Whether every listed member is ready or open.
@@ -45,6 +48,7 @@
             domain: entry.domain.clone(),
             model: None,
             members: Vec::new(),
+            formed_size: 0,
             head_state: None,
             all_ready: true,
             draining: false,
@@ -74,6 +78,17 @@
         self.members.len() == size && self.members.iter().all(Option::is_some)
     }
 
+    /// Whether the replica may receive requests: it was whole, and no listed member says otherwise.
+    ///
+    /// An entry may lapse while its target serves, such as one that is cut off from the store. A
+    /// member that is lost shows in the streams, which stop.
+    pub fn is_routable(&self, size: usize) -> bool {
+        self.formed_size == size
+            && self.all_ready
+            && !self.draining
+            && self.head_state == Some(MemberState::Open)
+    }
+
     /// Whether the replica serves with all `size` members.
     ///
     /// The head of a replica that lost a member may accept requests that it cannot answer.
--- a/crates/fleet/src/view/replica_index.rs
+++ b/crates/fleet/src/view/replica_index.rs
@@ -50,6 +50,11 @@
             self.record_reported(key);
         }
         if left != joined {
+            if let (Some(key), Some(_)) = (&left, after)
+                && let Some(replica) = self.replicas.get_mut(key)
+            {
+                replica.formed_size = 0;
+            }
             left.iter().for_each(|key| self.rebuild(targets, key));
         }
         joined.iter().for_each(|key| self.rebuild(targets, key));
@@ -64,11 +69,15 @@
             return;
         };
         let mut replica = Replica::new(key.clone(), first);
+        let formed_size = self.replicas.get(key).map_or(0, |before| before.formed_size);
         for entry in entries {
             if let Some(membership) = &entry.membership {
                 replica.add(entry, membership.rank as usize, membership.state);
             }
         }
+        let listed = replica.members.iter().flatten().count();
+        let is_formed = replica.all_ready && replica.is_complete(listed);
+        replica.formed_size = formed_size.max(if is_formed { listed } else { 0 });
         self.replicas.insert(key.clone(), replica);
     }
 
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -7,6 +7,9 @@
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
+/// At most one in this many replicas of a model closes at a time for members whose entries are gone.
+const REPLICAS_PER_CLOSING: usize = 10;
+
 impl DomainPlanner {
     /// Evaluates each replica of the domain: opens complete ones, dissolves those that lost a
     /// member.
@@ -152,7 +155,10 @@
                 match should_drain {
                     _ if lost => self.dissolve_after_loss(replica, members, out),
                     None => {}
-                    Some(true) => self.close(now, replica, "member leaves", out),
+                    Some(true) if replica.draining || self.may_close(view, replica) => {
+                        self.close(now, replica, "member leaves", out);
+                    }
+                    Some(true) => {}
                     Some(false) if whole => {}
                     Some(false) => self.dissolve_after_loss(replica, members, out),
                 }
@@ -262,6 +268,24 @@
         self.send(head, order, out);
     }
 
+    /// Whether a replica may be closed because the entry of a member that answers is gone.
+    ///
+    /// The member may be leaving, or be cut off from the store with many others: closing all
+    /// their replicas at once would leave none that serves.
+    fn may_close(&self, view: FormingView<'_>, replica: &Replica) -> bool {
+        let same_model = view.replicas.values().filter(|other| other.model == replica.model);
+        let (mut serving, mut closing) = (0, 0);
+        for other in same_model {
+            match other.head_state {
+                _ if self.dissolving.contains_key(&other.key) => closing += 1,
+                Some(MemberState::Open) => serving += 1,
+                Some(MemberState::Closing) => closing += 1,
+                _ => {}
+            }
+        }
+        closing < ((serving + closing) / REPLICAS_PER_CLOSING).max(1)
+    }
+
     fn planned_model(&self, key: &ReplicaKey) -> Option<ModelName> {
         self.planned(key).map(|plan| plan.model.clone())
     }
--- a/crates/forming/tests/planner.rs
+++ b/crates/forming/tests/planner.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use celeryhaven_fleet::TargetOrder;
-use celeryhaven_types::ModelName;
+use celeryhaven_types::{ModelName, VmName};
 use common::Simulation;
 use common::fake_target::name;
 
@@ -150,6 +150,28 @@
     assert_eq!(sim.serving()["large"], 1);
 }
 
+/// Targets that are cut off from the store lose their entries while they serve: their replicas must
+/// not all be closed at once.
+#[test]
+fn planner_many_entries_removed() {
+    let mut sim = serving_domain();
+    sim.run_ms(20_000);
+    let heads_and_members: Vec<_> = sim
+        .fleet()
+        .replicas()
+        .values()
+        .filter(|replica| replica.model == Some(ModelName::new("small")))
+        .map(|replica| replica.members.iter().flatten().cloned().collect::<Vec<VmName>>())
+        .collect();
+    assert_eq!(heads_and_members.len(), 3);
+    for members in &heads_and_members {
+        sim.unlist(&members[1]);
+    }
+    sim.run_ms(5_000);
+    let closed = |members: &&Vec<VmName>| sim.count_orders(&members[0], "close") > 0;
+    assert_eq!(heads_and_members.iter().filter(closed).count(), 1);
+}
+
 /// A member without a known address must not be probed in each step.
 #[test]
 fn planner_member_address_unknown() {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -91,7 +91,7 @@
 ) -> Option<Destination> {
     let engine = config.service(&replica.service)?.engine.as_ref()?;
     let model = engine.model(replica.model.as_ref()?)?;
-    if !replica.is_whole(model.size) || fleet.is_replica_evacuated(replica) {
+    if !replica.is_routable(model.size) || fleet.is_replica_evacuated(replica) {
         return None;
     }
     let head = fleet.target(replica.head()?)?;
