gateway: followers in a large fleet do not take the roots' place at the store

Cause: a node whose relays failed polled the store itself for three seconds. If the store turns the two roots away, all relays are stale, and every node of the fleet would do so for each feed: some thousand calls a second at 986 nodes.

Change: in a large fleet relays replace the roots; a follower tries its relays again and polls the store only after three seconds without an answer of any.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -206,6 +206,7 @@
             store_retry_at: Instant::now(),
             rng: SmallRng::seed_from_u64(self.parts.boot ^ kind as u64),
             failures: 0,
+            relay_answered_at: Instant::now(),
             relay_index: 0,
         };
         self.executor.spawn(feed.follow()).detach();
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -75,6 +75,9 @@
 // A follower must fall back from an unreachable relay to the store within the propagation limit.
 const _: () = assert!(RELAY_WAIT_MS + ANSWER_SLACK_MS + RELAY_WATCH_MS < PROPAGATION_MS_MAX);
 
+/// Time without an answer of any relay after which a follower in a large fleet polls the store.
+const RELAY_SILENCE_MAX: Duration = Duration::from_secs(3);
+
 /// How long the store is polled directly after a relay did not answer or was stale.
 const DIRECT_POLL_DURATION: Duration = Duration::from_secs(3);
 
@@ -137,6 +140,8 @@
     pub(crate) relay: RelayState,
     pub(crate) from: Option<ObjectVersion>,
     pub(crate) failures: u32,
+    /// When a relay has last answered.
+    pub(crate) relay_answered_at: Instant,
     /// Index of the relay that is followed.
     pub(crate) relay_index: usize,
     /// End of the period in which the store is polled although there is a relay.
@@ -193,14 +198,28 @@
     async fn relay_failed(&mut self) {
         self.relay_index += 1;
         let relays = self.conditions.relays.borrow().len().max(1);
-        if self.relay_index.is_multiple_of(relays) {
+        if !self.relay_index.is_multiple_of(relays) {
+            return;
+        }
+        let may_poll_store = self.may_replace_relays();
+        if may_poll_store {
             self.direct_until = Some(Instant::now() + DIRECT_POLL_DURATION);
-            if self.store_retry_at > Instant::now() || self.from.is_none() {
-                Timer::after(STALE_RELAY_RETRY_PAUSE).await;
-            }
+        }
+        if !may_poll_store || self.store_retry_at > Instant::now() || self.from.is_none() {
+            Timer::after(STALE_RELAY_RETRY_PAUSE).await;
         }
     }
 
+    /// Whether this node polls the store when its relays have failed.
+    ///
+    /// If the store turns the roots of a large fleet away, their relays take their place: hundreds
+    /// of followers that polled the store themselves would exceed its rates.
+    fn may_replace_relays(&self) -> bool {
+        self.conditions.fleet_scale.get() != FleetScale::Large
+            || self.conditions.is_relay.get()
+            || self.relay_answered_at.elapsed() >= RELAY_SILENCE_MAX
+    }
+
     /// Waits for the records of the other nodes, which determine the relay to follow.
     ///
     /// If all nodes start at once, they would otherwise all watch the store while every target
@@ -227,6 +246,9 @@
             self.relay.demand.borrow_mut().apply_fleet_demand(BootClock.now(), reply.demand);
             reply.answer
         });
+        if matches!(answer, Some(RelayAnswer::Listed { .. } | RelayAnswer::Changes { .. })) {
+            self.relay_answered_at = Instant::now();
+        }
         match answer {
             Some(RelayAnswer::Listed { version, objects, store }) => {
                 let store = self.record_success(store);
--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -196,6 +196,36 @@
     assert!(page.iter().filter(|r| publishers.contains(&r.node)).all(|r| r.millicores == 1_000));
 }
 
+/// What a starting node reads, and what a relay gives, must not grow faster than the fleet: with the
+/// list of all nodes read by each node the bytes grew with its square.
+#[test]
+fn relay_directory_cost_by_nodes() {
+    let cost = |nodes: usize| {
+        let records: Vec<_> = (0..nodes)
+            .map(|number| NodeRecord {
+                data_centre: DataCentreName::new(["a", "b", "c", "d", "e"][number % 5]),
+                millicores: if number % 20 == 0 { 1_000 } else { 120 },
+                ..record(number, 1)
+            })
+            .collect();
+        let mut peers = Peers::new(node(0)).with_own_record(&records[0]);
+        peers.replace_records(NOW, records.clone());
+        let directory = peers.relay_directory();
+        let mut followers: BTreeMap<NodeName, usize> = BTreeMap::new();
+        for own in &records {
+            let relay = directory.by_preference(&own.node, &own.data_centre)[0];
+            *followers.entry(relay.node.clone()).or_default() += 1;
+        }
+        (directory.roots.len(), directory.relays.len(), followers.into_values().max().unwrap())
+    };
+    for nodes in [100, 300, 1_000, 2_000] {
+        let (roots, relays, followers) = cost(nodes);
+        assert_eq!(roots, 2, "{nodes} nodes");
+        assert!(relays <= nodes / 20 + 5, "{relays} relays of {nodes} nodes");
+        assert!(followers <= 50, "{followers} followers of one relay, {nodes} nodes");
+    }
+}
+
 /// A node that has left the list must not stay a relay or a coordinator.
 #[test]
 fn replace_records_removes_missing() {
