policy, gateway: the pools of a service share its retries, whatever their number

Cause: the retries that all nodes may save were halved for every pool, as if each service had two models. A plain service has one pool and got half of what it may; a service of three models would get more than it may.

Change: each pool gets its part by the number of its service's pools.

Measured: doc example of SharedRetryBudget; node_part_sums_to_budget as before.

--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -45,9 +45,6 @@
 /// Part of the fleet's retry budget that nodes use, because they cannot see each other's retries.
 const RETRY_SHARE: f64 = 0.7;
 
-/// Pools that share a node's retry budget, one per model of a service.
-const RETRY_POOLS: f64 = 2.0;
-
 /// Dependencies of both threads.
 struct Parts<A> {
     settings: GatewaySettings,
@@ -134,7 +131,7 @@
     let Parts { settings, adapter, metrics, log, events } = parts;
     let (reports, report_receiver) = unbounded();
     let retry_ratio = settings.retry_ratio * RETRY_SHARE;
-    let retry_extra = settings.retry_extra * RETRY_SHARE / RETRY_POOLS;
+    let retry_extra = settings.retry_extra * RETRY_SHARE;
     let state = DispatchState::new(seed, retry_ratio, retry_extra);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
     let dispatcher = Dispatcher::new(
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -184,8 +184,8 @@
             return;
         }
         self.senders = senders;
-        let retries = self.retry_limits();
         for key in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let retries = self.retry_limits(&key);
             let mut out = Vec::new();
             if let Some(pool) = self.pools.get_mut(&key) {
                 pool.set_senders(now, senders, retries, &mut out);
@@ -321,17 +321,21 @@
             None => RequestClass::Plain { service: key.service.clone() },
         };
         self.seed = self.seed.wrapping_add(1);
-        let mut pool = Pool::new(class, self.seed, engine, self.retry_limits());
+        let mut pool = Pool::new(class, self.seed, engine, self.retry_limits(key));
         let mut out = Vec::new();
-        pool.set_senders(now, self.senders, self.retry_limits(), &mut out);
+        pool.set_senders(now, self.senders, self.retry_limits(key), &mut out);
         pool.set_limits(now, &self.limits, &mut out);
         pool.set_targets(now, &self.eligible_destinations(now, key), &mut out);
         pool
     }
 
-    /// Returns this node's share of the retries allowed to all nodes.
-    fn retry_limits(&self) -> RetryLimits {
-        let saved_max = self.shared_retries.node_part(self.senders);
+    /// Returns this node's share of the retries allowed to all nodes for a pool; the pools of a
+    /// service share them.
+    fn retry_limits(&self, key: &PoolKey) -> RetryLimits {
+        let config = self.routes.as_ref().map(|routes| routes.config());
+        let engine = config.and_then(|config| config.service(&key.service)?.engine.as_ref());
+        let pools = engine.map_or(1, |engine| engine.models.len());
+        let saved_max = self.shared_retries.node_part(self.senders, pools);
         RetryLimits { earned_per_arrival: self.retry_earned_per_arrival, saved_max }
     }
 
--- a/crates/policy/src/retry/shared_budget.rs
+++ b/crates/policy/src/retry/shared_budget.rs
@@ -10,9 +10,10 @@
     /// use celeryhaven_policy::SharedRetryBudget;
     ///
     /// let budget = SharedRetryBudget::new(100.0, 0.2);
-    /// assert_eq!(budget.node_part(8), 12.5);
-    /// assert_eq!(budget.node_part(200), 1.0);
-    /// assert_eq!(SharedRetryBudget::new(100.0, 0.7).node_part(200), 0.0);
+    /// assert_eq!(budget.node_part(8, 1), 12.5);
+    /// assert_eq!(budget.node_part(8, 2), 6.25);
+    /// assert_eq!(budget.node_part(200, 1), 1.0);
+    /// assert_eq!(SharedRetryBudget::new(100.0, 0.7).node_part(200, 1), 0.0);
     /// ```
     #[derive(Copy)]
     pub struct SharedRetryBudget {
@@ -28,9 +29,10 @@
         Self { saved_max, node_fraction }
     }
 
-    /// Returns how many retries this node may save if `nodes` nodes share the budget.
-    pub fn node_part(&self, nodes: u32) -> f64 {
-        let part = self.saved_max / f64::from(nodes.max(1));
+    /// Returns how many retries this node may save for one of `pools` pools of targets, if `nodes`
+    /// nodes share the budget.
+    pub fn node_part(&self, nodes: u32, pools: usize) -> f64 {
+        let part = self.saved_max / f64::from(nodes.max(1)) / pools.max(1) as f64;
         match part >= 1.0 {
             true => part,
             false => f64::from(u8::from(self.node_fraction < part)),
--- a/crates/policy/tests/fair_retries.rs
+++ b/crates/policy/tests/fair_retries.rs
@@ -225,7 +225,7 @@
     for nodes in [8_u32, 100, 986, 2_000, 4_000] {
         let fraction = |node: u32| (f64::from(node) + 0.5) / f64::from(nodes);
         let parts: Vec<f64> = (0..nodes)
-            .map(|node| SharedRetryBudget::new(all, fraction(node)).node_part(nodes))
+            .map(|node| SharedRetryBudget::new(all, fraction(node)).node_part(nodes, 1))
             .collect();
         let sum: f64 = parts.iter().sum();
         assert!(sum <= all * 1.01 && sum >= all * 0.98, "{sum} of {nodes} nodes");
