--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -177,8 +177,11 @@
         let classes_below = FIRST_CAPACITY_CLASS.saturating_sub(self.record.capacity_class());
         Timer::after(SCALE_READ_DELAY * classes_below.min(SCALE_READ_DELAYS_MAX)).await;
         for _ in 0..SCALE_READS_MAX {
-            if self.find_directory(Freshness::Latest).await {
-                return FleetScale::Large;
+            // A stale read costs the store a tenth.
+            for freshness in [Freshness::Stale, Freshness::Latest] {
+                if self.find_directory(freshness).await {
+                    return FleetScale::Large;
+                }
             }
             let scale = self.read_first_page(Freshness::Latest).await;
             if scale != FleetScale::Unknown {
