--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -10,7 +10,7 @@
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::event::ControlEvent;
-use crate::control::feed::FleetScale;
+use crate::control::feed_conditions::FleetScale;
 use crate::control::relay::PeerAddress;
 
 /// Interval between two probes of a node, in milliseconds.
--- a/crates/gateway/src/control/directory.rs
+++ b/crates/gateway/src/control/directory.rs
@@ -8,7 +8,7 @@
 use crate::control::Control;
 use crate::control::counted_store::{CountedStore, StoreCallKind};
 use crate::control::event::ControlEvent;
-use crate::control::feed::FleetScale;
+use crate::control::feed_conditions::FleetScale;
 
 /// Key of the directory of relays in the store.
 const DIRECTORY_KEY: &str = "relays/directory";
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -1,4 +1,3 @@
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +14,7 @@
 
 use crate::control::counted_store::CountedStore;
 use crate::control::event::{ControlEvent, FeedKind, FeedUpdate};
+use crate::control::feed_conditions::{FeedConditions, FleetScale};
 use crate::control::relay::{
     ANSWER_SLACK_MS, DemandReport, PeerAddress, RelayRequest, RelayState, Source, WaitFor,
     poll_relay,
@@ -84,44 +84,6 @@
 /// Consecutive failures that count as a store outage.
 const OUTAGE_FAILURES_MIN: u32 = 2;
 
-/// Fleet state that determines what a feed polls, and how often.
-#[derive(Debug, Default)]
-pub(crate) struct FeedConditions {
-    /// Whether this node is forming replicas.
-    pub(crate) is_forming: Cell<bool>,
-    /// Whether other nodes follow this one.
-    pub(crate) is_relay: Cell<bool>,
-    /// Number of live nodes, including this one.
-    pub(crate) nodes: Cell<u64>,
-    /// Relays that may be followed, the preferred one first; none to poll the store.
-    pub(crate) relays: RefCell<Vec<PeerAddress>>,
-    /// Whether the records of the other nodes have been read.
-    pub(crate) nodes_known: Cell<bool>,
-    /// How a starting node gets its first lists.
-    pub(crate) fleet_scale: Cell<FleetScale>,
-    /// Whether a node of a large fleet may read complete lists from the store.
-    pub(crate) may_list: Cell<bool>,
-}
-
-/// How a starting node gets its first lists.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum FleetScale {
-    /// Not known yet.
-    #[default]
-    Unknown,
-    /// From the store.
-    Small,
-    /// From relays: the lists of all nodes together would fill the store's link.
-    Large,
-}
-
-impl FeedConditions {
-    /// Whether this node may read complete lists from the store.
-    fn may_list_store(&self) -> bool {
-        self.fleet_scale.get() == FleetScale::Small || self.may_list.get()
-    }
-}
-
 /// Follows all objects of one kind: lists them once, then fetches the changes since the last
 /// version.
 ///
--- /dev/null
+++ b/crates/gateway/src/control/feed_conditions.rs
@@ -0,0 +1,41 @@
+use std::cell::{Cell, RefCell};
+
+use crate::control::relay::PeerAddress;
+
+/// Fleet state that determines what a feed polls, and how often.
+#[derive(Debug, Default)]
+pub(crate) struct FeedConditions {
+    /// Whether this node is forming replicas.
+    pub(crate) is_forming: Cell<bool>,
+    /// Whether other nodes follow this one.
+    pub(crate) is_relay: Cell<bool>,
+    /// Number of live nodes, including this one.
+    pub(crate) nodes: Cell<u64>,
+    /// Relays that may be followed, the preferred one first; none to poll the store.
+    pub(crate) relays: RefCell<Vec<PeerAddress>>,
+    /// Whether the records of the other nodes have been read.
+    pub(crate) nodes_known: Cell<bool>,
+    /// How a starting node gets its first lists.
+    pub(crate) fleet_scale: Cell<FleetScale>,
+    /// Whether a node of a large fleet may read complete lists from the store.
+    pub(crate) may_list: Cell<bool>,
+}
+
+/// How a starting node gets its first lists.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FleetScale {
+    /// Not known yet.
+    #[default]
+    Unknown,
+    /// From the store.
+    Small,
+    /// From relays: the lists of all nodes together would fill the store's link.
+    Large,
+}
+
+impl FeedConditions {
+    /// Whether this node may read complete lists from the store.
+    pub(crate) fn may_list_store(&self) -> bool {
+        self.fleet_scale.get() == FleetScale::Small || self.may_list.get()
+    }
+}
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -6,7 +6,7 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::feed::FleetScale;
+use crate::control::feed_conditions::FleetScale;
 use crate::traffic::{Destination, DestinationName, TrafficUpdate};
 
 impl<A: Adapter> Control<A> {
