store: bytes that cannot be read spoil their own object only

Cause: an answer of the store with bytes that are not UTF-8 counted as no answer. One entry of another writer would have kept every node from the whole list for as long as it stood.

Change: such bytes are replaced; what they belong to is ignored like other spoilt entries.

Measured: list_with_unreadable_bytes got Unknown before, passes now.

--- a/crates/store/src/client/store_client.rs
+++ b/crates/store/src/client/store_client.rs
@@ -115,11 +115,14 @@
             Err(error) => return DecodedReply::unpaged(reply_for_error(&error)),
         };
         let status = conn.status().unwrap_or(Status::InternalServerError);
-        // JSON is UTF-8, but the library's text reader has another default encoding.
-        let body = conn.response_body().read_bytes().await.ok();
-        match body.and_then(|body| String::from_utf8(body).ok()) {
-            Some(body) => self.codec.decode_reply(request, status as u16, &body),
-            None => DecodedReply::unpaged(StoreReply::Unknown),
+        // JSON is UTF-8, but the library's text reader has another default encoding. Bytes that are
+        // not UTF-8 spoil their own object only.
+        match conn.response_body().read_bytes().await {
+            Ok(body) => {
+                let body = String::from_utf8_lossy(&body);
+                self.codec.decode_reply(request, status as u16, &body)
+            }
+            Err(_) => DecodedReply::unpaged(StoreReply::Unknown),
         }
     }
 
