--- a/crates/demand/src/shares.rs
+++ b/crates/demand/src/shares.rs
@@ -19,6 +19,8 @@
 const SHARE_CHANGE_MIN: f64 = 0.2;
 
 /// An update needs reports from at least one in this many nodes.
+///
+/// One node in eight sees enough requests to tell how much of each model is asked for.
 const REPORTING_NODES_DIVISOR: u32 = 8;
 
 /// Size of a fleet.
--- a/crates/fleet/src/relay/change_log.rs
+++ b/crates/fleet/src/relay/change_log.rs
@@ -85,12 +85,14 @@
 
 /// How long a return of the store is reported, in milliseconds.
 ///
-/// Followers must retain entries that lapsed during the outage until their owners renew them.
+/// Followers must retain entries that lapsed during the outage until their owners renew them. Those
+/// entries are back within some two seconds.
 const RETURN_REPORT_MS: u64 = 2_300;
 
 /// Maximum age of the last store contact for an answer, in milliseconds.
 ///
-/// A relay that is cut off from the store must not delay followers that can reach it.
+/// A relay that is cut off from the store must not delay followers that can reach it. A watch of a
+/// relay answers at least each second, also while the store is slow.
 const CONTACT_AGE_MS_MAX: u64 = 1_500;
 
 impl ChangeLog {
--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -17,6 +17,8 @@
 /// Further delay of each domain after the one before it in the order of names, in milliseconds.
 ///
 /// Keeps domains whose conversions cost the same from converting for the same missing replica.
+/// Without it, three domains gave up two small replicas each for the one large replica missing.
+/// The list shows a closing head within 100 ms.
 const CONVERSION_DELAY_PER_DOMAIN_MS: u64 = 200;
 
 /// Replicas that could be dissolved to form a replica of another model.
--- a/crates/forming/src/domain/needs.rs
+++ b/crates/forming/src/domain/needs.rs
@@ -4,6 +4,9 @@
 use crate::mix::ModelCount;
 
 /// Targets that a domain is expected to lose while one model is loaded.
+///
+/// Where losses are steady, a load takes as long as it takes to lose one or two targets of a
+/// domain.
 const EXPECTED_LOSSES_PER_LOAD: f64 = 1.5;
 
 /// A number of free targets that should have a model.
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -16,6 +16,7 @@
 /// Interval between two probes of a node, in milliseconds.
 ///
 /// A coordinator that does not answer two consecutive probes is replaced by the next candidate.
+/// That is after one and a half seconds.
 const NODE_PROBE_INTERVAL_MS: u64 = 700;
 
 /// How long a node counts as cut off after a failed store call, in milliseconds.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -47,7 +47,8 @@
 /// Pause after an update from the store, so that changes in quick succession are fetched together.
 ///
 /// The pause grows with the fleet to limit its total call rate, and is bounded because a stopping
-/// target must be known to all nodes within two seconds.
+/// target must be known to all nodes within two seconds. All nodes together make some forty calls a
+/// second.
 const BATCH_MS_PER_NODE: u64 = 25;
 const BATCH_MS_MIN: u64 = 200;
 const BATCH_MS_MAX: u64 = 1_000;
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -19,6 +19,8 @@
 };
 
 /// Retry delay suggested while this node does not accept requests, in milliseconds.
+///
+/// Other nodes accept requests meanwhile.
 const NOT_READY_RETRY_AFTER_MS: u64 = 300;
 
 /// Time after the stop signal during which new requests are accepted, in milliseconds.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -19,6 +19,8 @@
 use crate::traffic::{AnswerParts, AnswerSink, CallerRequest, Dispatcher};
 
 /// Retry delay suggested for a request that failed without having run, in milliseconds.
+///
+/// At once, the caller would meet the same full target again.
 const REFUSED_RETRY_AFTER_MS: u64 = 200;
 
 /// Why an attempt was stopped before its target answered.
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -40,12 +40,16 @@
 
 /// Nodes that one node probes for its address answers.
 ///
-/// Probing all nodes from all nodes would grow with the square of the fleet size.
+/// Probing all nodes from all nodes would grow with the square of the fleet size. They are chosen
+/// by rendezvous hash, so that every node is advertised by some and no caller gets only a few
+/// addresses.
 const PROBED_NODES_MAX: usize = 10;
 
 /// Standby coordinators of a domain, which probe the candidates that precede them.
 ///
 /// Several standbys keep a domain coordinated while the store rejects the calls of some nodes.
+/// Where the store rejects a third of the nodes, all of the first three candidates are rejected in
+/// one case of 25, of the first seven in one of 1,500.
 const STANDBY_COORDINATORS: usize = 6;
 
 /// The other nodes of the fleet, derived from their records and probes.
--- a/crates/policy/src/estimate/mean.rs
+++ b/crates/policy/src/estimate/mean.rs
@@ -11,6 +11,9 @@
 }
 
 /// Number of samples after which the weight of a new sample no longer decreases.
+///
+/// After a step change, half of it is learned within some 45 samples, and one outlier moves the
+/// mean by less than 2 %.
 const WINDOW_SAMPLES: u32 = 64;
 
 /// Weight of the initial value, in samples.
--- a/crates/policy/src/estimate/service_times.rs
+++ b/crates/policy/src/estimate/service_times.rs
@@ -7,9 +7,16 @@
 
 /// Number of utilisation buckets with separate estimates, because a full batch is slower than a
 /// light one.
+///
+/// Times learned from light batches are half of those of full ones, so twice too much would be
+/// admitted when load rises within a second. Each of four buckets is learned within a few seconds
+/// of such load.
 const UTILISATION_BUCKETS: usize = 4;
 
 /// Assumed growth from one utilisation bucket to the next that has no samples.
+///
+/// A decode step of a full batch takes up to twice that of a light one; a prompt there also waits
+/// for those before it, about four times.
 const UNSAMPLED_DECODE_GROWTH: f64 = 1.2;
 const UNSAMPLED_PREFILL_GROWTH: f64 = 1.6;
 
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -53,6 +53,9 @@
 
 /// Limit of a node's requests at pooled targets, relative to its even share, while these have
 /// capacity.
+///
+/// Callers are spread unevenly over nodes: at its even share, a node would refuse some while others
+/// have room.
 const POOLED_SHARE_FACTOR: f64 = 2.0;
 
 /// Mean reported utilisation from which a node is limited to its even share. Without this limit the
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -8,6 +8,8 @@
 use crate::targets::{AttemptEstimate, HealthState};
 
 /// Least uncached prompt tokens of the first request for which another is preferred.
+///
+/// For a prefix that saves only a step or two of prefill, a different order gains little.
 const REORDER_UNCACHED_TOKENS_MIN: f64 = 2_048.0;
 
 /// Least slack of the first request for which another is preferred, in milliseconds.
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -8,6 +8,8 @@
 
 /// At most one in this many targets may be ejected, and always one if the class is large enough, so
 /// that the load of ejected targets does not make the others slow in turn.
+///
+/// A fifth more load on the rest is what their spare slots can take.
 const TARGETS_PER_EJECTION: usize = 5;
 
 /// Least number of targets in a class from which a target may be ejected.
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -9,6 +9,8 @@
 
 /// Time within which a request whose attempt failed must be sent again. It replaces the time to the
 /// first send, which has passed for most streams when a replica fails.
+///
+/// Callers leave a stream that gives nothing for two seconds.
 const RESUME_WINDOW_MS: u64 = 1_500;
 
 /// Added to both sides of a latency ratio, so that short delays do not count as slow.
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -11,6 +11,8 @@
 
 /// Fraction of the estimated remaining time that must fit before the deadline after the first
 /// token; many answers are shorter than estimated.
+///
+/// Answers a third shorter than estimated are common, half are not.
 const REMAINING_TIME_FRACTION: f64 = 0.6;
 
 impl FairPolicy {
--- a/crates/policy/src/fair/shed.rs
+++ b/crates/policy/src/fair/shed.rs
@@ -6,6 +6,8 @@
 use crate::interface::Decision;
 
 /// Time between checks of a queue that is not empty.
+///
+/// Requests that can no longer be in time would otherwise be held until near their deadline.
 const SHED_INTERVAL_MS: u64 = 100;
 
 impl FairPolicy {
--- a/crates/policy/src/retry/retry_schedule.rs
+++ b/crates/policy/src/retry/retry_schedule.rs
@@ -3,6 +3,9 @@
 use rand::Rng;
 
 /// Bounds of the retry time given to a refused caller.
+///
+/// Too soon, callers are refused again; too late, slots stand idle. Beyond a minute the estimate
+/// says nothing.
 const RETRY_AFTER_MIN_MS: u64 = 250;
 const RETRY_AFTER_MAX_MS: u64 = 60_000;
 
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -4,10 +4,14 @@
 
 /// Time without an event from any stream of a replica after which it is suspected.
 ///
-/// A full batch with long prompts may pause for up to 200 ms between events.
+/// A full batch with long prompts may pause for up to 200 ms between events. A replica that has
+/// lost a member gives none until its head notices, seconds later.
 const STALL_TIMEOUT_MS: u64 = 600;
 
 /// Time for which a suspected replica receives no requests.
+///
+/// The coordinator finds a lost member within half a second and dissolves the replica; one that was
+/// suspected wrongly serves again after this time.
 const SUSPICION_MS: u64 = 2_500;
 
 /// Detects replicas whose streams have all stopped producing events.
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -69,7 +69,8 @@
 /// A target is silent after this many report intervals without a report, and not before the minimum.
 ///
 /// A paused VM whose slots are all in use receives no new requests that could fail there; only the
-/// missing reports show it.
+/// missing reports show it. Of six reports in a row not all are lost on the way; below three
+/// seconds, a network that hesitates is enough.
 const SILENCE_TIMEOUT_INTERVALS: f64 = 6.0;
 const SILENCE_TIMEOUT_MIN_MS: f64 = 3_000.0;
 
