policy: a second attempt goes to another target

Cause: candidates were drawn at random and the target of the failed attempt left out only if another was among the two drawn: with three targets one retry in nine went to the one that had just failed, and failed again as a rule.

Change: the target to avoid is drawn only if there is no other.

Measured: failed_is_never_retried_at_same_target saw it at the seventh of 60 requests, passes now.

--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -45,7 +45,7 @@
             .collect();
         let pool = if class.available.is_empty() { &class.healthy } else { &class.available };
         for _ in 0..RANDOM_CANDIDATES {
-            candidates.extend(pool.sample(&mut self.rng));
+            candidates.extend(pool.sample(&mut self.rng, request.avoid));
         }
         if candidates.iter().any(|&target| Some(target) != request.avoid) {
             candidates.retain(|&target| Some(target) != request.avoid);
--- a/crates/policy/src/targets/target_set.rs
+++ b/crates/policy/src/targets/target_set.rs
@@ -36,10 +36,19 @@
         self.targets.is_empty()
     }
 
-    pub(crate) fn sample(&self, rng: &mut impl Rng) -> Option<TargetKey> {
-        if self.targets.is_empty() {
+    /// Returns a random target, and `avoid` only if there is no other.
+    pub(crate) fn sample(&self, rng: &mut impl Rng, avoid: Option<TargetKey>) -> Option<TargetKey> {
+        let count = self.targets.len();
+        if count == 0 {
             return None;
         }
-        Some(self.targets[rng.random_range(0..self.targets.len())])
+        let avoided = avoid.and_then(|target| self.positions.get(&target));
+        Some(match avoided {
+            // The others begin behind the avoided target.
+            Some(position) if count > 1 => {
+                self.targets[(position + rng.random_range(1..count)) % count]
+            }
+            _ => self.targets[rng.random_range(0..count)],
+        })
     }
 }
