fleet, forming, gateway: only many lapses at the same time count as a cut

Cause: replicas with a lapsed member got requests although the member was lost or had left: one that drained and whose entry then went, or one whose coordinator could not act.

Change: lapses count as a cut from the store if more than two serving replicas of the model, and more than a fifth of them, have lapsed members; else such a replica gets nothing and closes at once, as before. A member that drained and whose entry is gone has left. Requests and closing follow one rule. is_whole_but_for_lapses_members and has_many_lapses_by_share replace is_routable_lapsed_member and check its cases and these.

--- a/crates/fleet/src/view/fleet_view.rs
+++ b/crates/fleet/src/view/fleet_view.rs
@@ -1,8 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use celeryhaven_types::{DomainName, ServiceName, Set, TimeMs, VmName};
+use celeryhaven_types::{DomainName, ModelName, ServiceName, Set, TimeMs, VmName};
 
-use crate::target::TargetEntry;
+use crate::target::{MemberState, TargetEntry};
 use crate::view::replica_index::ReplicaIndex;
 use crate::view::{DomainTargets, Evacuations, Replica, ReplicaKey};
 
@@ -12,6 +12,11 @@
 /// reachable for probes and orders.
 const REMOVED_RETENTION_MS: u64 = 15_000;
 
+/// Lapses in more than this many replicas of a model, and in more than one in this many of them,
+/// show that targets are cut off from the store.
+const LAPSED_REPLICAS_MIN: usize = 2;
+const REPLICAS_PER_LAPSE: usize = 5;
+
 /// All targets that the platform lists.
 ///
 /// After a store outage, lapsed entries of live targets are retained until their owners have had
@@ -147,6 +152,22 @@
         self.replicas.replicas()
     }
 
+    /// Whether entries of members have lapsed in so many serving replicas of a model that their
+    /// targets are cut off from the store rather than lost or leaving.
+    pub fn has_many_lapses(&self, model: &ModelName) -> bool {
+        let serving = self.replicas().values().filter(|replica| {
+            let is_serving =
+                matches!(replica.head_state, Some(MemberState::Open | MemberState::Closing));
+            is_serving && replica.model.as_ref() == Some(model)
+        });
+        let (mut all, mut lapsed) = (0, 0);
+        for replica in serving {
+            all += 1;
+            lapsed += usize::from(!replica.is_complete(replica.formed_size));
+        }
+        lapsed > LAPSED_REPLICAS_MIN && lapsed * REPLICAS_PER_LAPSE > all
+    }
+
     /// Returns the replicas that members report or have reported before, up to a limit.
     pub fn reported_replicas(&self) -> &BTreeSet<ReplicaKey> {
         self.replicas.reported()
--- a/crates/fleet/src/view/replica.rs
+++ b/crates/fleet/src/view/replica.rs
@@ -78,11 +78,9 @@
         self.members.len() == size && self.members.iter().all(Option::is_some)
     }
 
-    /// Whether the replica may receive requests: it was whole, and no listed member says otherwise.
-    ///
-    /// An entry may lapse while its target serves, such as one that is cut off from the store. A
-    /// member that is lost shows in the streams, which stop.
-    pub fn is_routable(&self, size: usize) -> bool {
+    /// Whether the replica was whole and no listed member says otherwise, although entries of others
+    /// may have lapsed.
+    pub fn is_whole_but_for_lapses(&self, size: usize) -> bool {
         self.formed_size == size
             && self.all_ready
             && !self.draining
--- a/crates/fleet/src/view/replica_index.rs
+++ b/crates/fleet/src/view/replica_index.rs
@@ -2,7 +2,7 @@
 
 use celeryhaven_types::VmName;
 
-use crate::target::TargetEntry;
+use crate::target::{TargetEntry, TargetPhase};
 use crate::view::{Replica, ReplicaKey};
 
 /// Highest accepted rank; an invalid report must not allocate an arbitrarily long member list.
@@ -50,7 +50,8 @@
             self.record_reported(key);
         }
         if left != joined {
-            if let (Some(key), Some(_)) = (&left, after)
+            let was_draining = before.is_some_and(|entry| entry.phase == TargetPhase::Draining);
+            if let Some(key) = left.as_ref().filter(|_| after.is_some() || was_draining)
                 && let Some(replica) = self.replicas.get_mut(key)
             {
                 replica.formed_size = 0;
--- a/crates/fleet/tests/fleet_view.rs
+++ b/crates/fleet/tests/fleet_view.rs
@@ -137,15 +137,16 @@
     assert!(!fleet.remove(NOW, &entry.name));
 }
 
-fn member(number: u32, membership: Option<u32>) -> TargetEntry {
-    let membership = membership.map(|rank| Membership {
-        replica: ReplicaName::new("r"),
+/// A member of replica `number`, or a free target if `rank` is `None`.
+fn member(number: u32, rank: u32, is_in: bool) -> TargetEntry {
+    let membership = is_in.then(|| Membership {
+        replica: ReplicaName::new(format!("r{number}")),
         generation: Generation::new(1),
         rank,
         state: if rank == 0 { MemberState::Open } else { MemberState::Ready },
     });
     TargetEntry {
-        name: VmName::new(format!("t{number}")),
+        name: member_name(number, rank),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: DataCentreName::new("a"),
@@ -160,20 +161,44 @@
     }
 }
 
+fn member_name(number: u32, rank: u32) -> VmName {
+    VmName::new(format!("t{number}-{rank}"))
+}
+
 /// A replica must not lose its requests because the entry of a member that serves has lapsed, but
-/// must get none before all its members were ready or after one of them has left.
+/// must get none before all its members were ready, or after one of them has left or drained.
 #[test]
-fn is_routable_lapsed_member() {
+fn is_whole_but_for_lapses_members() {
     let mut fleet = FleetView::new();
-    let is_routable =
-        |fleet: &FleetView| fleet.replicas().values().any(|replica| replica.is_routable(3));
-    fleet.put(member(0, Some(0)));
-    fleet.put(member(1, Some(1)));
-    assert!(!is_routable(&fleet));
-    fleet.put(member(2, Some(2)));
-    assert!(is_routable(&fleet));
-    fleet.remove(NOW, &VmName::new("t2"));
-    assert!(is_routable(&fleet));
-    fleet.put(member(1, None));
-    assert!(!is_routable(&fleet));
+    let may_serve = |fleet: &FleetView| {
+        fleet.replicas().values().any(|replica| replica.is_whole_but_for_lapses(3))
+    };
+    fleet.put(member(0, 0, true));
+    fleet.put(member(0, 1, true));
+    assert!(!may_serve(&fleet));
+    fleet.put(member(0, 2, true));
+    assert!(may_serve(&fleet));
+    fleet.remove(NOW, &member_name(0, 2));
+    assert!(may_serve(&fleet));
+    let mut left = fleet.clone();
+    left.put(member(0, 1, false));
+    assert!(!may_serve(&left));
+    fleet.put(TargetEntry { phase: TargetPhase::Draining, ..member(0, 1, true) });
+    fleet.remove(NOW, &member_name(0, 1));
+    assert!(!may_serve(&fleet));
+}
+
+/// One replica whose member is lost or leaves must lose its requests at once; many at the same time
+/// are cut off from the store and serve on.
+#[test]
+fn has_many_lapses_by_share() {
+    let model = ModelName::new("m");
+    let mut fleet = FleetView::new();
+    for (number, rank) in (0..20).flat_map(|number| (0..3).map(move |rank| (number, rank))) {
+        fleet.put(member(number, rank, true));
+    }
+    for number in 0..20 {
+        assert_eq!(fleet.has_many_lapses(&model), number > 4, "{number} lapses");
+        fleet.remove(NOW, &member_name(number, 2));
+    }
 }
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -7,7 +7,7 @@
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
-/// At most one in this many replicas of a model closes at a time for members whose entries are gone.
+/// At most one in this many replicas of a model closes at a time for members that count as cut off.
 const REPLICAS_PER_CLOSING: usize = 10;
 
 impl DomainPlanner {
@@ -270,10 +270,14 @@
 
     /// Whether a replica may be closed because the entry of a member that answers is gone.
     ///
-    /// The member may be leaving, or be cut off from the store with many others: closing all
-    /// their replicas at once would leave none that serves.
+    /// The member is leaving. If entries of many replicas are gone, they are cut off from the store:
+    /// closing all of them would leave none that serves.
     fn may_close(&self, view: FormingView<'_>, replica: &Replica) -> bool {
-        let same_model = view.replicas.values().filter(|other| other.model == replica.model);
+        let Some(model) = &replica.model else { return true };
+        if !view.fleet.has_many_lapses(model) {
+            return true;
+        }
+        let same_model = view.replicas.values().filter(|other| other.model.as_ref() == Some(model));
         let (mut serving, mut closing) = (0, 0);
         for other in same_model {
             match other.head_state {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -91,7 +91,10 @@
 ) -> Option<Destination> {
     let engine = config.service(&replica.service)?.engine.as_ref()?;
     let model = engine.model(replica.model.as_ref()?)?;
-    if !replica.is_routable(model.size) || fleet.is_replica_evacuated(replica) {
+    let is_cut_off =
+        || replica.is_whole_but_for_lapses(model.size) && fleet.has_many_lapses(&model.name);
+    let may_serve = replica.is_whole(model.size) || is_cut_off();
+    if !may_serve || fleet.is_replica_evacuated(replica) {
         return None;
     }
     let head = fleet.target(replica.head()?)?;
