gateway: a node that starts again asks at once how large the fleet is

Cause: a starting node waits up to 0.75 s until the others have written their records. After a restart they are there already, and the wait is lost in the seconds in which all nodes come back.

Change: a node whose own record is from an earlier start does not wait.

--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -43,6 +43,8 @@
     /// Time of the last write, and whether it succeeded.
     written_at: Instant,
     is_written: bool,
+    /// Whether the store has a record of an earlier start of this node.
+    pub(super) has_started_before: bool,
 }
 
 impl<A: Adapter> Control<A> {
@@ -52,8 +54,16 @@
         let key = ObjectKey::new(format!("{NODES_PREFIX}{}", record.node));
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let (written_at, is_written) = (Instant::now(), false);
-        let mut task =
-            HeartbeatTask { store, events, record, key, version: None, written_at, is_written };
+        let mut task = HeartbeatTask {
+            store,
+            events,
+            record,
+            key,
+            version: None,
+            written_at,
+            is_written,
+            has_started_before: false,
+        };
         let conditions = self.feed_conditions.clone();
         async move {
             for _ in 0..INITIAL_WRITES_MAX {
@@ -63,7 +73,10 @@
                 }
             }
             let [first_pause, second_pause] = INITIAL_READ_DELAYS;
-            Timer::after(first_pause).await;
+            // After a restart the records of the others are in the store already.
+            if !task.has_started_before {
+                Timer::after(first_pause).await;
+            }
             let mut scale = task.find_scale().await;
             if scale == FleetScale::Small {
                 conditions.fleet_scale.set(scale);
@@ -145,7 +158,10 @@
                 .call(StoreCallKind::Nodes, &StoreRequest::Get { key: self.key.clone() })
                 .await
             {
-                StoreReply::Found(object) => Some(object.version),
+                StoreReply::Found(object) => {
+                    self.has_started_before = true;
+                    Some(object.version)
+                }
                 _ => None,
             },
         };
--- a/crates/gateway/src/control/node_discovery.rs
+++ b/crates/gateway/src/control/node_discovery.rs
@@ -34,8 +34,10 @@
         if self.find_directory(Freshness::Stale).await {
             return FleetScale::Large;
         }
-        let classes_below = FIRST_CAPACITY_CLASS.saturating_sub(self.record.capacity_class());
-        Timer::after(SCALE_READ_DELAY * classes_below.min(SCALE_READ_DELAYS_MAX)).await;
+        if !self.has_started_before {
+            let classes_below = FIRST_CAPACITY_CLASS.saturating_sub(self.record.capacity_class());
+            Timer::after(SCALE_READ_DELAY * classes_below.min(SCALE_READ_DELAYS_MAX)).await;
+        }
         for _ in 0..SCALE_READS_MAX {
             // A stale read costs the store a tenth.
             for freshness in [Freshness::Stale, Freshness::Latest] {
