target-limits: fewer nodes send to a cold target

Cause: a cold target's requests are counted over one second. The nodes that share its rate may each have saved one request, and with about one request a second each the burst alone nearly doubles the rate: 47 in one second at 23 a second, 39.5 allowed. The bound in limits_cold_target left the saved ones out.

Change: a node that sends to a cold target has two requests a second of its rate, so half as many send. The test now counts the saved requests, which is stricter than before.

Measured: limits_cold_target failed before (24 of 58 nodes send), passes now.

--- a/crates/target-limits/src/target_limit.rs
+++ b/crates/target-limits/src/target_limit.rs
@@ -8,6 +8,14 @@
 /// A target that takes nothing would otherwise never be asked whether it takes requests again.
 const RATE_MIN_PER_S: f64 = 0.25;
 
+/// Requests a second that each sending node has of a rate that a target names, and of that of a cold
+/// target.
+///
+/// Each sender may have saved one request, so that in a time `t` a target gets up to the rate times
+/// `t`, and one for each sender. A cold target counts its requests over a shorter time.
+const SENDER_RATE_PER_S: f64 = 1.0;
+const COLD_SENDER_RATE_PER_S: f64 = 2.0;
+
 state! {
     /// The rate of a limited target.
     #[derive(Copy)]
@@ -27,8 +35,8 @@
 impl TargetLimit {
     /// Returns the part of a rate that a node may use.
     ///
-    /// The number of sending nodes grows with the rate, so that each sends about one request a
-    /// second: many nodes with small parts would exceed the rate when all send at the same time.
+    /// The number of sending nodes grows with the rate: many nodes with small parts would exceed
+    /// the rate when all send at the same time.
     pub fn new(
         named_rate_per_s: Option<f64>,
         cold_rate_per_s: Option<f64>,
@@ -40,7 +48,10 @@
         };
         let rate_per_s = lowest(named_rate_per_s.unwrap_or(f64::INFINITY), cold_rate_per_s);
         let used_per_s = rate_per_s.max(RATE_MIN_PER_S);
-        let senders = (used_per_s.ceil() as usize).saturating_add(1).min(position.nodes.max(1));
+        let sender_rate_per_s =
+            cold_rate_per_s.map_or(SENDER_RATE_PER_S, |_| COLD_SENDER_RATE_PER_S);
+        let senders = (used_per_s / sender_rate_per_s).ceil() as usize;
+        let senders = senders.saturating_add(1).min(position.nodes.max(1));
         let node_rate_per_s = match position.rank < senders {
             true => used_per_s / senders as f64,
             false => 0.0,
--- a/crates/target-limits/tests/target_limits.rs
+++ b/crates/target-limits/tests/target_limits.rs
@@ -260,7 +260,8 @@
         let sum: f64 = rates.iter().flatten().sum();
         assert!((sum - COLD_RATE_PER_S).abs() < 0.001, "{sum} of {nodes} nodes");
         let senders = rates.iter().flatten().filter(|rate| **rate > 0.0).count() as f64;
-        assert!(sum + senders <= 1.5 * COLD_RATE_PER_S + 5.0 + sum, "{senders} of {nodes} send");
+        // Each sender may have saved one request when the second begins.
+        assert!(sum + senders <= 1.5 * COLD_RATE_PER_S + 5.0, "{senders} of {nodes} send");
         assert_eq!(fleet.store.writes, 0);
         assert!(fleet.rates(at(3_000)).iter().all(Option::is_none));
     }
