policy: noise and targets to avoid count for plain services only

Measured: scenarios_keep_their_bounds passes, its bounds as they were; limited_target_slower_by_noise_recovers and failed_plain_is_never_retried_at_same_target pass.

--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -14,23 +14,22 @@
 /// Fraction of the decode time that a full batch adds to that of an idle target.
 const BATCH_SLOWDOWN: f64 = 0.5;
 
-/// Relative difference up to which two scores are equal.
+/// Difference of a plain target's latency ratio from one that does not count.
 ///
-/// A strict order of targets that differ only by the noise of a few answers would leave the last
-/// of them almost without requests, and so without answers that could correct it.
-const SCORE_NOISE: f64 = 0.05;
+/// Nothing else tells plain targets apart. A strict order by the noise of a few answers would leave
+/// the last of them almost without requests, and so without answers that could correct it.
+const PLAIN_RATIO_NOISE: f64 = 0.01;
 
 impl FairPolicy {
     /// Picks the candidate with the least expected latency, or the first of several that are equal.
     pub(crate) fn pick(&mut self, now: TimeMs, request: &RequestState) -> Option<Pick> {
         let candidates = self.candidates(request);
         self.pick_visits += candidates.len() as u64;
-        let scored =
-            candidates.into_iter().filter_map(|target| self.score_ms(now, request, target));
-        let scored: Vec<(f64, Pick)> = scored.collect();
-        let best_ms = scored.iter().map(|(score_ms, _)| *score_ms).min_by(f64::total_cmp)?;
-        let limit_ms = best_ms * (1.0 + SCORE_NOISE);
-        scored.into_iter().find(|(score_ms, _)| *score_ms <= limit_ms).map(|(_, pick)| pick)
+        candidates
+            .into_iter()
+            .filter_map(|target| self.score_ms(now, request, target))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, pick)| pick)
     }
 
     fn candidates(&mut self, request: &RequestState) -> Vec<TargetKey> {
@@ -44,8 +43,10 @@
             .filter(|&target| class.available.contains(target))
             .collect();
         let pool = if class.available.is_empty() { &class.healthy } else { &class.available };
+        // Completions weigh the target to avoid against others that hold their prefix.
+        let avoid = request.avoid.filter(|_| class.is_plain);
         for _ in 0..RANDOM_CANDIDATES {
-            candidates.extend(pool.sample(&mut self.rng, request.avoid));
+            candidates.extend(pool.sample(&mut self.rng, avoid));
         }
         if candidates.iter().any(|&target| Some(target) != request.avoid) {
             candidates.retain(|&target| Some(target) != request.avoid);
@@ -74,7 +75,9 @@
         let load_ms = if loads_adapter { adapter_load_ms } else { 0.0 };
         let output = class.output_lengths.expected(request.flow, request.output_tokens_max);
         let batch_ms = class.times.decode_ms(utilisation, output) * BATCH_SLOWDOWN * utilisation;
-        let service_ms = (queued_ms + batch_ms) * target.health.ratio().max(0.5);
+        let ratio = target.health.ratio().max(0.5);
+        let is_noise = class.is_plain && (ratio - 1.0).abs() <= PLAIN_RATIO_NOISE;
+        let service_ms = (queued_ms + batch_ms) * if is_noise { 1.0 } else { ratio };
         let pick = Pick { target: target_key, uncached_tokens: uncached, loads_adapter };
         Some((service_ms + load_ms + 2.0 * target.distance_ms, pick))
     }
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -49,6 +49,8 @@
     pub(crate) shed_scheduled: bool,
     /// Whether the requests of this node at all targets together are limited.
     pooled: bool,
+    /// Whether the targets serve a plain service rather than a model.
+    pub(crate) is_plain: bool,
 }
 
 /// Limit of a node's requests at pooled targets, relative to its even share, while these have
@@ -63,7 +65,7 @@
 const FULL_UTILISATION: f64 = 1.0;
 
 impl ClassState {
-    pub(crate) fn new(settings: &FairSettings) -> Self {
+    pub(crate) fn new(settings: &FairSettings, is_plain: bool) -> Self {
         Self {
             queue: FairQueue::new(settings.queue_entries_max),
             targets: BTreeSet::new(),
@@ -91,6 +93,7 @@
             ejected: 0,
             shed_scheduled: false,
             pooled: false,
+            is_plain,
         }
     }
 
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -119,7 +119,8 @@
         let next = ClassKey::new(self.classes.len() as u32);
         let key = *self.class_keys.entry(without_adapter(serves)).or_insert(next);
         if key == next {
-            let mut class = ClassState::new(&self.settings);
+            let is_plain = matches!(serves, RequestClass::Plain { .. });
+            let mut class = ClassState::new(&self.settings, is_plain);
             class.set_pooled(self.settings.sharing == Sharing::Pooled);
             for (flow, &weight) in self.weights.iter().enumerate() {
                 class.queue.set_weight(FlowKey::new(flow as u32), weight);
