platform, gateway: read and log the pause that a target asks for, and that it leaves

A target's 503 may hold Retry-After, and any of its answers Server-Leaving. Neither was read, so the logs could not tell whether a node ignored a pause or ended it too early. The line of a refused attempt now holds both. Nothing acts on them yet.

Tests: answer_head_back_off, answer_head_leaving.

--- a/crates/gateway/src/adapter/messages.rs
+++ b/crates/gateway/src/adapter/messages.rs
@@ -74,6 +74,10 @@
         pub load: Option<ReportedLoad>,
         /// Limit that the target names.
         pub limit: LimitHeader,
+        /// For how long the target asks this node to send it no requests, in milliseconds.
+        pub back_off_ms: Option<u64>,
+        /// Whether the target says that it is about to shut down.
+        pub is_leaving: bool,
         /// Member of the replica that the target reports as lost.
         pub reported_lost: Option<VmName>,
         /// How long the target keeps an idle connection open, in seconds, if reported.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -154,7 +154,7 @@
 
     /// Handles an answer that says that the target has not run the request.
     fn refused(&self, response: &Response<Incoming>, head: &AnswerHead) -> AttemptOutcome {
-        self.log_end("refused by target", response.status().as_u16());
+        self.log_refused(response.status().as_u16(), head);
         if let Some(lost) = &head.reported_lost {
             let dispatcher = &self.exchange.dispatcher;
             dispatcher.notify_control(TrafficReport::LossReported(lost.clone()));
@@ -179,6 +179,19 @@
         );
     }
 
+    fn log_refused(&self, status: u16, head: &AnswerHead) {
+        info!(self.exchange.dispatcher.log, "attempt ended";
+            "request_id" => self.exchange.request.id(),
+            "digest" => self.exchange.request.digest.to_string(),
+            "target" => self.destination.target.as_str(),
+            "attempt" => self.exchange.attempts,
+            "status" => status,
+            "why" => "refused by target",
+            "back_off_ms" => head.back_off_ms,
+            "leaving" => head.is_leaving,
+        );
+    }
+
     pub(crate) fn log_end(&self, why: &'static str, status: u16) {
         info!(self.exchange.dispatcher.log, "attempt ended";
             "request_id" => self.exchange.request.id(),
