gateway, policy, target-limits: a target that asks for a pause gets nothing until it is over (BUDGET)

Callers saw refusals while other targets had room: heads that refused everything for nine seconds and asked each node for three seconds of rest got its next request after 0.04 to 2.6 s, and each such request spent one of its two attempts and a retry of the fleet's budget.

Where gaps occurred they were the node's own ejection, two seconds long and for one target in five at most. Class: a wish of one target that no path knew.

The pauses are a state of the node, by target and start of its process, shared by the thread that sends requests and the one that probes. The policy keeps a target in a pause out of every choice, beyond the bound on ejections and also when it comes up again in another replica; after the pause it gets one request, and the others once that is answered. A request that was dispatched before the refusal is withheld if its connection comes later. Probes are withheld, orders go on. If all targets of a class are in a pause, requests are refused on arrival with the time until the first one returns.

The harness of limits.rs moved to timed_node, unchanged but for targets that refuse.

--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -7,12 +7,12 @@
 use slog::info;
 
 use crate::adapter::Adapter;
-use crate::control::Control;
 use crate::control::coordinators::{
     read_outcome, read_record_request, write_outcome, write_record_request,
 };
 use crate::control::counted_store::StoreCallKind;
 use crate::control::event::ControlEvent;
+use crate::control::{CalledTarget, Control};
 
 impl<A: Adapter> Control<A> {
     /// Executes the actions of a coordinator; their results arrive as events.
@@ -58,12 +58,12 @@
     }
 
     fn send_order(&self, domain: DomainName, id: OrderId, target: VmName, order: TargetOrder) {
-        let address = self.fleet.target_or_removed(&target).map(|entry| entry.address);
+        let called = self.fleet.target_or_removed(&target).map(CalledTarget::new);
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let (orders, log) = (self.parts.metrics.orders.clone(), self.parts.log.clone());
         let send = async move {
-            let outcome = match address {
-                Some(address) => client.send_order(&target, address, &order).await,
+            let outcome = match &called {
+                Some(called) => client.send_order(called, &order).await,
                 None => OrderOutcome::TargetRemoved,
             };
             let label = OutcomeLabel { call: order.as_str(), outcome: outcome.as_str() };
@@ -79,13 +79,18 @@
     }
 
     fn send_probe(&self, domain: DomainName, target: VmName) {
-        let address = self.fleet.target_or_removed(&target).map(|entry| entry.address);
+        let called = self.fleet.target_or_removed(&target).map(CalledTarget::new);
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let log = self.parts.log.clone();
         let probe = async move {
-            let reachability = match address {
-                Some(address) => client.probe_target(address).await,
-                None => Reachability::Gone,
+            let reachability = match &called {
+                Some(called) => client.probe_target(called).await,
+                None => Some(Reachability::Gone),
+            };
+            let Some(reachability) = reachability else {
+                // The planner probes again, or learns from the store that the target is gone.
+                info!(log, "probe withheld"; "target" => target.as_str());
+                return;
             };
             info!(log, "probe"; "target" => target.as_str(),
                 "reachability" => format!("{reachability:?}"));
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -24,4 +24,4 @@
 
 pub(crate) use control_loop::{Control, ControlParts};
 pub(crate) use event::ControlEvent;
-pub(crate) use target_client::TargetClient;
+pub(crate) use target_client::{CalledTarget, TargetClient};
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryhaven_fleet::{OrderOutcome, TargetOrder};
+use celeryhaven_clock::BootClock;
+use celeryhaven_fleet::{OrderOutcome, TargetEntry, TargetOrder};
 use celeryhaven_forming::Reachability;
 use celeryhaven_http::{ConnectionError, ConnectionPool};
 use celeryhaven_peers::ProbeResult;
@@ -15,6 +16,7 @@
 
 use crate::adapter::Adapter;
 use crate::http::CUT_OFF_HEADER;
+use crate::traffic::SharedBackOffs;
 
 /// Timeout of an order. Orders can be repeated safely.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -27,14 +29,33 @@
 pub(crate) struct TargetClient<A> {
     pub(crate) adapter: A,
     pub(crate) connections: ConnectionPool,
+    pub(crate) back_offs: SharedBackOffs,
+}
+
+/// A target, as it is called.
+#[derive(Clone, Debug)]
+pub(crate) struct CalledTarget {
+    /// The name.
+    pub(crate) name: VmName,
+    /// The address on which it listens.
+    pub(crate) address: SocketAddr,
+    /// Start time of its process, in Unix milliseconds.
+    pub(crate) started_at_ms: Option<u64>,
+}
+
+impl CalledTarget {
+    /// Creates it from the target's entry.
+    pub(crate) fn new(entry: &TargetEntry) -> Self {
+        let TargetEntry { name, address, started_at_ms, .. } = entry;
+        Self { name: name.clone(), address: *address, started_at_ms: *started_at_ms }
+    }
 }
 
 impl<A: Adapter> TargetClient<A> {
-    /// Sends an order to a target.
+    /// Sends an order to a target, also in a pause: it adds no load, and may end one that is lost.
     pub(crate) async fn send_order(
         &self,
-        name: &VmName,
-        address: SocketAddr,
+        target: &CalledTarget,
         order: &TargetOrder,
     ) -> OrderOutcome {
         let call = self.adapter.order(order);
@@ -43,8 +64,8 @@
         *request.uri_mut() = http::Uri::from_static(call.path);
         let headers = request.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        self.adapter.expect_target(headers, name);
-        match self.exchange(address, request, ORDER_TIMEOUT).await {
+        self.adapter.expect_target(headers, &target.name);
+        match self.call_target(target, request, ORDER_TIMEOUT).await {
             Some(Ok(answer)) => self.adapter.order_outcome(answer.status),
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 OrderOutcome::TargetRemoved
@@ -53,17 +74,22 @@
         }
     }
 
-    /// Requests a report to find out whether the target is reachable.
-    pub(crate) async fn probe_target(&self, address: SocketAddr) -> Reachability {
+    /// Requests a report to find out whether the target is reachable; returns `None` without a call
+    /// if the target has asked for a pause.
+    pub(crate) async fn probe_target(&self, target: &CalledTarget) -> Option<Reachability> {
+        let back_offs = self.back_offs.current();
+        if back_offs.holds(BootClock.now(), &target.name, target.started_at_ms) {
+            return None;
+        }
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
-        match self.exchange(address, request, PROBE_TIMEOUT).await {
+        Some(match self.call_target(target, request, PROBE_TIMEOUT).await {
             Some(Ok(_)) => Reachability::Answers,
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 Reachability::Gone
             }
             Some(Err(_)) | None => Reachability::Silent,
-        }
+        })
     }
 
     /// Probes the readiness endpoint of a node.
@@ -78,6 +104,24 @@
         }
     }
 
+    /// Sends a request to a target, and records the pause that its answer asks for.
+    async fn call_target(
+        &self,
+        target: &CalledTarget,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Option<Result<Parts, ConnectionError>> {
+        let answer = self.exchange(target.address, request, timeout).await;
+        if let Some(Ok(parts)) = &answer
+            && let head = self.adapter.answer_head(parts.status, &parts.headers)
+            && let Some(pause_ms) = head.back_off_ms
+        {
+            let CalledTarget { name, started_at_ms, .. } = target;
+            self.back_offs.observe(BootClock.now(), name, *started_at_ms, pause_ms);
+        }
+        answer
+    }
+
     /// Sends a request; returns `None` on a timeout.
     async fn exchange(
         &self,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -24,6 +24,8 @@
     Failed(Verdict),
     /// This node cancelled the attempt.
     Interrupted(Interrupt),
+    /// Nothing was sent, because the target must not be sent anything now.
+    Withheld,
 }
 
 /// One attempt to send a request to one target.
@@ -51,6 +53,7 @@
         }
         let is_served = response.status().is_success();
         dispatcher.limit_named(self.destination, head.limit, sent_at, is_served);
+        dispatcher.back_off_named(self.destination, head.back_off_ms);
         if head.not_run {
             return self.refused(&response, &head);
         }
@@ -86,6 +89,10 @@
         &mut self,
         mut connection: Connection,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
+        // The target may have asked for a pause while this node connected to it.
+        if self.exchange.dispatcher.is_backing_off(self.destination) {
+            return Err(SendError::Ended(AttemptOutcome::Withheld));
+        }
         let request = self.build_request();
         let answer = self.exchange.unless_interrupted(connection.send(request)).await;
         match answer {
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -5,6 +5,7 @@
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
+use celeryhaven_target_limits::BackOffs;
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
@@ -68,6 +69,10 @@
     pub(crate) crashes: PendingCrashes<CrashReport>,
     /// Limits of targets, and this node's parts of them.
     pub(crate) limits: Arc<TargetLimitMap>,
+    /// Pauses that targets have asked this node for.
+    back_offs: Arc<BackOffs>,
+    /// When the next of them ends.
+    back_off_ends_at: Option<TimeMs>,
     pools: Map<PoolKey, Pool>,
     senders: u32,
     next_ticket: Ticket,
@@ -93,6 +98,8 @@
             standings: None,
             crashes: PendingCrashes::new(),
             limits: Arc::default(),
+            back_offs: Arc::default(),
+            back_off_ends_at: None,
             pools: Map::default(),
             senders: 1,
             next_ticket: Ticket::default(),
@@ -178,6 +185,23 @@
         }
     }
 
+    /// Sets the pauses that targets have asked for.
+    pub(crate) fn set_back_offs(&mut self, now: TimeMs, back_offs: Arc<BackOffs>) {
+        let has_ended = self.back_off_ends_at.is_some_and(|at| at <= now);
+        if Arc::ptr_eq(&self.back_offs, &back_offs) && !has_ended {
+            return;
+        }
+        self.back_off_ends_at = back_offs.next_end(now);
+        self.back_offs = back_offs;
+        for key in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let mut out = Vec::new();
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.set_back_offs(now, &self.back_offs, &mut out);
+            }
+            self.execute(&key, out);
+        }
+    }
+
     /// Sets the number of nodes that send to the same targets.
     pub(crate) fn set_senders(&mut self, now: TimeMs, senders: u32) {
         if senders == self.senders {
@@ -325,6 +349,7 @@
         let mut out = Vec::new();
         pool.set_senders(now, self.senders, self.retry_limits(key), &mut out);
         pool.set_limits(now, &self.limits, &mut out);
+        pool.set_back_offs(now, &self.back_offs, &mut out);
         pool.set_targets(now, &self.eligible_destinations(now, key), &mut out);
         pool
     }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -13,7 +13,9 @@
 
 use crate::adapter::{Adapter, ReportedLoad};
 use crate::traffic::dispatch_state::{DispatchState, Instruction};
-use crate::traffic::{CallerRequest, DestinationName, TrafficReport, TrafficUpdate};
+use crate::traffic::{
+    CallerRequest, DestinationName, SharedBackOffs, TrafficReport, TrafficUpdate,
+};
 
 /// Interval between two checks of queues and stalled replicas.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -27,6 +29,7 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) connections: ConnectionPool,
     pub(crate) state: RefCell<DispatchState>,
+    pub(crate) back_offs: SharedBackOffs,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
     reports: Sender<TrafficReport>,
@@ -46,21 +49,27 @@
         metrics: GatewayMetrics,
         log: Logger,
         reports: Sender<TrafficReport>,
-    ) -> Rc<Self> {
+    ) -> Self {
         let (state, first_request_seen, ticks) =
             (RefCell::new(state), Cell::new(false), Cell::new(0));
-        Rc::new(Self {
+        Self {
             adapter,
             executor,
             connections,
             state,
+            back_offs: SharedBackOffs::default(),
             metrics,
             log,
             reports,
             first_request_seen,
             ticks,
             is_clear: Cell::new(true),
-        })
+        }
+    }
+
+    /// Sets the pauses that are shared with the control thread.
+    pub(crate) fn with_back_offs(self, back_offs: SharedBackOffs) -> Self {
+        Self { back_offs, ..self }
     }
 
     /// Returns the current time.
@@ -96,6 +105,7 @@
     pub(crate) async fn run_timers(self: Rc<Self>) {
         loop {
             smol::Timer::after(TICK_INTERVAL).await;
+            self.apply_back_offs();
             let stalled = self.state.borrow_mut().tick(self.now());
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -176,6 +176,7 @@
             AttemptOutcome::Interrupted(Interrupt::Deadline) => Some("deadline"),
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => Some("taken off its target"),
             AttemptOutcome::Failed(_) => Some("broken"),
+            AttemptOutcome::Withheld => Some("withheld"),
         };
         match outcome {
             AttemptOutcome::Answered => {
@@ -193,6 +194,10 @@
                 self.may_have_run = true;
                 self.retry_or_fail(Verdict::MayHaveRun).await
             }
+            AttemptOutcome::Withheld => {
+                self.attempts -= 1;
+                self.retry_or_fail(Verdict::NotRun).await
+            }
             AttemptOutcome::Failed(verdict) => {
                 self.may_have_run |= verdict != Verdict::NotRun;
                 self.retry_or_fail(verdict).await
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Request traffic: admission, attempts, streams and cancellation.
 
 mod attempt;
+mod back_offs;
 mod body;
 mod caller_request;
 mod delivery_times;
@@ -14,6 +15,7 @@
 mod sink;
 mod update;
 
+pub(crate) use back_offs::SharedBackOffs;
 pub(crate) use body::AnswerBody;
 pub(crate) use caller_request::CallerRequest;
 pub(crate) use dispatch_state::DispatchState;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use celeryhaven_fleet::{EngineProfile, ModelProfile};
@@ -5,7 +6,8 @@
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
     TargetProfile, TargetSubset, Ticket,
 };
-use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict};
+use celeryhaven_target_limits::BackOffs;
+use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
 use crate::adapter::ReportedLoad;
 use crate::traffic::{Destination, DestinationName, TargetLimitMap};
@@ -47,6 +49,10 @@
     subset: TargetSubset,
     /// Limits of targets, and this node's parts of them.
     limits: Arc<TargetLimitMap>,
+    /// Pauses that targets have asked this node for.
+    back_offs: Arc<BackOffs>,
+    /// Targets that are in a pause.
+    backing_off: BTreeSet<VmName>,
     senders: u32,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
@@ -136,6 +142,8 @@
             all_destinations: Vec::new(),
             subset: TargetSubset::new(seed),
             limits: Arc::default(),
+            back_offs: Arc::default(),
+            backing_off: BTreeSet::new(),
             senders: 1,
             tokens_per_event,
             request_times,
@@ -205,8 +213,11 @@
         let node_rate_per_s = |destination: &&Destination| {
             self.limits.get(&destination.target).map(|limit| limit.node_rate_per_s)
         };
-        let unlimited: Vec<&Destination> =
-            all.iter().filter(|destination| node_rate_per_s(destination).is_none()).collect();
+        let unlimited: Vec<&Destination> = all
+            .iter()
+            .filter(|destination| node_rate_per_s(destination).is_none())
+            .filter(|destination| !self.backing_off.contains(&destination.target))
+            .collect();
         let chosen = self.subset.choose(&unlimited, |destination| destination.name.as_str());
         let limited = all.iter().filter(|destination| node_rate_per_s(destination) > Some(0.0));
         let selected: Vec<&Destination> = chosen.into_iter().copied().chain(limited).collect();
@@ -216,6 +227,32 @@
         }
     }
 
+    /// Sets the pauses of targets, and applies those that have begun or ended.
+    pub(crate) fn set_back_offs(
+        &mut self,
+        now: TimeMs,
+        back_offs: &Arc<BackOffs>,
+        out: &mut Vec<Decision>,
+    ) {
+        self.back_offs = back_offs.clone();
+        let is_held = |destination: &&Destination| {
+            back_offs.holds(now, &destination.target, destination.started_at_ms)
+        };
+        let held = self.all_destinations.iter().filter(is_held);
+        let held: BTreeSet<VmName> = held.map(|destination| destination.target.clone()).collect();
+        let mut targets: Vec<_> = self.destinations.iter().collect();
+        targets.sort_unstable_by_key(|(target, _)| **target);
+        for (&target, destination) in targets {
+            let until = back_offs.until(&destination.target, destination.started_at_ms);
+            if let Some(until) = until.filter(|until| now < *until) {
+                self.policy.handle(now, PolicyEvent::BackOff { target, until }, out);
+            }
+        }
+        if std::mem::replace(&mut self.backing_off, held) != self.backing_off {
+            self.update_targets(now, out);
+        }
+    }
+
     /// Sets the limits of targets.
     pub(crate) fn set_limits(
         &mut self,
@@ -255,6 +292,9 @@
             let rate_per_s = Some(limit.node_rate_per_s);
             self.policy.handle(now, PolicyEvent::Limited { target, rate_per_s }, out);
         }
+        if let Some(until) = self.back_offs.until(&destination.target, destination.started_at_ms) {
+            self.policy.handle(now, PolicyEvent::BackOff { target, until }, out);
+        }
         let profile =
             TargetProfile { serves: self.serves.clone(), slots: destination.slots, distance_us: 0 };
         self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -179,6 +179,7 @@
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Limited { .. }
+            | PolicyEvent::BackOff { .. }
             | PolicyEvent::Organisations { .. } => {}
         }
         self.dispatch_queued(now, out);
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -83,7 +83,8 @@
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Organisations { .. }
-            | PolicyEvent::Limited { .. } => return,
+            | PolicyEvent::Limited { .. }
+            | PolicyEvent::BackOff { .. } => return,
         }
         self.dispatch_queued(out);
     }
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -50,9 +50,8 @@
         let Some(request) = self.requests.get(&ticket) else { return };
         let queue_entry = self.queue_entry(request);
         let class_key = request.class;
-        let senders = self.senders;
+        let wait_ms = self.wait_ms(now, class_key, &queue_entry);
         let class = self.class(class_key);
-        let wait_ms = class.wait_ms(now, &queue_entry, senders);
         if !starts_in_time(now, wait_ms, queue_entry.latest_start) {
             self.refuse_queued(now, ticket, &queue_entry, RefusalCode::DeadlineUnreachable, out);
         } else if class.queue.push(ticket, queue_entry).is_err() {
@@ -74,13 +73,14 @@
         let Some(request) = self.requests.get(&ticket) else { return };
         let (class_key, may_have_run) = (request.class, request.may_have_run);
         let senders = self.senders;
+        let returns_ms = self.returns_at(class_key).map_or(0, |at| at.since(now));
         let class = &mut self.classes[class_key.get() as usize];
         let refusal = if may_have_run {
             Refusal::may_have_run(RefusalCode::AnswerLost)
         } else if class.targets.is_empty() {
             self.no_replica_refusal()
         } else {
-            let drain_ms = class.drain_ms(now, queue_entry, senders);
+            let drain_ms = class.drain_ms(now, queue_entry, senders).max(returns_ms as f64);
             let cost_ms = queue_entry.cost_ms as f64 / class.capacity(senders).max(1.0);
             let retry_ms =
                 class.retry_schedule.next_retry_after_ms(now, drain_ms, cost_ms, &mut self.rng);
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -152,13 +152,13 @@
     /// It waits for the entries ahead of it in its own flow, served at the expected share of the
     /// flow.
     pub(crate) fn wait_ms(&mut self, now: TimeMs, entry: &QueueEntry, senders: u32) -> f64 {
+        if self.queue.is_empty() && self.has_free_slot(senders) {
+            return 0.0;
+        }
         let capacity = self.capacity(senders);
         if capacity <= 0.0 {
             return f64::INFINITY;
         }
-        if self.queue.is_empty() && self.has_free_slot(senders) {
-            return 0.0;
-        }
         let ahead_ms = self.queue.cost_ahead_ms(entry) as f64;
         let queued_ms = ahead_ms / self.expected_share(entry, ahead_ms, capacity);
         self.next_slot_ms(now, queued_ms * self.cost_ratio() / capacity)
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -43,6 +43,7 @@
         class.in_flight.merge(in_flight);
         class.ratio_sum += ratio;
         self.count_slots(target);
+        self.apply_announced_back_off(now, target);
         self.refresh_availability(now, target);
         self.dispatch_queued(now, class_key, out);
     }
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -1,6 +1,7 @@
 //! The production policy: fair queue, admission by deadline, targets shared among entry nodes.
 
 mod admission;
+mod back_off;
 mod candidates;
 mod class;
 mod dispatch;
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -54,6 +54,8 @@
     pub(crate) timers: BTreeSet<(TimeMs, Timer)>,
     /// Limits of targets that are not up yet.
     pub(crate) announced_limits: Map<TargetKey, f64>,
+    /// Ends of the pauses that targets have asked for that are not up yet.
+    pub(crate) announced_back_offs: Map<TargetKey, TimeMs>,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) pick_visits: u64,
     class_keys: Map<RequestClass, ClassKey>,
@@ -75,6 +77,7 @@
             requests: Map::default(),
             timers: BTreeSet::new(),
             announced_limits: Map::default(),
+            announced_back_offs: Map::default(),
             pick_visits: 0,
             class_keys: Map::default(),
             flow_keys: Map::default(),
@@ -209,6 +212,7 @@
             PolicyEvent::Limited { target, rate_per_s } => {
                 self.limit_target(now, target, rate_per_s, out);
             }
+            PolicyEvent::BackOff { target, until } => self.back_off(now, target, until),
             PolicyEvent::CacheChanged { target, added, removed } => {
                 self.cache_changed(target, added, removed);
             }
--- a/crates/policy/src/fair/shed.rs
+++ b/crates/policy/src/fair/shed.rs
@@ -31,10 +31,9 @@
             self.refuse_queued(now, ticket, &entry, code, out);
         }
         let flows: Vec<_> = self.class(class_key).queue.active_flows().collect();
-        let senders = self.senders;
         for flow in flows {
             while let Some((ticket, entry)) = self.class(class_key).queue.last_entry(flow) {
-                let wait_ms = self.class(class_key).wait_ms(now, &entry, senders);
+                let wait_ms = self.wait_ms(now, class_key, &entry);
                 if starts_in_time(now, wait_ms, entry.latest_start) {
                     break;
                 }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -1,4 +1,4 @@
-use celeryhaven_types::{Organisation, RequestHead, Verdict};
+use celeryhaven_types::{Organisation, RequestHead, TimeMs, Verdict};
 
 use crate::interface::{TargetKey, TargetLoad, TargetProfile, Ticket};
 
@@ -69,6 +69,16 @@
         /// Requests a second that this node may send to it; `None` if the limit has ended.
         rate_per_s: Option<f64>,
     },
+    /// A target has asked this node for a pause: it receives no request before `until`, and one at
+    /// a time from then on until it has answered one.
+    ///
+    /// For a target that comes up in a pause, this event precedes [`PolicyEvent::TargetUp`].
+    BackOff {
+        /// The target.
+        target: TargetKey,
+        /// End of the pause.
+        until: TimeMs,
+    },
     /// The prefix cache of a target changed; events may be late or lost.
     CacheChanged {
         /// The target.
--- a/crates/policy/src/targets/health.rs
+++ b/crates/policy/src/targets/health.rs
@@ -110,6 +110,15 @@
         until
     }
 
+    /// Keeps requests away until the end of a pause that the target has asked for.
+    pub(crate) fn back_off(&mut self, until: TimeMs) {
+        let until = match self.state {
+            HealthState::Ejected { until: before } => before.max(until),
+            HealthState::Healthy | HealthState::Probing => until,
+        };
+        self.state = HealthState::Ejected { until };
+    }
+
     pub(crate) fn start_probing(&mut self) {
         self.state = HealthState::Probing;
         self.consecutive_failures = 0;
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -1,118 +1,11 @@
 //! Targets that name how many requests a second they take, at the policy of one node.
 
-use celeryhaven_policy::{
-    Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, TargetKey, TargetProfile,
-    Ticket,
-};
-use celeryhaven_types::{
-    Idempotency, OrganisationName, Priority, RequestClass, RequestHead, RequestId, ServiceName,
-    TimeMs, Verdict,
-};
+mod timed_node;
 
-const REQUEST_MS: u64 = 40;
+use celeryhaven_policy::{PolicyEvent, TargetKey, TargetProfile, Ticket};
+use celeryhaven_types::Verdict;
 
-fn class() -> RequestClass {
-    RequestClass::Plain { service: ServiceName::new("portal") }
-}
-
-/// One node that sends to targets that answer after a fixed time.
-struct Node {
-    policy: FairPolicy,
-    ends: Vec<(u64, Ticket)>,
-    next: Ticket,
-    /// Sends: time and target.
-    sent: Vec<(u64, TargetKey)>,
-    refused: usize,
-    /// Prompt tokens of each request.
-    prompt_tokens: u32,
-    /// A target that takes a little longer than the others.
-    slower: Option<TargetKey>,
-}
-
-/// How much longer the slower target takes.
-const SLOWER_MS: u64 = 2;
-
-impl Node {
-    fn new(targets: u32) -> Self {
-        let mut policy = FairPolicy::new(FairSettings::new(3).with_times(40.0, 0.0, 0.0));
-        let mut out = Vec::new();
-        for target in (0..targets).map(TargetKey::new) {
-            let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
-            policy.handle(TimeMs::new(0), PolicyEvent::TargetUp { target, profile }, &mut out);
-        }
-        Self {
-            policy,
-            ends: Vec::new(),
-            next: Ticket::new(0),
-            sent: Vec::new(),
-            refused: 0,
-            prompt_tokens: 0,
-            slower: None,
-        }
-    }
-
-    fn limit(&mut self, ms: u64, target: u32, rate_per_s: Option<f64>) {
-        let target = TargetKey::new(target);
-        self.handle(ms, PolicyEvent::Limited { target, rate_per_s });
-    }
-
-    fn handle(&mut self, ms: u64, event: PolicyEvent<'_>) {
-        let mut out = Vec::new();
-        self.policy.handle(TimeMs::new(ms), event, &mut out);
-        for decision in out {
-            match decision {
-                Decision::Dispatch { ticket, target } => {
-                    self.sent.push((ms, target));
-                    let slower_ms = if self.slower == Some(target) { SLOWER_MS } else { 0 };
-                    self.ends.push((ms + REQUEST_MS + slower_ms, ticket));
-                }
-                Decision::Refuse { .. } => self.refused += 1,
-                Decision::Cancel { .. } => {}
-            }
-        }
-    }
-
-    /// Lets a request arrive every `interval_ms`.
-    fn run(&mut self, from_ms: u64, for_ms: u64, interval_ms: u64) {
-        for ms in from_ms..from_ms + for_ms {
-            let due: Vec<_> = self.ends.extract_if(.., |(end_ms, _)| *end_ms <= ms).collect();
-            for (_, ticket) in due {
-                self.handle(ms, PolicyEvent::Started { ticket });
-                self.handle(ms, PolicyEvent::Finished { ticket, output_tokens: 1 });
-            }
-            if self.policy.next_wake().is_some_and(|at| at.get() <= ms) {
-                self.handle(ms, PolicyEvent::Tick);
-            }
-            if ms.is_multiple_of(interval_ms) {
-                let ticket = self.next;
-                self.next = ticket.next();
-                let head = RequestHead { prompt_tokens: self.prompt_tokens, ..head(ticket) };
-                self.handle(ms, PolicyEvent::Arrived { ticket, head: &head });
-            }
-        }
-    }
-
-    fn sent_to(&self, target: u32, from_ms: u64) -> usize {
-        let target = TargetKey::new(target);
-        self.sent.iter().filter(|(ms, to)| *ms >= from_ms && *to == target).count()
-    }
-}
-
-fn head(ticket: Ticket) -> RequestHead {
-    RequestHead {
-        id: RequestId::new(ticket.to_string()),
-        organisation: OrganisationName::new("o"),
-        class: class(),
-        priority: Priority::new(1),
-        worth: 1,
-        idempotency: Idempotency::Idempotent,
-        deadline_in_ms: 1_500,
-        start_within_ms: Some(300),
-        prompt_tokens: 0,
-        output_tokens_max: 1,
-        prefix_hashes: Vec::new(),
-    }
-}
+use timed_node::{Node, class, head};
 
 /// A limited target gets its rate, and no request waits for it while another target is free.
 #[test]
@@ -122,7 +15,7 @@
     node.run(0, 10_000, 10);
     let sent = node.sent_to(0, 0);
     assert!((18..=21).contains(&sent), "{sent} requests in ten seconds");
-    assert_eq!((node.sent.len(), node.refused), (1_000, 0));
+    assert_eq!((node.sent.len(), node.refused.len()), (1_000, 0));
     let mut arrivals = (0..10_000).step_by(10);
     assert!(node.sent.iter().all(|(ms, _)| arrivals.next() == Some(*ms)), "a request waited");
 }
@@ -134,7 +27,7 @@
     node.limit(0, 0, Some(0.0));
     node.run(0, 5_000, 10);
     assert_eq!(node.sent_to(0, 0), 0);
-    assert_eq!((node.sent.len(), node.refused), (500, 0));
+    assert_eq!((node.sent.len(), node.refused.len()), (500, 0));
 }
 
 /// Where all targets are limited, requests beyond the rates are refused on arrival or in time, not
@@ -148,7 +41,7 @@
     let sent = node.sent.len();
     assert!((180..=205).contains(&sent), "{sent} requests in twenty seconds");
     assert!(node.policy.queued() <= 20, "{} requests wait", node.policy.queued());
-    assert!(node.refused + sent + node.policy.queued() >= 2_000);
+    assert!(node.refused.len() + sent + node.policy.queued() >= 2_000);
 }
 
 /// After the end of a limit the rate grows over some seconds, since all nodes return at that time.
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -30,6 +30,8 @@
     pub crash_reports: Counter,
     /// Targets that name a limit.
     pub targets_limited: Gauge,
+    /// Targets that have asked this node for a pause.
+    pub targets_backing_off: Gauge,
     /// Data centres that are evacuated.
     pub evacuations: Gauge,
     /// Requests that still run in evacuated data centres.
@@ -54,6 +56,7 @@
             (Gauge::default(), Gauge::default(), Gauge::default());
         let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
         let targets_limited = Gauge::default();
+        let targets_backing_off = Gauge::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -86,6 +89,11 @@
                 "Targets that name a limit",
                 targets_limited.clone(),
             );
+            registry.register(
+                "targets_backing_off",
+                "Targets that have asked this node for a pause",
+                targets_backing_off.clone(),
+            );
             registry.register(
                 "evacuations",
                 "Data centres that are evacuated",
@@ -109,6 +117,7 @@
             quarantined,
             crash_reports,
             targets_limited,
+            targets_backing_off,
             evacuations,
             evacuating_requests,
             store_calls,
