gateway, target-limits: a target that announces that it leaves gets no further request (DRAIN)

A server that leaves says so in all its answers, also where its entry says so later or not at all. The header was not read: a plain server whose entry stayed ready got 68 requests in three seconds after such an answer, the head of a replica three streams, and as many while the store turned the node away. Same class as the pauses: a wish of one target that no path knew.

The node that has the answer remembers the process (name and start) until it has another start, sends it neither first nor second attempts nor resumed streams, withholds a request that was about to be sent, and treats the target as draining where it coordinates its domain. Other nodes learn of it from the store as before.

Red before: leaving_plain_server, leaving_head_of_replica, leaving_while_store_away, leaving_all_servers. leaving_replica_formed_elsewhere fails without the use in forming.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -35,7 +35,9 @@
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
-use crate::traffic::{Destination, OfferedLoad, TargetLimitMap, TrafficReport, TrafficUpdate};
+use crate::traffic::{
+    Destination, OfferedLoad, TargetLimitMap, TargetNotices, TrafficReport, TrafficUpdate,
+};
 
 /// Interval between two [`ControlEvent::Tick`] events.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -97,6 +99,8 @@
     pub(super) limits: TargetLimits,
     /// Last limits published to traffic.
     pub(super) node_limits: Arc<TargetLimitMap>,
+    /// What targets have told this node about themselves.
+    pub(super) notices: Arc<TargetNotices>,
     pub(super) nodes_probed_at: TimeMs,
     pub(super) demand: DemandMeter,
     pub(super) shares: ModelShares,
@@ -136,6 +140,7 @@
             standings: Arc::default(),
             limits: TargetLimits::new(),
             node_limits: Arc::default(),
+            notices: Arc::default(),
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
             shares: ModelShares::new(),
@@ -274,7 +279,8 @@
                 self.write_limits(now);
                 self.update_limits(now);
                 self.publish_directory(now);
-                let expired = Changes::targets(self.fleet.expire(now));
+                let left = self.apply_departures();
+                let expired = Changes::targets(self.fleet.expire(now) | left);
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
             }
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -134,6 +134,7 @@
             .target(&name, value)
             .map_err(|error| warn!(self.parts.log, "entry ignored"; "error" => error.to_string()))
             .ok()
+            .map(|entry| self.with_departure(entry))
     }
 
     /// Applies a configuration; returns whether it is newer than the one in force.
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -16,7 +16,7 @@
 
 use crate::adapter::Adapter;
 use crate::http::CUT_OFF_HEADER;
-use crate::traffic::SharedBackOffs;
+use crate::traffic::SharedNotices;
 
 /// Timeout of an order. Orders can be repeated safely.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,7 +29,7 @@
 pub(crate) struct TargetClient<A> {
     pub(crate) adapter: A,
     pub(crate) connections: ConnectionPool,
-    pub(crate) back_offs: SharedBackOffs,
+    pub(crate) notices: SharedNotices,
 }
 
 /// A target, as it is called.
@@ -77,8 +77,8 @@
     /// Requests a report to find out whether the target is reachable; returns `None` without a call
     /// if the target has asked for a pause.
     pub(crate) async fn probe_target(&self, target: &CalledTarget) -> Option<Reachability> {
-        let back_offs = self.back_offs.current();
-        if back_offs.holds(BootClock.now(), &target.name, target.started_at_ms) {
+        let notices = self.notices.current();
+        if notices.back_offs.holds(BootClock.now(), &target.name, target.started_at_ms) {
             return None;
         }
         let mut request = Request::new(Full::default());
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Sends a request to a target, and records the pause that its answer asks for.
+    /// Sends a request to a target, and records what its answer says about it.
     async fn call_target(
         &self,
         target: &CalledTarget,
@@ -112,12 +112,10 @@
         timeout: Duration,
     ) -> Option<Result<Parts, ConnectionError>> {
         let answer = self.exchange(target.address, request, timeout).await;
-        if let Some(Ok(parts)) = &answer
-            && let head = self.adapter.answer_head(parts.status, &parts.headers)
-            && let Some(pause_ms) = head.back_off_ms
-        {
-            let CalledTarget { name, started_at_ms, .. } = target;
-            self.back_offs.observe(BootClock.now(), name, *started_at_ms, pause_ms);
+        if let Some(Ok(parts)) = &answer {
+            let head = self.adapter.answer_head(parts.status, &parts.headers);
+            let target = (&target.name, target.started_at_ms);
+            self.notices.observe(BootClock.now(), target, &head);
         }
         answer
     }
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -19,7 +19,7 @@
 use crate::process::ProcessError;
 use crate::process::error::{ListenSnafu, RandomSnafu, ThreadSnafu};
 use crate::process::signals::Signals;
-use crate::traffic::{DispatchState, Dispatcher, SharedBackOffs, TrafficReport, TrafficUpdate};
+use crate::traffic::{DispatchState, Dispatcher, SharedNotices, TrafficReport, TrafficUpdate};
 
 /// Limits for callers until a configuration has been read.
 const INITIAL_LIMITS: ServerLimits =
@@ -52,7 +52,7 @@
     metrics: GatewayMetrics,
     log: Logger,
     events: Sender<ControlEvent>,
-    back_offs: SharedBackOffs,
+    notices: SharedNotices,
 }
 
 /// Serves until the process is told to stop.
@@ -70,8 +70,8 @@
     let seed = getrandom::u64().context(RandomSnafu)?;
     let (events, event_receiver) = unbounded();
     let (updates, update_receiver) = unbounded();
-    let back_offs = SharedBackOffs::default();
-    let parts = Parts { settings, adapter, metrics: GatewayMetrics::new(), log, events, back_offs };
+    let notices = SharedNotices::default();
+    let parts = Parts { settings, adapter, metrics: GatewayMetrics::new(), log, events, notices };
     let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
     start_control(&parts, token, event_receiver, updates)?;
     let executor = Rc::new(LocalExecutor::new());
@@ -89,8 +89,8 @@
     event_receiver: Receiver<ControlEvent>,
     traffic: Sender<TrafficUpdate>,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, back_offs } = parts;
-    let back_offs = back_offs.clone();
+    let Parts { settings, adapter, metrics, log, events, notices } = parts;
+    let notices = notices.clone();
     let (settings, adapter, metrics) = (settings.clone(), adapter.clone(), metrics.clone());
     let (log, events) = (log.clone(), events.clone());
     let boot = celeryhaven_clock::unix_ms();
@@ -102,7 +102,7 @@
         let timeout = Duration::from_millis(settings.store_timeout_ms);
         let client = StoreClient::with_codec(settings.store, timeout, adapter.clone());
         let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
-        let target_client = TargetClient { adapter: adapter.clone(), connections, back_offs };
+        let target_client = TargetClient { adapter: adapter.clone(), connections, notices };
         let parts = ControlParts {
             adapter,
             settings,
@@ -131,7 +131,7 @@
     executor: Rc<LocalExecutor<'static>>,
     signals: Signals,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, back_offs } = parts;
+    let Parts { settings, adapter, metrics, log, events, notices } = parts;
     let (reports, report_receiver) = unbounded();
     let retry_ratio = settings.retry_ratio * RETRY_SHARE;
     let retry_extra = settings.retry_extra * RETRY_SHARE;
@@ -146,7 +146,7 @@
         log.clone(),
         reports,
     );
-    let dispatcher = Rc::new(dispatcher.with_back_offs(back_offs));
+    let dispatcher = Rc::new(dispatcher.with_notices(notices));
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(INITIAL_LIMITS));
     let open = listen(&settings, &dispatcher, &stop, &limits)?;
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -53,7 +53,7 @@
         }
         let is_served = response.status().is_success();
         dispatcher.limit_named(self.destination, head.limit, sent_at, is_served);
-        dispatcher.back_off_named(self.destination, head.back_off_ms);
+        dispatcher.record_notices(self.destination, &head);
         if head.not_run {
             return self.refused(&response, &head);
         }
@@ -89,8 +89,9 @@
         &mut self,
         mut connection: Connection,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
-        // The target may have asked for a pause while this node connected to it.
-        if self.exchange.dispatcher.is_backing_off(self.destination) {
+        // The target may have asked for a pause, or announced that it leaves, while this node
+        // connected to it.
+        if self.exchange.dispatcher.is_withheld(self.destination) {
             return Err(SendError::Ended(AttemptOutcome::Withheld));
         }
         let request = self.build_request();
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -5,7 +5,6 @@
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
-use celeryhaven_target_limits::BackOffs;
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
@@ -15,6 +14,7 @@
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::{
     CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, TargetLimitMap,
+    TargetNotices,
 };
 
 /// Identifies a pool: the service, and the model if the service has engines.
@@ -69,9 +69,9 @@
     pub(crate) crashes: PendingCrashes<CrashReport>,
     /// Limits of targets, and this node's parts of them.
     pub(crate) limits: Arc<TargetLimitMap>,
-    /// Pauses that targets have asked this node for.
-    back_offs: Arc<BackOffs>,
-    /// When the next of them ends.
+    /// What targets have told this node about themselves.
+    notices: Arc<TargetNotices>,
+    /// When the next pause of a target ends.
     back_off_ends_at: Option<TimeMs>,
     pools: Map<PoolKey, Pool>,
     senders: u32,
@@ -98,7 +98,7 @@
             standings: None,
             crashes: PendingCrashes::new(),
             limits: Arc::default(),
-            back_offs: Arc::default(),
+            notices: Arc::default(),
             back_off_ends_at: None,
             pools: Map::default(),
             senders: 1,
@@ -185,21 +185,24 @@
         }
     }
 
-    /// Sets the pauses that targets have asked for.
-    pub(crate) fn set_back_offs(&mut self, now: TimeMs, back_offs: Arc<BackOffs>) {
+    /// Sets what targets have told this node about themselves.
+    pub(crate) fn set_notices(&mut self, now: TimeMs, notices: Arc<TargetNotices>) {
         let has_ended = self.back_off_ends_at.is_some_and(|at| at <= now);
-        if Arc::ptr_eq(&self.back_offs, &back_offs) && !has_ended {
+        if Arc::ptr_eq(&self.notices, &notices) && !has_ended {
             return;
         }
-        self.back_off_ends_at = back_offs.next_end(now);
-        self.back_offs = back_offs;
+        self.back_off_ends_at = notices.back_offs.next_end(now);
+        let before = std::mem::replace(&mut self.notices, notices);
         for key in self.pools.keys().cloned().collect::<Vec<_>>() {
             let mut out = Vec::new();
             if let Some(pool) = self.pools.get_mut(&key) {
-                pool.set_back_offs(now, &self.back_offs, &mut out);
+                pool.set_notices(now, &self.notices, &mut out);
             }
             self.execute(&key, out);
         }
+        if before.departures != self.notices.departures {
+            self.refresh_targets(now);
+        }
     }
 
     /// Sets the number of nodes that send to the same targets.
@@ -304,7 +307,7 @@
         }
     }
 
-    /// Gives each pool the destinations that are not suspected.
+    /// Gives each pool the destinations that are neither suspected nor leaving.
     fn refresh_targets(&mut self, now: TimeMs) {
         for key in self.pools.keys().cloned().collect::<Vec<_>>() {
             let eligible = self.eligible_destinations(now, &key);
@@ -320,7 +323,11 @@
         let of_pool = self.destinations.iter().filter(|destination| {
             destination.service == key.service && destination.model == key.model
         });
+        let departures = &self.notices.departures;
         of_pool
+            .filter(|destination| {
+                !departures.contains(&destination.target, destination.started_at_ms)
+            })
             .filter(|destination| !self.stall_detector.is_suspected(now, &destination.name))
             .cloned()
             .collect()
@@ -349,7 +356,7 @@
         let mut out = Vec::new();
         pool.set_senders(now, self.senders, self.retry_limits(key), &mut out);
         pool.set_limits(now, &self.limits, &mut out);
-        pool.set_back_offs(now, &self.back_offs, &mut out);
+        pool.set_notices(now, &self.notices, &mut out);
         pool.set_targets(now, &self.eligible_destinations(now, key), &mut out);
         pool
     }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -13,9 +13,7 @@
 
 use crate::adapter::{Adapter, ReportedLoad};
 use crate::traffic::dispatch_state::{DispatchState, Instruction};
-use crate::traffic::{
-    CallerRequest, DestinationName, SharedBackOffs, TrafficReport, TrafficUpdate,
-};
+use crate::traffic::{CallerRequest, DestinationName, SharedNotices, TrafficReport, TrafficUpdate};
 
 /// Interval between two checks of queues and stalled replicas.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -29,7 +27,7 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) connections: ConnectionPool,
     pub(crate) state: RefCell<DispatchState>,
-    pub(crate) back_offs: SharedBackOffs,
+    pub(crate) notices: SharedNotices,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
     reports: Sender<TrafficReport>,
@@ -57,7 +55,7 @@
             executor,
             connections,
             state,
-            back_offs: SharedBackOffs::default(),
+            notices: SharedNotices::default(),
             metrics,
             log,
             reports,
@@ -67,9 +65,9 @@
         }
     }
 
-    /// Sets the pauses that are shared with the control thread.
-    pub(crate) fn with_back_offs(self, back_offs: SharedBackOffs) -> Self {
-        Self { back_offs, ..self }
+    /// Sets the notices that are shared with the control thread.
+    pub(crate) fn with_notices(self, notices: SharedNotices) -> Self {
+        Self { notices, ..self }
     }
 
     /// Returns the current time.
@@ -105,7 +103,7 @@
     pub(crate) async fn run_timers(self: Rc<Self>) {
         loop {
             smol::Timer::after(TICK_INTERVAL).await;
-            self.apply_back_offs();
+            self.apply_notices();
             let stalled = self.state.borrow_mut().tick(self.now());
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,7 +1,6 @@
 //! Request traffic: admission, attempts, streams and cancellation.
 
 mod attempt;
-mod back_offs;
 mod body;
 mod caller_request;
 mod delivery_times;
@@ -10,18 +9,19 @@
 mod exchange;
 mod forward;
 mod limits;
+mod notices;
 mod pool;
 mod quarantine_gate;
 mod sink;
 mod update;
 
-pub(crate) use back_offs::SharedBackOffs;
 pub(crate) use body::AnswerBody;
 pub(crate) use caller_request::CallerRequest;
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use exchange::Exchange;
 pub(crate) use limits::TargetLimitMap;
+pub(crate) use notices::{SharedNotices, TargetNotices};
 pub(crate) use quarantine_gate::Admission;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -6,11 +6,10 @@
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
     TargetProfile, TargetSubset, Ticket,
 };
-use celeryhaven_target_limits::BackOffs;
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
 use crate::adapter::ReportedLoad;
-use crate::traffic::{Destination, DestinationName, TargetLimitMap};
+use crate::traffic::{Destination, DestinationName, TargetLimitMap, TargetNotices};
 
 /// Initial estimate of the time for a plain answer, in milliseconds.
 const INITIAL_PLAIN_ANSWER_MS: f64 = 40.0;
@@ -49,8 +48,8 @@
     subset: TargetSubset,
     /// Limits of targets, and this node's parts of them.
     limits: Arc<TargetLimitMap>,
-    /// Pauses that targets have asked this node for.
-    back_offs: Arc<BackOffs>,
+    /// What targets have told this node about themselves.
+    notices: Arc<TargetNotices>,
     /// Targets that are in a pause.
     backing_off: BTreeSet<VmName>,
     senders: u32,
@@ -142,7 +141,7 @@
             all_destinations: Vec::new(),
             subset: TargetSubset::new(seed),
             limits: Arc::default(),
-            back_offs: Arc::default(),
+            notices: Arc::default(),
             backing_off: BTreeSet::new(),
             senders: 1,
             tokens_per_event,
@@ -228,13 +227,14 @@
     }
 
     /// Sets the pauses of targets, and applies those that have begun or ended.
-    pub(crate) fn set_back_offs(
+    pub(crate) fn set_notices(
         &mut self,
         now: TimeMs,
-        back_offs: &Arc<BackOffs>,
+        notices: &Arc<TargetNotices>,
         out: &mut Vec<Decision>,
     ) {
-        self.back_offs = back_offs.clone();
+        self.notices = notices.clone();
+        let back_offs = &notices.back_offs;
         let is_held = |destination: &&Destination| {
             back_offs.holds(now, &destination.target, destination.started_at_ms)
         };
@@ -292,7 +292,9 @@
             let rate_per_s = Some(limit.node_rate_per_s);
             self.policy.handle(now, PolicyEvent::Limited { target, rate_per_s }, out);
         }
-        if let Some(until) = self.back_offs.until(&destination.target, destination.started_at_ms) {
+        if let Some(until) =
+            self.notices.back_offs.until(&destination.target, destination.started_at_ms)
+        {
             self.policy.handle(now, PolicyEvent::BackOff { target, until }, out);
         }
         let profile =
--- a/crates/target-limits/src/lib.rs
+++ b/crates/target-limits/src/lib.rs
@@ -1,5 +1,5 @@
-//! Holds what targets ask for in their answers: rates, summed over all nodes, and pauses, by each
-//! node for itself.
+//! Holds what targets say in their answers: rates, summed over all nodes, and pauses and departures,
+//! by each node for itself.
 //!
 //! A target in need names how many requests a second it takes from all nodes together. A part held
 //! by every node alone would exceed it with the first request of each: a few nodes, the same in
@@ -15,14 +15,17 @@
 //! | [`NodeView`] | which targets are listed, and where this node stands in the order for one |
 //! | [`TargetLimit`] | the rate of a target, and this node's part of it |
 //! | [`BackOffs`] | the targets that have asked this node for a pause |
+//! | [`Departures`] | the targets that have announced to this node that they leave |
 
 mod back_offs;
+mod departures;
 mod limit_record;
 mod node_view;
 mod target_limit;
 mod target_limits;
 
 pub use back_offs::BackOffs;
+pub use departures::Departures;
 pub use limit_record::LimitRecord;
 pub use node_view::{NodeView, Position};
 pub use target_limit::TargetLimit;
