--- a/crates/bench/src/workload/generate.rs
+++ b/crates/bench/src/workload/generate.rs
@@ -82,6 +82,7 @@
             },
             deadline_in_ms: kind.deadline_ms,
             start_within_ms: None,
+            attempts_max: None,
             prompt_tokens,
             output_tokens_max: kind.output_tokens.1,
             prefix_hashes: blocks(scenario, place, kind, prompt_tokens, rng),
--- a/crates/capacity/src/fleet/load.rs
+++ b/crates/capacity/src/fleet/load.rs
@@ -22,6 +22,7 @@
         idempotency: Idempotency::Idempotent,
         deadline_in_ms: 20_000,
         start_within_ms: None,
+        attempts_max: None,
         prompt_tokens: 400,
         output_tokens_max: 400,
         prefix_hashes: (0..8).map(|block| ticket * 8 + block).collect(),
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -183,6 +183,7 @@
         },
         deadline_in_ms: options.deadline_ms,
         start_within_ms: None,
+        attempts_max: None,
         prompt_tokens: 0,
         output_tokens_max: 0,
         prefix_hashes: Vec::new(),
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -56,6 +56,7 @@
             idempotency,
             deadline_in_ms: self.deadline.since(now),
             start_within_ms: Some(self.route.objective_ms),
+            attempts_max: Some(self.route.attempts_max),
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens_max: self.events_allowed(tokens_per_event),
             prefix_hashes: Vec::new(),
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -221,15 +221,17 @@
         }
     }
 
-    /// Suspects the destinations that have stalled and returns them; processes timers that are due.
+    /// Suspects the destinations that have stalled and returns them, moves their requests, and
+    /// processes timers that are due.
     pub(crate) fn tick(&mut self, now: TimeMs) -> Vec<DestinationName> {
         let stalled = self.stall_detector.detect_stalled(now);
-        for name in &stalled {
-            self.cancel_repeatable(name);
-        }
         if self.stall_detector.take_changed() {
             self.refresh_targets(now);
         }
+        // Requests that could not be moved before may be now.
+        for name in self.stall_detector.stalled() {
+            self.move_repeatable(now, &name);
+        }
         let due = self.pools.iter().filter(|(_, pool)| pool.is_due(now));
         for key in due.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
             let mut out = Vec::new();
@@ -241,12 +243,12 @@
         stalled
     }
 
-    /// Suspects a destination temporarily and cancels the repeatable requests there.
+    /// Suspects a destination temporarily and moves the repeatable requests there.
     pub(crate) fn suspect(&mut self, now: TimeMs, name: &DestinationName) {
-        if !self.stall_detector.is_suspected(now, name) {
-            self.stall_detector.suspect(now, name);
-            self.cancel_repeatable(name);
+        if !self.stall_detector.is_stalled(now, name) {
+            self.stall_detector.suspect_stalled(now, name);
             self.refresh_targets(now);
+            self.move_repeatable(now, name);
         }
     }
 
@@ -293,17 +295,18 @@
         self.pools.values().map(Pool::queued).sum()
     }
 
-    /// Cancels repeatable requests at a destination.
+    /// Moves repeatable requests away from a suspected destination where that is possible.
     ///
     /// The head of a replica that lost a member may accept requests for seconds before it notices.
-    fn cancel_repeatable(&self, name: &DestinationName) {
-        let at_destination = self
-            .active_requests
-            .values()
-            .filter(|active| active.destination.as_ref() == Some(name));
-        for active in at_destination.filter(|active| active.may_repeat) {
-            // If the channel is full, an instruction is already pending.
-            active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
+    fn move_repeatable(&mut self, now: TimeMs, name: &DestinationName) {
+        let is_at_destination =
+            |active: &ActiveRequest| active.may_repeat && active.destination.as_ref() == Some(name);
+        let at_destination =
+            self.active_requests.iter().filter(|(_, active)| is_at_destination(active));
+        let mut tickets: Vec<Ticket> = at_destination.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            self.notify_pool(ticket, |pool, out| pool.stalled(now, ticket, out));
         }
     }
 
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -224,7 +224,7 @@
         self.state.borrow_mut().remove(ticket);
     }
 
-    /// Suspects a destination, cancels its repeatable requests, and notifies the control thread.
+    /// Suspects a destination, moves its repeatable requests, and notifies the control thread.
     pub(crate) fn suspect_replica(&self, name: &DestinationName, why: &'static str) {
         self.state.borrow_mut().suspect(self.now(), name);
         let DestinationName::Replica(key) = name else { return };
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -342,6 +342,10 @@
         self.policy.handle(now, event, out);
     }
 
+    pub(crate) fn stalled(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
+        self.policy.handle(now, PolicyEvent::Stalled { ticket }, out);
+    }
+
     pub(crate) fn attempt_failed(
         &mut self,
         now: TimeMs,
--- a/crates/node/tests/common/callers.rs
+++ b/crates/node/tests/common/callers.rs
@@ -82,6 +82,7 @@
             idempotency: plan.idempotency,
             deadline_in_ms: plan.deadline_ms,
             start_within_ms: None,
+            attempts_max: None,
             prompt_tokens: 10,
             output_tokens_max: plan.pieces,
             prefix_hashes: vec![id.get()],
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -176,6 +176,7 @@
                 }
             }
             PolicyEvent::Reported { .. }
+            | PolicyEvent::Stalled { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Limited { .. }
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -80,6 +80,7 @@
                 }
             }
             PolicyEvent::Started { .. }
+            | PolicyEvent::Stalled { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Organisations { .. }
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -2,6 +2,7 @@
 use celeryhaven_types::{Idempotency, Refusal, RefusalCode, RequestClass, RequestHead, TimeMs};
 use rand::Rng;
 
+use crate::fair::outcomes::ATTEMPTS_MAX;
 use crate::fair::request::{Cost, Phase, RequestState};
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::{Decision, Ticket};
@@ -146,6 +147,7 @@
             worth: head.worth,
             cost: Cost { mean_ms: 0.0, high_ms: 0.0 },
             attempts: 0,
+            attempts_max: head.attempts_max.unwrap_or(ATTEMPTS_MAX).min(ATTEMPTS_MAX),
             may_have_run: false,
             avoid: None,
             phase: Phase::Queued,
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -43,6 +43,8 @@
     pub(crate) expected_ends: BTreeSet<(u64, Ticket)>,
     /// Sum of the latency ratios of the targets.
     pub(crate) ratio_sum: f64,
+    /// Requests that are cancelled at their targets in order to be sent to others.
+    pub(crate) moving: usize,
     /// Number of targets that are ejected or being probed.
     pub(crate) ejected: usize,
     /// Whether a `Timer::Shed` is pending.
@@ -90,6 +92,7 @@
             in_flight: InFlight::default(),
             expected_ends: BTreeSet::new(),
             ratio_sum: 0.0,
+            moving: 0,
             ejected: 0,
             shed_scheduled: false,
             pooled: false,
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -109,6 +109,9 @@
         request.avoid = Some(target);
         request.phase = Phase::Queued;
         self.record_completed(now, ticket, target, estimate);
+        if cancelled == Some(CancelReason::Stuck) {
+            self.class(class).moving -= 1;
+        }
         if cancelled.is_none() {
             self.evaluate_failure(now, target, out);
         }
@@ -139,14 +142,14 @@
 
     fn should_retry(&mut self, now: TimeMs, ticket: Ticket, prepaid: bool) -> bool {
         let Some(request) = self.requests.get(&ticket) else { return false };
-        let RequestState { idempotent, attempts, may_have_run, .. } = *request;
+        let RequestState { idempotent, attempts, attempts_max, may_have_run, .. } = *request;
         let safe_to_retry = idempotent || !may_have_run;
         let in_time = now.get() as f64 + request.cost.mean_ms <= request.deadline.get() as f64;
         // Only attempts that a target may have run use the budget, unless the settings say
         // otherwise.
         safe_to_retry
             && in_time
-            && attempts < ATTEMPTS_MAX
+            && attempts < attempts_max
             && (prepaid || self.retry_budget.try_withdraw())
     }
 
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 
 use crate::fair::class::ClassState;
-use crate::fair::request::RequestState;
+use crate::fair::request::{CancelReason, Phase, RequestState};
 use crate::fair::{AdapterKey, ClassKey, FairSettings, Sharing};
 use crate::interface::{Decision, PolicyEvent, RequestPolicy, TargetKey, Ticket};
 use crate::retry::RetryBudget;
@@ -158,7 +158,11 @@
         if let Some(check_at) = request.check_at {
             self.timers.remove(&(check_at, Timer::Request(ticket)));
         }
-        self.class(request.class).queue.remove(ticket);
+        let class = self.class(request.class);
+        class.queue.remove(ticket);
+        if matches!(request.phase, Phase::Running { cancelled: Some(CancelReason::Stuck), .. }) {
+            class.moving -= 1;
+        }
         Some(request)
     }
 
@@ -195,6 +199,7 @@
             PolicyEvent::Tick => self.tick(now, out),
             PolicyEvent::Arrived { ticket, head } => self.admit(now, ticket, head, out),
             PolicyEvent::Started { ticket } => self.attempt_started(now, ticket, out),
+            PolicyEvent::Stalled { ticket } => self.attempt_stalled(now, ticket, out),
             PolicyEvent::Finished { ticket, output_tokens } => {
                 self.request_finished(now, ticket, output_tokens, out);
             }
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -67,6 +67,7 @@
         pub(crate) worth: u32,
         pub(crate) cost: Cost,
         pub(crate) attempts: u32,
+        pub(crate) attempts_max: u32,
         pub(crate) may_have_run: bool,
         pub(crate) avoid: Option<TargetKey>,
         pub(crate) phase: Phase,
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -1,7 +1,7 @@
 use celeryhaven_types::TimeMs;
 
 use crate::fair::FairPolicy;
-use crate::fair::outcomes::ATTEMPTS_MAX;
+use crate::fair::class::ClassState;
 use crate::fair::policy::Timer;
 use crate::fair::request::{CancelReason, Phase, RequestState};
 use crate::interface::{Decision, TargetKey, Ticket};
@@ -102,23 +102,46 @@
         }
     }
 
+    /// Moves a request whose target is silent, if another can take it over.
+    ///
+    /// A silent target may go on, so a request that cannot be moved is left there.
+    pub(crate) fn attempt_stalled(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
+        let Some(request) = self.requests.get(&ticket) else { return };
+        let is_running = matches!(request.phase, Phase::Running { cancelled: None, .. });
+        if is_running && request.idempotent && self.can_move(now, ticket) {
+            self.cancel(ticket, CancelReason::Stuck, out);
+        }
+    }
+
     /// Whether another target can answer in time and the retry budget, which is charged, allows it.
     fn can_move(&mut self, now: TimeMs, ticket: Ticket) -> bool {
         let Some(request) = self.requests.get(&ticket) else { return false };
-        let has_free_slot = self.classes[request.class.get() as usize].has_free_slot(self.senders);
+        let class = &self.classes[request.class.get() as usize];
+        let has_free_slot =
+            class.has_free_slot(self.senders) && self.free_slots(now, class) > class.moving as f64;
         let in_time = now.after(request.cost.mean_ms as u64) <= request.deadline;
         has_free_slot
             && in_time
-            && request.attempts < ATTEMPTS_MAX
+            && request.attempts < request.attempts_max
             && self.retry_budget.try_withdraw()
     }
 
+    /// Returns the free slots of the targets that can accept a request now, at least one of each.
+    fn free_slots(&self, now: TimeMs, class: &ClassState) -> f64 {
+        let targets = class.available.iter().filter_map(|target| self.targets.get(&target));
+        let average = class.average();
+        targets.map(|target| (f64::from(target.slots) - target.load(now, average)).max(1.0)).sum()
+    }
+
     fn cancel(&mut self, ticket: Ticket, reason: CancelReason, out: &mut Vec<Decision>) {
         let Some(request) = self.requests.get_mut(&ticket) else { return };
         if let Phase::Running { cancelled, .. } = &mut request.phase
             && cancelled.is_none()
         {
             *cancelled = Some(reason);
+            if reason == CancelReason::Stuck {
+                self.classes[request.class.get() as usize].moving += 1;
+            }
             out.push(Decision::Cancel { ticket });
         }
     }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -20,6 +20,12 @@
         /// The request that is being answered.
         ticket: Ticket,
     },
+    /// The target of a running request is silent; the request is moved if another target can take
+    /// it over, and stays where it is otherwise.
+    Stalled {
+        /// The request.
+        ticket: Ticket,
+    },
     /// The caller received the whole answer; the ticket is finished.
     Finished {
         /// The request that was answered.
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct StallDetector<K> {
     replicas: Map<K, Streams>,
-    suspected: Map<K, TimeMs>,
+    suspected: Map<K, Suspicion>,
     /// Whether the set of suspected replicas changed since the last `take_changed`.
     changed: bool,
 }
@@ -43,6 +43,13 @@
     }
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    expires_at: TimeMs,
+    /// Whether the replica is silent, rather than refusing new requests.
+    is_stalled: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Streams {
     open: u32,
@@ -84,7 +91,7 @@
     /// Returns the stalled replicas that are not suspected yet, in order, and suspects them.
     pub fn detect_stalled(&mut self, now: TimeMs) -> Vec<K> {
         let before = self.suspected.len();
-        self.suspected.retain(|_, expires_at| *expires_at > now);
+        self.suspected.retain(|_, suspicion| suspicion.expires_at > now);
         self.changed |= self.suspected.len() != before;
         let stalled = self.replicas.iter().filter(|(name, streams)| {
             now.since(streams.last_event_at) >= STALL_TIMEOUT_MS
@@ -92,13 +99,38 @@
         });
         let mut stalled: Vec<_> = stalled.map(|(name, _)| name.clone()).collect();
         stalled.sort();
-        stalled.iter().for_each(|name| self.suspect(now, name));
+        stalled.iter().for_each(|name| self.suspect_stalled(now, name));
         stalled
     }
 
-    /// Suspects a replica, so that it receives no requests for a while.
+    /// Suspects a replica that refuses requests, so that it receives none for a while.
     pub fn suspect(&mut self, now: TimeMs, name: &K) {
-        self.changed |= self.suspected.insert(name.clone(), now.after(SUSPICION_MS)).is_none();
+        let is_stalled = self.is_stalled(now, name);
+        self.suspect_until(now.after(SUSPICION_MS), name, is_stalled);
+    }
+
+    /// Suspects a replica that is silent, so that it receives no requests for a while.
+    pub fn suspect_stalled(&mut self, now: TimeMs, name: &K) {
+        self.suspect_until(now.after(SUSPICION_MS), name, true);
+    }
+
+    fn suspect_until(&mut self, expires_at: TimeMs, name: &K, is_stalled: bool) {
+        let suspicion = Suspicion { expires_at, is_stalled };
+        self.changed |= self.suspected.insert(name.clone(), suspicion).is_none();
+    }
+
+    /// Returns the replicas that are suspected because they are silent, in order.
+    pub fn stalled(&self) -> Vec<K> {
+        let stalled = self.suspected.iter().filter(|(_, suspicion)| suspicion.is_stalled);
+        let mut stalled: Vec<_> = stalled.map(|(name, _)| name.clone()).collect();
+        stalled.sort();
+        stalled
+    }
+
+    /// Whether a replica is suspected because it is silent.
+    pub fn is_stalled(&self, now: TimeMs, name: &K) -> bool {
+        let suspicion = self.suspected.get(name).filter(|suspicion| suspicion.expires_at > now);
+        suspicion.is_some_and(|suspicion| suspicion.is_stalled)
     }
 
     /// Returns whether the set of suspected replicas changed since the last call.
@@ -108,6 +140,6 @@
 
     /// Whether a replica is suspected and receives no requests.
     pub fn is_suspected(&self, now: TimeMs, name: &K) -> bool {
-        self.suspected.get(name).is_some_and(|&expires_at| expires_at > now)
+        self.suspected.get(name).is_some_and(|suspicion| suspicion.expires_at > now)
     }
 }
--- a/crates/policy/src/targets/target_set.rs
+++ b/crates/policy/src/targets/target_set.rs
@@ -32,6 +32,10 @@
         self.positions.contains_key(&target)
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = TargetKey> {
+        self.targets.iter().copied()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -241,6 +241,7 @@
                 idempotency: Idempotency::Idempotent,
                 deadline_in_ms: DEADLINE_MS,
                 start_within_ms: Some(OBJECTIVE_MS),
+                attempts_max: None,
                 prompt_tokens: 1,
                 output_tokens_max: 2,
                 prefix_hashes: Vec::new(),
--- a/crates/policy/tests/fair_retries.rs
+++ b/crates/policy/tests/fair_retries.rs
@@ -232,3 +232,43 @@
         assert!(parts.iter().all(|part| *part == 0.0 || *part >= 1.0));
     }
 }
+
+/// Four requests at two targets, of which the first is silent and the second has `free` slots.
+fn silent_first_target(settings: FairSettings, head: &RequestHead, free: usize) -> Simulator {
+    let mut sim = Simulator::with_settings(settings, 2, 2);
+    (0..4).for_each(|ticket| sim.submit(ticket, head));
+    sim.run_until(10);
+    let at_second: Vec<_> = (0..4).filter(|&ticket| sim.target_of(ticket) == Some(1)).collect();
+    at_second[..free].iter().for_each(|&ticket| sim.complete(ticket));
+    sim.target_down(0);
+    let silent: Vec<_> = (0..4).filter(|&ticket| sim.target_of(ticket) == Some(0)).collect();
+    silent.iter().for_each(|&ticket| sim.stall(ticket));
+    sim
+}
+
+/// If more requests leave a silent target than others can take, the rest is refused while their
+/// target might have answered them.
+#[test]
+fn stalled_attempts_move_one_for_each_free_slot() {
+    for free in 0..=2 {
+        let sim = silent_first_target(FairSettings::new(3), &head("a", 300, 20_000), free);
+        let moved = sim.dispatched.values().filter(|targets| targets.len() == 2).count();
+        assert_eq!((moved, sim.refused_count("a")), (free, 0));
+    }
+}
+
+/// A request that may not be sent again must be left at its silent target.
+#[test]
+fn stalled_attempts_without_retry_stay() {
+    let without_budget = FairSettings::new(3).with_retries(0.0, 0.0, true);
+    let last_attempt = RequestHead { attempts_max: Some(1), ..head("a", 300, 20_000) };
+    for (settings, head) in [
+        (without_budget, head("a", 300, 20_000)),
+        (FairSettings::new(3), last_attempt),
+        (FairSettings::new(3), RequestHead { deadline_in_ms: 20_000, ..non_idempotent() }),
+    ] {
+        let sim = silent_first_target(settings, &head, 2);
+        assert!(sim.dispatched.values().all(|targets| targets.len() == 1));
+        assert_eq!(sim.refused_count("a"), 0);
+    }
+}
--- a/crates/policy/tests/loaded_policy/mod.rs
+++ b/crates/policy/tests/loaded_policy/mod.rs
@@ -103,6 +103,7 @@
         idempotency: Idempotency::Idempotent,
         deadline_in_ms,
         start_within_ms: None,
+        attempts_max: None,
         prompt_tokens: 1_000,
         output_tokens_max: 10_000,
         prefix_hashes: (0..8).map(|block| number * 8 + block).collect(),
--- a/crates/policy/tests/simulator/mod.rs
+++ b/crates/policy/tests/simulator/mod.rs
@@ -47,6 +47,7 @@
         idempotency: Idempotency::Idempotent,
         deadline_in_ms,
         start_within_ms: None,
+        attempts_max: None,
         prompt_tokens: 10,
         output_tokens_max: output_tokens,
         prefix_hashes: Vec::new(),
@@ -122,6 +123,16 @@
         self.send_event(PolicyEvent::AttemptFailed { ticket: Ticket::new(ticket), verdict });
     }
 
+    /// Completes a running request at once.
+    pub fn complete(&mut self, ticket: u64) {
+        self.advance_attempt(ticket, false);
+    }
+
+    /// Reports that the target of a running request is silent.
+    pub fn stall(&mut self, ticket: u64) {
+        self.send_event(PolicyEvent::Stalled { ticket: Ticket::new(ticket) });
+    }
+
     pub fn report_load(&mut self, target: u32, running: u32) {
         let load = TargetLoad {
             age_ms: 0,
@@ -172,6 +183,15 @@
             .count()
     }
 
+    pub fn refused_count(&self, organisation: &str) -> usize {
+        let name = OrganisationName::new(organisation);
+        let refused = self.outcomes.iter().filter(|(ticket, outcome)| {
+            matches!(outcome, Outcome::Refused { .. })
+                && self.requests[ticket].1.organisation == name
+        });
+        refused.count()
+    }
+
     /// Asserts that every ticket has one outcome, and that every answer was in time.
     pub fn assert_all_finished(&self) {
         for (ticket, (submitted_ms, head)) in &self.requests {
--- a/crates/policy/tests/timed_node/mod.rs
+++ b/crates/policy/tests/timed_node/mod.rs
@@ -132,6 +132,7 @@
         idempotency: Idempotency::Idempotent,
         deadline_in_ms: 1_500,
         start_within_ms: Some(300),
+        attempts_max: None,
         prompt_tokens: 0,
         output_tokens_max: 1,
         prefix_hashes: Vec::new(),
--- a/crates/types/src/request/head.rs
+++ b/crates/types/src/request/head.rs
@@ -53,6 +53,9 @@
         /// `deadline_in_ms` applies.
         #[serde(default)]
         pub start_within_ms: Option<u64>,
+        /// Maximum number of attempts; `None` if the route sets none.
+        #[serde(default)]
+        pub attempts_max: Option<u32>,
         /// Number of prompt tokens, estimated by the entry.
         pub prompt_tokens: u32,
         /// Maximum number of output tokens, as requested by the caller.
