types, store, fleet, gateway: versions hold the era of the store

The store may come back from a copy some seconds old: what was acknowledged since is lost, revisions are given out again, and Store-Era, in all answers, rises. What the system compared by revision then went wrong without an error: a feed watched on from a revision that the store reached a second time and never read what was written below it, records of the lost time stayed in tables for good, and generations of replicas, which are revisions, were refused by members that had seen later ones.

A version now is the era and the revision, so versions of a later era are greater wherever they are compared, sent to followers or used as a generation. The client adds the era of each answer and takes it off what it sends; it turns a watch from an earlier era into a new list, does not send a conditional write of one, and drops answers of one. After a change of era nodes write their own record and the directory of relays again. Targets that drain, later reports of targets, and evacuations hold against the copy until the operators and targets have had time to write them again.

--- a/crates/fleet/src/target/entry.rs
+++ b/crates/fleet/src/target/entry.rs
@@ -25,6 +25,8 @@
         /// Start time of its process, in Unix milliseconds; a restarted process holds no earlier
         /// state.
         pub started_at_ms: Option<u64>,
+        /// Number of the report, which rises while the process runs; `None` if not known.
+        pub report_number: Option<u64>,
         /// How much longer it bears few requests after its start, in milliseconds, when the entry
         /// was written.
         pub cold_ms: u64,
--- a/crates/fleet/src/view/evacuations.rs
+++ b/crates/fleet/src/view/evacuations.rs
@@ -17,26 +17,52 @@
 pub struct Evacuations {
     /// When this node learned of each evacuation.
     since: BTreeMap<DataCentreName, TimeMs>,
+    /// Those that a store which came back from a copy does not list, and until when they hold.
+    unlisted: BTreeMap<DataCentreName, TimeMs>,
 }
 
 impl Evacuations {
     /// Replaces all evacuations; returns whether any has begun or ended.
     pub fn replace(&mut self, now: TimeMs, data_centres: BTreeSet<DataCentreName>) -> bool {
         let ended = self.since.len();
+        self.unlisted.clear();
         self.since.retain(|data_centre, _| data_centres.contains(data_centre));
         let ended = ended != self.since.len();
         data_centres.into_iter().fold(ended, |changed, name| changed | self.begin(now, name))
     }
 
+    /// Replaces all evacuations by those that a store lists which has come back from a copy; returns
+    /// whether any has begun.
+    ///
+    /// Operators write again what the copy lacks, so the others hold until then.
+    pub fn replace_restored(
+        &mut self,
+        now: TimeMs,
+        until: TimeMs,
+        data_centres: BTreeSet<DataCentreName>,
+    ) -> bool {
+        let unlisted = self.since.keys().filter(|name| !data_centres.contains(*name));
+        self.unlisted = unlisted.map(|name| (name.clone(), until)).collect();
+        data_centres.into_iter().fold(false, |changed, name| changed | self.begin(now, name))
+    }
+
+    /// Returns the evacuations that have not been listed again in time.
+    pub fn expired(&self, now: TimeMs) -> Vec<DataCentreName> {
+        let expired = self.unlisted.iter().filter(|(_, until)| **until <= now);
+        expired.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Adds an evacuation; returns whether it is new.
     pub fn begin(&mut self, now: TimeMs, data_centre: DataCentreName) -> bool {
         let before = self.since.len();
+        self.unlisted.remove(&data_centre);
         self.since.entry(data_centre).or_insert(now);
         self.since.len() != before
     }
 
     /// Removes an evacuation; returns when this node had learned of it.
     pub fn end(&mut self, data_centre: &DataCentreName) -> Option<TimeMs> {
+        self.unlisted.remove(data_centre);
         self.since.remove(data_centre)
     }
 
--- a/crates/fleet/src/view/fleet_view.rs
+++ b/crates/fleet/src/view/fleet_view.rs
@@ -2,7 +2,7 @@
 
 use celeryhaven_types::{DomainName, ModelName, ServiceName, Set, TimeMs, VmName};
 
-use crate::target::{MemberState, TargetEntry};
+use crate::target::{MemberState, TargetEntry, TargetPhase};
 use crate::view::replica_index::ReplicaIndex;
 use crate::view::{DomainTargets, Evacuations, Replica, ReplicaKey};
 
@@ -63,16 +63,38 @@
     /// Applies one entry; returns true if it has changed.
     pub fn put(&mut self, entry: TargetEntry) -> bool {
         let name = entry.name.clone();
+        if self.is_outdated(&entry) {
+            return false;
+        }
         self.lapsed.remove(&name);
         self.recently_removed.remove(&name);
-        if self.targets.get(&name) == Some(&entry) {
-            return false;
+        if let Some(known) = self.targets.get_mut(&name) {
+            known.report_number = entry.report_number;
+            if *known == entry {
+                return false;
+            }
         }
         let before = self.targets.insert(name.clone(), entry);
         self.update_indexes(&name, before.as_ref());
         true
     }
 
+    /// Whether a later report of the same process is known, as while a store that came back from a
+    /// copy still lists what it held before.
+    fn is_outdated(&self, entry: &TargetEntry) -> bool {
+        let known = self.targets.get(&entry.name);
+        known.is_some_and(|known| {
+            let is_same_process =
+                entry.started_at_ms.is_some() && known.started_at_ms == entry.started_at_ms;
+            let is_earlier =
+                entry.report_number.is_some() && entry.report_number < known.report_number;
+            // A target that has begun to drain never takes work again.
+            let is_undone =
+                known.phase == TargetPhase::Draining && entry.phase == TargetPhase::Ready;
+            is_same_process && (is_earlier || is_undone)
+        })
+    }
+
     /// Removes an entry, or marks it as lapsed during the grace period; returns true if it was
     /// removed.
     pub fn remove(&mut self, now: TimeMs, name: &VmName) -> bool {
--- a/crates/fleet/tests/fleet_view.rs
+++ b/crates/fleet/tests/fleet_view.rs
@@ -39,6 +39,7 @@
         slots: 4,
         phase: *random.choose(&phases).unwrap(),
         started_at_ms: None,
+        report_number: None,
         cold_ms: 0,
         membership: bool::arbitrary(random).then(|| membership(random)),
         model: bool::arbitrary(random).then(|| ModelName::new("m")),
@@ -154,6 +155,7 @@
         slots: 4,
         phase: TargetPhase::Ready,
         started_at_ms: None,
+        report_number: None,
         cold_ms: 0,
         membership,
         model: Some(ModelName::new("m")),
@@ -202,3 +204,26 @@
         fleet.remove(NOW, &member_name(number, 2));
     }
 }
+
+/// A store that came back from a copy lists what targets said before; it must not undo what they
+/// have said since.
+#[test]
+fn put_outdated_report() {
+    let mut fleet = FleetView::new();
+    let report = |report_number: u64, phase: TargetPhase| TargetEntry {
+        report_number: Some(report_number),
+        started_at_ms: Some(7),
+        phase,
+        ..member(0, 0, true)
+    };
+    let phase = |fleet: &FleetView| fleet.target(&member(0, 0, true).name).map(|entry| entry.phase);
+    assert!(fleet.put(report(5, TargetPhase::Ready)));
+    assert!(!fleet.put(report(6, TargetPhase::Ready)), "only the number has changed");
+    assert!(!fleet.put(report(5, TargetPhase::Draining)), "an earlier report");
+    assert!(fleet.put(report(7, TargetPhase::Draining)));
+    assert!(!fleet.put(report(8, TargetPhase::Ready)), "a target that drains never returns");
+    assert_eq!(phase(&fleet), Some(TargetPhase::Draining));
+    let restarted = TargetEntry { started_at_ms: Some(8), ..report(1, TargetPhase::Ready) };
+    assert!(fleet.put(restarted));
+    assert_eq!(phase(&fleet), Some(TargetPhase::Ready));
+}
--- a/crates/forming/tests/common/fake_target.rs
+++ b/crates/forming/tests/common/fake_target.rs
@@ -72,6 +72,7 @@
             slots: 17,
             phase: TargetPhase::Ready,
             started_at_ms: Some(1),
+            report_number: None,
             cold_ms: 0,
             membership: None,
             model: None,
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -208,6 +208,7 @@
             conditions: self.feed_conditions.clone(),
             relay: self.relay.clone(),
             from: None,
+            era: None,
             direct_until: None,
             store_retry_at: Instant::now(),
             rng: SmallRng::seed_from_u64(self.parts.boot ^ kind as u64),
@@ -235,9 +236,9 @@
                 self.apply_directory(directory, version);
                 Changes::nodes(true)
             }
-            ControlEvent::DirectoryWritten => {
-                self.directory.is_being_written = false;
-                Changes::NONE
+            ControlEvent::DirectoryWritten(stored) => {
+                self.apply_written_directory(stored);
+                Changes::nodes(true)
             }
             ControlEvent::Probed { node, probe } => {
                 Changes::nodes(self.peers.record_probe(now, &node, probe))
@@ -279,7 +280,7 @@
                 self.write_limits(now);
                 self.update_limits(now);
                 self.publish_directory(now);
-                let left = self.apply_departures();
+                let left = self.apply_departures() | self.expire_evacuations(now);
                 let expired = Changes::targets(self.fleet.expire(now) | left);
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
--- a/crates/gateway/src/control/directory.rs
+++ b/crates/gateway/src/control/directory.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// Applies what the store holds after a write of the directory.
+    pub(super) fn apply_written_directory(&mut self, stored: StoredDirectory) {
+        self.directory.is_being_written = false;
+        match stored {
+            StoredDirectory::Found(directory, version) => self.apply_directory(directory, version),
+            StoredDirectory::Missing => self.directory.stored = None,
+            StoredDirectory::Unknown => {}
+        }
+    }
+
     /// Returns the relays to follow before the records of all nodes are known.
     pub(super) fn upstream_by_directory(&self) -> Upstream {
         let own = &self.parts.settings.node;
@@ -90,34 +100,45 @@
         self.directory.written_at = Some(now);
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let write = async move {
-            if let Some((directory, version)) = write_directory(&store, directory, version).await {
-                let event = ControlEvent::RelayDirectory(directory, version);
-                events.send(event).await.unwrap_or_default();
-            }
-            events.send(ControlEvent::DirectoryWritten).await.unwrap_or_default();
+            let written = write_directory(&store, directory, version).await;
+            events.send(ControlEvent::DirectoryWritten(written)).await.unwrap_or_default();
         };
         self.executor.spawn(write).detach();
     }
 }
 
-/// Writes the directory; returns what the store holds then, if known.
+/// What the store holds after a write of the directory.
+#[derive(Clone, Debug)]
+pub(crate) enum StoredDirectory {
+    Found(RelayDirectory, ObjectVersion),
+    Missing,
+    Unknown,
+}
+
+/// Writes the directory; returns what the store holds then.
 async fn write_directory<W: StoreCodec>(
     store: &CountedStore<W>,
     directory: RelayDirectory,
     version: Option<ObjectVersion>,
-) -> Option<(RelayDirectory, ObjectVersion)> {
-    let value = serde_json::to_string(&directory).ok()?.into();
+) -> StoredDirectory {
+    let Ok(value) = serde_json::to_string(&directory) else { return StoredDirectory::Unknown };
+    let value = value.into();
     let key = ObjectKey::new(DIRECTORY_KEY);
     let request = match version {
         Some(version) => StoreRequest::Update { key: key.clone(), version, value },
         None => StoreRequest::Create { key: key.clone(), value },
     };
     match store.call(StoreCallKind::Relays, &request).await {
-        StoreReply::Written { version } => Some((directory, version)),
+        StoreReply::Written { version } => StoredDirectory::Found(directory, version),
         StoreReply::Conflict => {
-            parse(&store.call(StoreCallKind::Relays, &StoreRequest::Get { key }).await)
+            let reply = store.call(StoreCallKind::Relays, &StoreRequest::Get { key }).await;
+            match (parse(&reply), reply) {
+                (Some((directory, version)), _) => StoredDirectory::Found(directory, version),
+                (None, StoreReply::Missing) => StoredDirectory::Missing,
+                (None, _) => StoredDirectory::Unknown,
+            }
         }
-        _ => None,
+        _ => StoredDirectory::Unknown,
     }
 }
 
--- a/crates/gateway/src/control/evacuations.rs
+++ b/crates/gateway/src/control/evacuations.rs
@@ -6,15 +6,25 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
+use crate::control::feed_updates::OUTAGE_GRACE_MS;
 
 impl<A: Adapter> Control<A> {
     /// Replaces all evacuations by those of a list.
-    pub(super) fn replace_evacuations(&mut self, now: TimeMs, objects: &[Object]) {
+    pub(super) fn replace_evacuations(
+        &mut self,
+        now: TimeMs,
+        objects: &[Object],
+        is_restored: bool,
+    ) {
         let listed: BTreeSet<DataCentreName> =
             objects.iter().map(|object| data_centre_name(&object.key)).collect();
         let before = self.fleet.evacuations().clone();
         self.evacuations_listed = true;
-        self.fleet.evacuations_mut().replace(now, listed);
+        let until = now.after(OUTAGE_GRACE_MS);
+        match is_restored {
+            true => self.fleet.evacuations_mut().replace_restored(now, until, listed),
+            false => self.fleet.evacuations_mut().replace(now, listed),
+        };
         let after = self.fleet.evacuations();
         let begun = after.iter().filter(|(name, _)| !before.contains(name));
         begun.for_each(|(name, _)| self.log_begun(name));
@@ -49,6 +59,18 @@
         changed
     }
 
+    /// Ends the evacuations that operators have not written again after the store came back from a
+    /// copy; returns whether there were any.
+    pub(super) fn expire_evacuations(&mut self, now: TimeMs) -> bool {
+        let expired = self.fleet.evacuations().expired(now);
+        for data_centre in &expired {
+            let since = self.fleet.evacuations_mut().end(data_centre);
+            since.iter().for_each(|since| self.log_ended(data_centre, now.since(*since)));
+        }
+        self.parts.metrics.evacuations.set(self.fleet.evacuations().iter().count() as i64);
+        !expired.is_empty()
+    }
+
     fn log_begun(&self, data_centre: &DataCentreName) {
         let replicas = self.fleet.replicas().values();
         let replicas = replicas.filter(|replica| self.fleet.is_replica_evacuated(replica)).count();
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -8,6 +8,7 @@
 use celeryhaven_types::{DomainName, NodeName};
 
 use crate::control::counted_store::StoreCallKind;
+use crate::control::directory::StoredDirectory;
 use crate::control::suspicions::Suspicion;
 use crate::traffic::TrafficReport;
 
@@ -57,7 +58,13 @@
 #[derive(Clone, Debug)]
 pub(crate) enum FeedUpdate {
     /// All objects at a version of the store.
-    Listed { version: ObjectVersion, objects: Vec<Object>, store: StoreContact },
+    Listed {
+        version: ObjectVersion,
+        objects: Vec<Object>,
+        store: StoreContact,
+        /// Whether the store has come back from a copy since the last update.
+        is_restored: bool,
+    },
     /// Changes since the last update, possibly none.
     Changed { changes: Vec<ObjectChange>, store: StoreContact },
     /// The store did not answer or rejected the call.
@@ -76,7 +83,7 @@
     /// The directory of relays, and its version.
     RelayDirectory(RelayDirectory, ObjectVersion),
     /// A write of the directory of relays has ended.
-    DirectoryWritten,
+    DirectoryWritten(StoredDirectory),
     /// Result of a probe of another node.
     Probed { node: NodeName, probe: ProbeResult },
     /// Suspicion reported by another node.
--- a/crates/gateway/src/control/feed.rs
+++ b/crates/gateway/src/control/feed.rs
@@ -102,6 +102,8 @@
     pub(crate) conditions: Rc<FeedConditions>,
     pub(crate) relay: RelayState,
     pub(crate) from: Option<ObjectVersion>,
+    /// Era of the store at the last list.
+    pub(crate) era: Option<u64>,
     pub(crate) failures: u32,
     /// When a relay has last answered.
     pub(crate) relay_answered_at: Instant,
@@ -215,7 +217,8 @@
         match answer {
             Some(RelayAnswer::Listed { version, objects, store }) => {
                 let store = self.record_success(store);
-                let update = FeedUpdate::Listed { version, objects, store };
+                let is_restored = self.record_era(version);
+                let update = FeedUpdate::Listed { version, objects, store, is_restored };
                 self.apply(version, update, Source::Relay).await;
             }
             Some(RelayAnswer::Changes { version, changes, store }) => {
@@ -252,7 +255,8 @@
         match self.store.call(self.kind.store_call_kind(), &request).await {
             StoreReply::Listed { version, objects } => {
                 let store = self.record_success(StoreContact::default());
-                let update = FeedUpdate::Listed { version, objects, store };
+                let is_restored = self.record_era(version);
+                let update = FeedUpdate::Listed { version, objects, store, is_restored };
                 self.apply(version, update, Source::Store).await;
             }
             StoreReply::Changes { version, changes } => {
@@ -301,6 +305,13 @@
         StoreContact { returned_ms_ago, ..reported }
     }
 
+    /// Records the era of the store at a list; returns whether it is later than that of the last.
+    fn record_era(&mut self, version: ObjectVersion) -> bool {
+        let era = version.era();
+        self.conditions.era.set(self.conditions.era.get().max(era));
+        self.era.replace(era).is_some_and(|before| before < era)
+    }
+
     async fn record_failure(&mut self) {
         self.failures = self.failures.saturating_add(1);
         self.store_retry_at = Instant::now() + self.retry_pause();
--- a/crates/gateway/src/control/feed_conditions.rs
+++ b/crates/gateway/src/control/feed_conditions.rs
@@ -11,6 +11,8 @@
     pub(crate) is_relay: Cell<bool>,
     /// Number of live nodes, including this one.
     pub(crate) nodes: Cell<u64>,
+    /// Latest era of the store that a list was read in.
+    pub(crate) era: Cell<u64>,
     /// Relays that may be followed, the preferred one first; none to poll the store.
     pub(crate) relays: RefCell<Vec<PeerAddress>>,
     /// Whether the records of the other nodes have been read.
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -13,7 +13,7 @@
 
 /// How long entries that expired during a store outage are kept after its end, in milliseconds.
 /// Live targets renew their entries within this time.
-const OUTAGE_GRACE_MS: u64 = 2_300;
+pub(super) const OUTAGE_GRACE_MS: u64 = 2_300;
 
 impl<A: Adapter> Control<A> {
     /// Applies a feed update.
@@ -30,8 +30,13 @@
         }
         match update {
             FeedUpdate::Failed => Changes::NONE,
-            FeedUpdate::Listed { version, objects, store } => {
+            FeedUpdate::Listed { version, objects, store, is_restored } => {
                 self.keep_lapsed_entries(now, store);
+                if is_restored {
+                    info!(self.parts.log, "store restored from a copy";
+                        "kind" => kind.as_str(), "era" => version.era());
+                    self.fleet.keep_lapsed_until(now.after(OUTAGE_GRACE_MS));
+                }
                 match kind {
                     FeedKind::Configuration => {
                         let key = self.parts.adapter.configuration_key();
@@ -58,7 +63,7 @@
                         Changes::nodes(changed | self.record_nodes_listed(now))
                     }
                     FeedKind::Evacuations => {
-                        self.replace_evacuations(now, &objects);
+                        self.replace_evacuations(now, &objects, is_restored);
                         Changes::targets(true)
                     }
                 }
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -125,7 +125,9 @@
     }
 
     async fn write_if_due(&mut self, conditions: &FeedConditions) {
-        if self.is_due(conditions.nodes.get()) {
+        // A store that came back from a copy may have lost the record.
+        let is_lost = self.version.is_some_and(|version| version.era() < conditions.era.get());
+        if is_lost || self.is_due(conditions.nodes.get()) {
             self.write().await;
         }
     }
--- a/crates/store/src/client/store_client.rs
+++ b/crates/store/src/client/store_client.rs
@@ -1,4 +1,6 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use celeryhaven_types::store::{StoreReply, StoreRequest};
@@ -36,6 +38,8 @@
     address: SocketAddr,
     timeout: Duration,
     codec: W,
+    /// The latest era of the store that an answer has named.
+    era: Arc<AtomicU64>,
 }
 
 impl StoreClient {
@@ -52,7 +56,7 @@
         // The library sends longer bodies with `Expect: 100-continue` and then waits for a
         // response that the store need not send.
         let client = Client::new(config).with_max_buffered_request_body(VALUE_BYTES_MAX);
-        Self { client, address, timeout, codec }
+        Self { client, address, timeout, codec, era: Arc::default() }
     }
 
     /// Executes a request.
@@ -98,7 +102,12 @@
         freshness: Freshness,
         page: Option<&str>,
     ) -> DecodedReply {
-        let call = self.codec.encode_call(request, freshness, page);
+        if request.is_write() && request.version().is_some_and(|version| version.era() < self.era())
+        {
+            // The store may have given the same number to another write since.
+            return DecodedReply::unpaged(StoreReply::Conflict);
+        }
+        let call = self.codec.encode_call(&request.without_era(), freshness, page);
         if call.body.as_ref().is_some_and(|body| body.len() > VALUE_BYTES_MAX) {
             return DecodedReply::unpaged(StoreReply::Rejected);
         }
@@ -115,17 +124,43 @@
             Err(error) => return DecodedReply::unpaged(reply_for_error(&error)),
         };
         let status = conn.status().unwrap_or(Status::InternalServerError);
+        let era = self.codec.era_header().and_then(|name| {
+            conn.response_headers().get_str(name).and_then(|era| era.trim().parse().ok())
+        });
+        let era = era.unwrap_or(0);
         // JSON is UTF-8, but the library's text reader has another default encoding. Bytes that are
         // not UTF-8 spoil their own object only.
         match conn.response_body().read_bytes().await {
             Ok(body) => {
                 let body = String::from_utf8_lossy(&body);
-                self.codec.decode_reply(request, status as u16, &body)
+                let decoded = self.codec.decode_reply(&request.without_era(), status as u16, &body);
+                DecodedReply { reply: self.reply_in_era(request, era, decoded.reply), ..decoded }
             }
             Err(_) => DecodedReply::unpaged(StoreReply::Unknown),
         }
     }
 
+    /// Returns the latest era of the store that an answer has named.
+    fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
+    /// Returns the reply that a call has in an era of the store.
+    fn reply_in_era(&self, request: &StoreRequest, era: u64, reply: StoreReply) -> StoreReply {
+        let latest = self.era.fetch_max(era, Ordering::Relaxed).max(era);
+        let is_watch = matches!(request, StoreRequest::Watch { .. });
+        let is_of_era = request.version().is_none_or(|version| version.era() == era);
+        if era < latest {
+            // What it says was lost meanwhile.
+            StoreReply::Unknown
+        } else if is_watch && !is_of_era && reply.is_processed() {
+            // Changes below the requested version would be missing.
+            StoreReply::TooOld
+        } else {
+            reply.in_era(era)
+        }
+    }
+
     fn conn(&self, call: EncodedCall) -> Conn {
         let url = format!("http://{}{}", self.address, call.target);
         let conn = self.client.build_conn(call.method, url);
@@ -153,7 +188,12 @@
 /// every later change.
 fn merge_pages(first: StoreReply, next: DecodedReply) -> Option<DecodedReply> {
     let StoreReply::Listed { version, mut objects } = first else { return None };
-    let StoreReply::Listed { objects: more, .. } = next.reply else { return None };
+    let StoreReply::Listed { version: next_version, objects: more } = next.reply else {
+        return None;
+    };
+    if next_version.era() != version.era() {
+        return None;
+    }
     objects.extend(more);
     Some(DecodedReply { reply: StoreReply::Listed { version, objects }, next_page: next.next_page })
 }
--- a/crates/store/src/codec/store_codec.rs
+++ b/crates/store/src/codec/store_codec.rs
@@ -48,6 +48,11 @@
         page: Option<&str>,
     ) -> EncodedCall;
 
+    /// Returns the header in which the store names its era; `None` if it has none.
+    fn era_header(&self) -> Option<&'static str> {
+        None
+    }
+
     /// Decodes the reply to a call.
     ///
     /// Returns [`StoreReply::Unknown`] for a reply that cannot be decoded, because a write may have
--- a/crates/types/src/store/reply.rs
+++ b/crates/types/src/store/reply.rs
@@ -41,6 +41,27 @@
 }
 
 impl StoreReply {
+    /// Returns the reply with the versions of an era of the store.
+    pub fn in_era(self, era: u64) -> Self {
+        let in_era = |version: ObjectVersion| version.in_era(era);
+        let object = |object: Object| Object { version: in_era(object.version), ..object };
+        let change =
+            |change: ObjectChange| ObjectChange { version: in_era(change.version), ..change };
+        match self {
+            Self::Found(found) => Self::Found(object(found)),
+            Self::Listed { version, objects } => Self::Listed {
+                version: in_era(version),
+                objects: objects.into_iter().map(object).collect(),
+            },
+            Self::Written { version } => Self::Written { version: in_era(version) },
+            Self::Changes { version, changes } => Self::Changes {
+                version: in_era(version),
+                changes: changes.into_iter().map(change).collect(),
+            },
+            Self::Missing | Self::Conflict | Self::TooOld | Self::Rejected | Self::Unknown => self,
+        }
+    }
+
     /// Whether the store answered and did not reject the call.
     pub const fn is_processed(&self) -> bool {
         !matches!(self, Self::Rejected | Self::Unknown)
--- a/crates/types/src/store/request.rs
+++ b/crates/types/src/store/request.rs
@@ -62,4 +62,26 @@
     pub const fn is_write(&self) -> bool {
         matches!(self, Self::Create { .. } | Self::Update { .. } | Self::Delete { .. })
     }
+
+    /// Returns the version that the call refers to.
+    pub const fn version(&self) -> Option<ObjectVersion> {
+        match self {
+            Self::Update { version, .. } | Self::Delete { version, .. } => Some(*version),
+            Self::Watch { from, .. } => Some(*from),
+            Self::Get { .. } | Self::List { .. } | Self::Create { .. } => None,
+        }
+    }
+
+    /// Returns the call with the version as the store itself numbers it.
+    pub fn without_era(&self) -> Self {
+        let mut request = self.clone();
+        match &mut request {
+            Self::Update { version, .. } | Self::Delete { version, .. } => {
+                *version = version.revision();
+            }
+            Self::Watch { from, .. } => *from = from.revision(),
+            Self::Get { .. } | Self::List { .. } | Self::Create { .. } => {}
+        }
+        request
+    }
 }
