policy, gateway, settings: retries are limited in sliding windows

The budget now counts arrivals and retries of the last window (setting retry_window_s, ten seconds): what the share allows in a whole window may be used at one moment, and no window holds more. The sum over all nodes keeps to the same bound as before.

--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -123,7 +123,7 @@
         has_free_slot
             && in_time
             && request.attempts < request.attempts_max
-            && self.retry_budget.try_withdraw()
+            && self.retry_budget.try_withdraw(now)
     }
 
     /// Returns the free slots of the targets that can accept a request now, at least one of each.
