store, gateway: an answer without an era is of the latest one; a lost node record is written at once

A refusal that does not come from the store itself may name no era; it counted as one of era 0, so a rejected write was taken for one that may have taken effect. After a change of era the first heartbeat only finds out that the record is lost; the second one now follows at once instead of after three to six seconds. One function logs the end of attempts.

--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -125,9 +125,13 @@
     }
 
     async fn write_if_due(&mut self, conditions: &FeedConditions) {
-        // A store that came back from a copy may have lost the record.
+        // A store that came back from a copy may have lost the record: the first write finds out what
+        // it holds.
         let is_lost = self.version.is_some_and(|version| version.era() < conditions.era.get());
-        if is_lost || self.is_due(conditions.nodes.get()) {
+        if is_lost {
+            self.write().await;
+        }
+        if is_lost && !self.is_written || self.is_due(conditions.nodes.get()) {
             self.write().await;
         }
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -162,7 +162,7 @@
 
     /// Handles an answer that says that the target has not run the request.
     fn refused(&self, response: &Response<Incoming>, head: &AnswerHead) -> AttemptOutcome {
-        self.log_refused(response.status().as_u16(), head);
+        self.log_end_with_notices("refused by target", response.status().as_u16(), head);
         if let Some(lost) = &head.reported_lost {
             let dispatcher = &self.exchange.dispatcher;
             dispatcher.notify_control(TrafficReport::LossReported(lost.clone()));
@@ -187,20 +187,12 @@
         );
     }
 
-    fn log_refused(&self, status: u16, head: &AnswerHead) {
-        info!(self.exchange.dispatcher.log, "attempt ended";
-            "request_id" => self.exchange.request.id(),
-            "digest" => self.exchange.request.digest.to_string(),
-            "target" => self.destination.target.as_str(),
-            "attempt" => self.exchange.attempts,
-            "status" => status,
-            "why" => "refused by target",
-            "back_off_ms" => head.back_off_ms,
-            "leaving" => head.is_leaving,
-        );
+    pub(crate) fn log_end(&self, why: &'static str, status: u16) {
+        self.log_end_with_notices(why, status, &AnswerHead::default());
     }
 
-    pub(crate) fn log_end(&self, why: &'static str, status: u16) {
+    /// Logs the end of an attempt, with what the answer says about its target.
+    fn log_end_with_notices(&self, why: &'static str, status: u16, head: &AnswerHead) {
         info!(self.exchange.dispatcher.log, "attempt ended";
             "request_id" => self.exchange.request.id(),
             "digest" => self.exchange.request.digest.to_string(),
@@ -208,6 +200,8 @@
             "attempt" => self.exchange.attempts,
             "status" => status,
             "why" => why,
+            "back_off_ms" => head.back_off_ms,
+            "leaving" => head.is_leaving.then_some(true),
         );
     }
 
--- a/crates/store/src/client/store_client.rs
+++ b/crates/store/src/client/store_client.rs
@@ -127,7 +127,8 @@
         let era = self.codec.era_header().and_then(|name| {
             conn.response_headers().get_str(name).and_then(|era| era.trim().parse().ok())
         });
-        let era = era.unwrap_or(0);
+        // An answer that names none does not come from the store itself, such as a refusal.
+        let era = era.unwrap_or_else(|| self.era());
         // JSON is UTF-8, but the library's text reader has another default encoding. Bytes that are
         // not UTF-8 spoil their own object only.
         match conn.response_body().read_bytes().await {
