policy: only requests of silent targets wait for a slot of their own

The count of slots promised to moving requests also held back attempts without a first token and those of ejected targets, which queue as before if no slot is free. It now applies to requests of silent targets, which would be broken off.

--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -108,7 +108,10 @@
     pub(crate) fn attempt_stalled(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let is_running = matches!(request.phase, Phase::Running { cancelled: None, .. });
-        if is_running && request.idempotent && self.can_move(now, ticket) {
+        let class = &self.classes[request.class.get() as usize];
+        // Each of the others that are moving takes a slot.
+        let has_room = self.free_slots(now, class) > class.moving as f64;
+        if is_running && request.idempotent && has_room && self.can_move(now, ticket) {
             self.cancel(ticket, CancelReason::Stuck, out);
         }
     }
@@ -116,9 +119,7 @@
     /// Whether another target can answer in time and the retry budget, which is charged, allows it.
     fn can_move(&mut self, now: TimeMs, ticket: Ticket) -> bool {
         let Some(request) = self.requests.get(&ticket) else { return false };
-        let class = &self.classes[request.class.get() as usize];
-        let has_free_slot =
-            class.has_free_slot(self.senders) && self.free_slots(now, class) > class.moving as f64;
+        let has_free_slot = self.classes[request.class.get() as usize].has_free_slot(self.senders);
         let in_time = now.after(request.cost.mean_ms as u64) <= request.deadline;
         has_free_slot
             && in_time
