policy, gateway, settings: retries are a bucket again

Takes back, code and setting. Sliding windows let a node use at one moment what its share allows in ten seconds. The test retry_window_used_at_once goes with the windows that it tested.

--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -19,9 +19,7 @@
 use crate::process::ProcessError;
 use crate::process::error::{ListenSnafu, RandomSnafu, ThreadSnafu};
 use crate::process::signals::Signals;
-use crate::traffic::{
-    DispatchState, Dispatcher, RetryLimits, SharedNotices, TrafficReport, TrafficUpdate,
-};
+use crate::traffic::{DispatchState, Dispatcher, SharedNotices, TrafficReport, TrafficUpdate};
 
 /// Limits for callers until a configuration has been read.
 const INITIAL_LIMITS: ServerLimits =
@@ -135,12 +133,9 @@
 ) -> Result<(), ProcessError> {
     let Parts { settings, adapter, metrics, log, events, notices } = parts;
     let (reports, report_receiver) = unbounded();
-    let retries = RetryLimits {
-        ratio: settings.retry_ratio * RETRY_SHARE,
-        extra: settings.retry_extra * RETRY_SHARE,
-        window_ms: (settings.retry_window_s * 1_000.0) as u64,
-    };
-    let state = DispatchState::new(seed, retries);
+    let retry_ratio = settings.retry_ratio * RETRY_SHARE;
+    let retry_extra = settings.retry_extra * RETRY_SHARE;
+    let state = DispatchState::new(seed, retry_ratio, retry_extra);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
     let dispatcher = Dispatcher::new(
         adapter,
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -77,14 +77,13 @@
     senders: u32,
     next_ticket: Ticket,
     seed: u64,
-    /// Limits of the retries of all nodes together.
-    retries: RetryLimits,
+    retry_earned_per_arrival: f64,
     shared_retries: SharedRetryBudget,
 }
 
 impl DispatchState {
-    /// Creates an empty state; all nodes together keep to `retries`.
-    pub(crate) fn new(seed: u64, retries: RetryLimits) -> Self {
+    /// Creates an empty state; all nodes share `retry_saved_max`.
+    pub(crate) fn new(seed: u64, retry_earned_per_arrival: f64, retry_saved_max: f64) -> Self {
         let node_fraction: f64 = SmallRng::seed_from_u64(seed).random();
         Self {
             routes: None,
@@ -105,8 +104,8 @@
             senders: 1,
             next_ticket: Ticket::default(),
             seed,
-            retries,
-            shared_retries: SharedRetryBudget::new(retries.extra, node_fraction),
+            retry_earned_per_arrival,
+            shared_retries: SharedRetryBudget::new(retry_saved_max, node_fraction),
         }
     }
 
@@ -371,8 +370,8 @@
         let config = self.routes.as_ref().map(|routes| routes.config());
         let engine = config.and_then(|config| config.service(&key.service)?.engine.as_ref());
         let pools = engine.map_or(1, |engine| engine.models.len());
-        let extra = self.shared_retries.node_part(self.senders, pools);
-        RetryLimits { extra, ..self.retries }
+        let saved_max = self.shared_retries.node_part(self.senders, pools);
+        RetryLimits { earned_per_arrival: self.retry_earned_per_arrival, saved_max }
     }
 
     fn execute(&mut self, key: &PoolKey, decisions: Vec<Decision>) {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -22,7 +22,6 @@
 pub(crate) use exchange::Exchange;
 pub(crate) use limits::TargetLimitMap;
 pub(crate) use notices::{SharedNotices, TargetNotices};
-pub(crate) use pool::RetryLimits;
 pub(crate) use quarantine_gate::Admission;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -100,12 +100,10 @@
 /// Retry limits of a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryLimits {
-    /// Retries allowed in each window for an arrival in it.
-    pub(crate) ratio: f64,
-    /// Retries allowed in each window beside these.
-    pub(crate) extra: f64,
-    /// Length of the windows.
-    pub(crate) window_ms: u64,
+    /// Retries earned by each arrival.
+    pub(crate) earned_per_arrival: f64,
+    /// Maximum number of saved retries.
+    pub(crate) saved_max: f64,
 }
 
 impl Pool {
@@ -121,8 +119,7 @@
             .with_eject_silent(false)
             .with_cancel_late_rest(false)
             .with_cost_margin(0.0)
-            .with_retries(retries.ratio, retries.extra, true)
-            .with_retry_window_ms(retries.window_ms);
+            .with_retries(retries.earned_per_arrival, retries.saved_max, true);
         let mut request_times = RequestTimes::default();
         let settings = match engine {
             None => settings.with_times(INITIAL_PLAIN_ANSWER_MS, 0.0, 0.0),
@@ -314,7 +311,7 @@
         out: &mut Vec<Decision>,
     ) {
         self.senders = nodes.max(1);
-        self.policy.set_retry_extra(retries.extra);
+        self.policy.set_retry_saved_max(retries.saved_max);
         self.update_targets(now, out);
     }
 
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -31,7 +31,7 @@
         head: &RequestHead,
         out: &mut Vec<Decision>,
     ) {
-        self.retry_budget.deposit(now);
+        self.retry_budget.deposit();
         let class = self
             .find_class(&head.class)
             .filter(|&key| !self.classes[key.get() as usize].targets.is_empty());
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -150,7 +150,7 @@
         safe_to_retry
             && in_time
             && attempts < attempts_max
-            && (prepaid || self.retry_budget.try_withdraw(now))
+            && (prepaid || self.retry_budget.try_withdraw())
     }
 
     fn refuse_failed(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -69,11 +69,7 @@
     pub fn new(settings: FairSettings) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(settings.seed),
-            retry_budget: RetryBudget::new(
-                settings.retry_ratio,
-                settings.retry_extra,
-                settings.retry_window_ms,
-            ),
+            retry_budget: RetryBudget::new(settings.retry_earned, settings.retry_saved_max),
             settings,
             senders: 1,
             classes: Vec::new(),
@@ -96,9 +92,9 @@
         self.pick_visits + self.classes.iter().map(|class| class.queue.visits()).sum::<u64>()
     }
 
-    /// Sets the retries that are allowed in each window beside the share of the arrivals.
-    pub fn set_retry_extra(&mut self, extra: f64) {
-        self.retry_budget.set_extra(extra);
+    /// Sets the most retries that the budget may save.
+    pub fn set_retry_saved_max(&mut self, saved_max: f64) {
+        self.retry_budget.set_saved_max(saved_max);
     }
 
     /// Sets how slots are shared, such as after a change of the number of nodes.
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -124,7 +124,7 @@
         has_free_slot
             && in_time
             && request.attempts < request.attempts_max
-            && self.retry_budget.try_withdraw(now)
+            && self.retry_budget.try_withdraw()
     }
 
     /// Returns the free slots of the targets that can accept a request now, at least one of each.
--- a/crates/policy/src/fair/settings.rs
+++ b/crates/policy/src/fair/settings.rs
@@ -66,14 +66,12 @@
         pub cancel_late_rest: bool,
         /// Whether a target that stops reporting is ejected.
         pub eject_silent: bool,
-        /// Retries allowed in each window for an arrival in it; limits the load that retries add
-        /// when many attempts fail.
-        pub retry_ratio: f64,
-        /// Retries allowed in each window beside these, such as the requests of one node at a
-        /// fabric domain that becomes unreachable.
-        pub retry_extra: f64,
-        /// Length of the windows.
-        pub retry_window_ms: u64,
+        /// Retries earned by each arrival; limits the load that retries add when many attempts
+        /// fail.
+        pub retry_earned: f64,
+        /// Maximum number of saved retries, such as the requests of one node at a fabric domain
+        /// that becomes unreachable.
+        pub retry_saved_max: f64,
         /// Whether a retry is charged to the budget although no target ran the failed attempt.
         pub charge_refused: bool,
     }
@@ -97,9 +95,8 @@
             stuck_ratio: 2.5,
             cancel_late_rest: true,
             eject_silent: true,
-            retry_ratio: 0.2,
-            retry_extra: 100.0,
-            retry_window_ms: 10_000,
+            retry_earned: 0.2,
+            retry_saved_max: 100.0,
             charge_refused: false,
         }
     }
@@ -165,20 +162,14 @@
         self
     }
 
-    /// Sets the retries allowed per arrival and beside them, and whether unrun attempts are charged.
-    pub fn with_retries(mut self, ratio: f64, extra: f64, charge_refused: bool) -> Self {
-        self.retry_ratio = ratio;
-        self.retry_extra = extra;
+    /// Sets the retries earned per arrival, the most saved, and whether unrun attempts are charged.
+    pub fn with_retries(mut self, earned: f64, saved_max: f64, charge_refused: bool) -> Self {
+        self.retry_earned = earned;
+        self.retry_saved_max = saved_max;
         self.charge_refused = charge_refused;
         self
     }
 
-    /// Sets the length of the windows in which retries are limited.
-    pub fn with_retry_window_ms(mut self, retry_window_ms: u64) -> Self {
-        self.retry_window_ms = retry_window_ms;
-        self
-    }
-
     /// Sets the initial estimates of service times, in milliseconds.
     pub fn with_times(mut self, base_ms: f64, prefill_ms: f64, decode_ms: f64) -> Self {
         self.base_ms = base_ms;
--- a/crates/policy/tests/fair_retries.rs
+++ b/crates/policy/tests/fair_retries.rs
@@ -272,33 +272,3 @@
         assert_eq!(sim.refused_count("a"), 0);
     }
 }
-
-/// A target that fails takes requests of many seconds with it: what their share allows in a window
-/// may be used at once, and no more in any window.
-#[test]
-fn retry_window_used_at_once() {
-    let settings = FairSettings { move_off_ejected: false, ..FairSettings::new(3) };
-    let settings = settings.with_retries(0.2, 1.0, true).with_retry_window_ms(10_000);
-    let mut sim = Simulator::with_settings(settings, 4, 400);
-    let mut retries: Vec<u64> = Vec::new();
-    for number in 0..300 {
-        sim.run_until(number * 100);
-        sim.submit(number, &head("a", 5_000, 600_000));
-        // All that runs breaks each seven seconds.
-        if number % 70 == 69 {
-            for ticket in 0..=number {
-                if sim.target_of(ticket).is_some() {
-                    sim.fail_attempt(ticket, Verdict::MayHaveRun);
-                    retries.extend(sim.target_of(ticket).map(|_| sim.now_ms));
-                }
-            }
-        }
-    }
-    let at_first = retries.iter().filter(|at| **at < 7_000).count();
-    assert_eq!(at_first, 70 / 5 + 1);
-    for from in retries.iter().copied() {
-        let within = retries.iter().filter(|at| (from..from + 10_000).contains(*at)).count();
-        assert!(within <= 100 / 5 + 1, "{within} retries from {from} ms on");
-    }
-    assert!(retries.len() > 2 * at_first, "{retries:?}");
-}
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -32,12 +32,10 @@
         address_ttl_ms: u64 = Kind::number(100, 600_000, 2_000);
         /// Time from the stop signal until the process is killed.
         stop_s: f64 = Kind::decimal(1.0, 600.0, 8.0);
-        /// Retries that all nodes together may make in each window, as a share of its requests.
+        /// Retry budget of all nodes together, as a share of the requests.
         retry_ratio: f64 = Kind::decimal(0.0, 1.0, 0.2);
-        /// Retries beyond that share that all nodes together may make in each window.
+        /// Retries beyond that share that all nodes together may accumulate.
         retry_extra: f64 = Kind::decimal(0.0, 1e6, 100.0);
-        /// Length of these windows.
-        retry_window_s: f64 = Kind::decimal(0.1, 600.0, 10.0);
         /// Timeout of a call to the store.
         store_timeout_ms: u64 = Kind::number(50, 60_000, 700);
         /// How long a watch of the store waits for a change.
