--- a/crates/forming/src/domain/load_limiter.rs
+++ b/crates/forming/src/domain/load_limiter.rs
@@ -19,6 +19,10 @@
         self.rate_per_s = rate_per_s;
     }
 
+    pub(crate) const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     pub(crate) fn try_acquire(&mut self, now: TimeMs, loads: usize) -> bool {
         let refill = now.since(self.refilled_at) as f64 * self.rate_per_s / 1_000.0;
         self.tokens = (self.tokens + refill).min(self.burst);
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,6 +4,7 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
+use crate::domain::free::{Warmth, warmth};
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
@@ -58,6 +59,11 @@
         self.log_change(&key, "planned", plan.members.first(), out);
         self.formations.insert(key, formation);
         for member in &plan.members {
+            let entry = view.fleet.target(member);
+            if entry.is_none_or(|entry| warmth(entry, &plan.model) == Warmth::Cold) {
+                let target = member.clone();
+                out.push(FormingAction::LogLoad { target, order: "join", allowed: None });
+            }
             let order = TargetOrder::Join {
                 replica: plan.replica.clone(),
                 generation,
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -40,6 +40,8 @@
             let load_ms = view.profile.model(&model).map_or(0, |model| model.load_ms);
             let until = now.after(load_ms * self.settings.load_timeout_factor);
             self.staging.insert(target.clone(), (model.clone(), until));
+            let allowed = serves.then(|| self.load_limiter.tokens());
+            out.push(FormingAction::LogLoad { target: target.clone(), order: "stage", allowed });
             self.send(target, TargetOrder::Stage { model }, out);
         }
     }
--- a/crates/forming/src/interface/action.rs
+++ b/crates/forming/src/interface/action.rs
@@ -33,6 +33,15 @@
             /// The target to probe.
             target: VmName,
         },
+        /// Log an order that begins a load, and how the load was limited.
+        LogLoad {
+            /// The target that loads.
+            target: VmName,
+            /// What loads: an order to stage, or a join on a target without the model.
+            order: &'static str,
+            /// Loads that the limit still allowed, or `None` if the load was not limited.
+            allowed: Option<f64>,
+        },
         /// Log a change in the state of a replica.
         LogChange {
             /// The replica.
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -314,7 +314,7 @@
                     };
                     self.handle(index, FormingEvent::ProbeCompleted { target, reachability });
                 }
-                FormingAction::LogChange { .. } => {}
+                FormingAction::LogChange { .. } | FormingAction::LogLoad { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -26,6 +26,11 @@
                     self.send_order(domain, id, target, order);
                 }
                 FormingAction::Probe { target } => self.send_probe(domain, target),
+                FormingAction::LogLoad { target, order, allowed } => {
+                    info!(self.parts.log, "load ordered"; "domain" => domain.as_str(),
+                        "target" => target.as_str(), "order" => order, "allowed" => allowed,
+                        "traffic_seen" => self.traffic_seen);
+                }
                 FormingAction::LogChange { replica, change, target } => {
                     info!(self.parts.log, "replica"; "replica" => replica.replica.as_str(),
                         "generation" => replica.generation.get(), "change" => change,
