load-quota, forming, gateway: all nodes share one record of the loads that may begin (CEILING)

Callers saw nothing by themselves; the weights store was asked for more loads than it allows. Cause: a bound that counts over the fleet was held by each coordinator for itself. Full buckets of all domains add up; a new coordinator knew nothing of its predecessor's loads; a coordinator whose node had seen no request did not limit loads at all; an order without an answer counted at the time of the order only; a join was taken for no load.

Change: every load, by stage or by a join that may load, needs a grant from one record in the platform's store, changed by conditional writes only. A grant counts for the window and the time in which its orders may be sent and begin, judged by each node's own clock since it first knew the grant. Orders without an answer, and those of a coordinator that is gone, count for as long as they may be carried out late. That a caller has sent a request to any node stands in the same record; before that, loads are granted far more often, but never more at one time than may begin later. The newest configuration's limit holds for all. A record that comes from a copy of the store counts as full. The setting load_window_s is new.

Ruled out: equal shares by domain (domains that appear and vanish change the shares, and one of 160 domains may be left less than one load); one node that grants (a replaced one knows nothing).

--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -4,7 +4,7 @@
 use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
 
 use crate::domain::formation::{Dissolving, Formation, PendingOrder};
-use crate::domain::load_limiter::LoadLimiter;
+use crate::domain::load_grants::LoadGrants;
 use crate::domain::unlisted::UnlistedPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
 use crate::record::{DomainRecord, PlannedReplica};
@@ -60,7 +60,7 @@
     /// Targets that refused to stage: when they may be asked again, and the pause in milliseconds.
     pub(crate) stage_backoff: BTreeMap<VmName, (TimeMs, u64)>,
     pub(crate) pending: BTreeMap<OrderId, PendingOrder>,
-    pub(crate) load_limiter: LoadLimiter,
+    pub(crate) load_grants: LoadGrants,
     /// Plans of this planner whose write has no confirmed result.
     pub(crate) unconfirmed: BTreeSet<ReplicaName>,
     /// The highest generation read from or written to the record.
@@ -80,7 +80,7 @@
 impl DomainPlanner {
     /// Creates a planner that has not read the domain's record yet.
     pub fn new(now: TimeMs, domain: DomainName, node: NodeName, settings: FormingSettings) -> Self {
-        let load_limiter = LoadLimiter::new(now, settings.loads_per_s, settings.load_burst_max);
+        let load_grants = LoadGrants::new(now.after(settings.earlier_loads_ms));
         Self {
             domain,
             node,
@@ -97,7 +97,7 @@
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
             pending: BTreeMap::new(),
-            load_limiter,
+            load_grants,
             unconfirmed: BTreeSet::new(),
             planned_generation: Generation::default(),
             unlisted_plans: BTreeMap::new(),
@@ -119,8 +119,7 @@
     }
 
     /// Replaces the settings.
-    pub fn set_settings(&mut self, settings: FormingSettings) {
-        self.load_limiter.set_rate(settings.loads_per_s);
+    pub const fn set_settings(&mut self, settings: FormingSettings) {
         self.settings = settings;
     }
 
@@ -131,6 +130,7 @@
 
     /// Evaluates the target list and appends the resulting actions.
     pub fn step(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+        self.load_grants.begin_step(now);
         if self.record == RecordState::Unknown && self.record_retry_at <= now {
             self.record = RecordState::Reading;
             out.push(FormingAction::ReadRecord);
@@ -148,6 +148,7 @@
         if matches!(self.record, RecordState::Known(_)) {
             self.plan(view, out);
         }
+        self.send_held_joins(now, out);
         self.stage_free_targets(now, view, out);
     }
 
@@ -173,6 +174,14 @@
                 }
             }
             FormingEvent::RecordFailed => self.record_failed(now),
+            FormingEvent::LoadsGranted { granted } => {
+                self.load_grants.put(granted);
+                self.load_grants.begin_step(now);
+                self.send_held_joins(now, out);
+                if !self.is_evacuated(view) {
+                    self.stage_free_targets(now, view, out);
+                }
+            }
             FormingEvent::OrderCompleted { id, outcome } => {
                 self.apply_order_outcome(now, id, outcome, out);
             }
--- a/crates/forming/src/domain/formation.rs
+++ b/crates/forming/src/domain/formation.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 
 use celeryhaven_fleet::ReplicaKey;
+use celeryhaven_load_quota::GrantId;
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
 /// A replica that is being formed.
@@ -10,6 +11,8 @@
     pub(crate) model: ModelName,
     pub(crate) members: Vec<VmName>,
     pub(crate) deadline: TimeMs,
+    /// Members whose join may load the model and waits for a grant.
+    pub(crate) held: Vec<VmName>,
     /// Members that have accepted their join.
     pub(crate) accepted: Vec<VmName>,
     pub(crate) open_sent: bool,
@@ -23,6 +26,8 @@
     pub(crate) attempts: u32,
     /// When to send it again, or `None` while an attempt is in flight.
     pub(crate) retry_at: Option<TimeMs>,
+    /// The grant of the load that the order may begin, until the load counts as unresolved.
+    pub(crate) grant: Option<GrantId>,
 }
 
 /// A replica that is being dissolved.
--- /dev/null
+++ b/crates/forming/src/domain/load_grants.rs
@@ -0,0 +1,97 @@
+use std::collections::BTreeMap;
+
+use celeryhaven_fleet::TargetEntry;
+use celeryhaven_load_quota::{GrantId, GrantedLoads};
+use celeryhaven_types::{ModelName, TimeMs, VmName};
+
+use crate::domain::DomainPlanner;
+use crate::domain::free::{Warmth, warmth};
+
+/// Time in which a stage order that was not answered may still be carried out, in milliseconds.
+const LATE_STAGE_MS: u64 = 15_000;
+
+/// A load that an order may begin.
+#[derive(Clone, Debug)]
+pub(crate) struct GrantedLoad {
+    pub(crate) grant: GrantId,
+    /// When the order must have been sent.
+    pub(crate) send_by: TimeMs,
+}
+
+/// Loads that a planner may begin, and what it knows of loads that may be under way.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadGrants {
+    /// The grant that is being used up.
+    granted: Option<GrantedLoads>,
+    /// Loads that were needed in this step and not granted.
+    needed: u32,
+    /// Targets with a stage order that was not answered, and until when it may be carried out.
+    late_stages: BTreeMap<VmName, TimeMs>,
+    /// Until when loads of earlier coordinators may be under way.
+    earlier_loads_until: TimeMs,
+}
+
+impl LoadGrants {
+    pub(crate) const fn new(earlier_loads_until: TimeMs) -> Self {
+        let late_stages = BTreeMap::new();
+        Self { granted: None, needed: 0, late_stages, earlier_loads_until }
+    }
+
+    pub(crate) fn put(&mut self, granted: GrantedLoads) {
+        self.granted = Some(granted);
+    }
+
+    pub(crate) fn begin_step(&mut self, now: TimeMs) {
+        self.needed = 0;
+        self.late_stages.retain(|_, until| *until > now);
+    }
+
+    /// Returns a granted load, or counts it as needed.
+    pub(crate) fn take(&mut self, now: TimeMs) -> Option<GrantedLoad> {
+        let usable =
+            self.granted.as_mut().filter(|granted| granted.loads > 0 && granted.send_by > now);
+        match usable {
+            Some(granted) => {
+                granted.loads -= 1;
+                Some(GrantedLoad { grant: granted.grant.clone(), send_by: granted.send_by })
+            }
+            None => {
+                self.needed += 1;
+                None
+            }
+        }
+    }
+
+    pub(crate) fn record_late_stage(&mut self, now: TimeMs, target: &VmName) {
+        self.late_stages.insert(target.clone(), now.after(LATE_STAGE_MS));
+    }
+}
+
+impl DomainPlanner {
+    /// Returns how many loads the planner needs and has no grant for.
+    pub fn loads_needed(&self) -> u32 {
+        self.load_grants.needed
+    }
+
+    /// Whether a join may load the model: the target is not known to keep it until the join.
+    ///
+    /// A load that is under way evicts the model that the target is listed with.
+    pub(crate) fn join_may_load(
+        &self,
+        now: TimeMs,
+        entry: Option<&TargetEntry>,
+        model: &ModelName,
+    ) -> bool {
+        let Some(entry) = entry else { return true };
+        match warmth(entry, model) {
+            Warmth::Served => false,
+            Warmth::Cold => true,
+            Warmth::Staged => {
+                let stages = self.staging.get(&entry.name);
+                stages.is_some_and(|(staged, _)| staged != model)
+                    || self.load_grants.late_stages.contains_key(&entry.name)
+                    || now < self.load_grants.earlier_loads_until
+            }
+        }
+    }
+}
--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -5,7 +5,7 @@
 mod domain_planner;
 mod formation;
 mod free;
-mod load_limiter;
+mod load_grants;
 mod needs;
 mod orders;
 mod planning;
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -3,6 +3,7 @@
 
 use crate::domain::DomainPlanner;
 use crate::domain::formation::PendingOrder;
+use crate::domain::load_grants::GrantedLoad;
 use crate::interface::FormingAction;
 
 impl DomainPlanner {
@@ -12,13 +13,42 @@
         target: VmName,
         order: TargetOrder,
         out: &mut Vec<FormingAction>,
+    ) {
+        self.send_with(target, order, None, out);
+    }
+
+    /// Sends an order that may begin a load.
+    pub(crate) fn send_load(
+        &mut self,
+        target: VmName,
+        order: TargetOrder,
+        load: GrantedLoad,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let (name, grant) = (target.clone(), load.grant.clone());
+        out.push(FormingAction::LogLoad { target: name, order: order.as_str(), grant });
+        self.send_with(target, order, Some(load), out);
+    }
+
+    fn send_with(
+        &mut self,
+        target: VmName,
+        order: TargetOrder,
+        load: Option<GrantedLoad>,
+        out: &mut Vec<FormingAction>,
     ) {
         let id = self.next_order_id;
         self.next_order_id = id.next();
-        let (stored, name) = (order.clone(), target.clone());
-        let pending = PendingOrder { target: name, order: stored, attempts: 1, retry_at: None };
+        let send_by = load.as_ref().map(|load| load.send_by);
+        let pending = PendingOrder {
+            target: target.clone(),
+            order: order.clone(),
+            attempts: 1,
+            retry_at: None,
+            grant: load.map(|load| load.grant),
+        };
         self.pending.insert(id, pending);
-        out.push(FormingAction::Order { id, target, order });
+        out.push(FormingAction::Order { id, target, order, send_by });
     }
 
     /// Sends unanswered orders again once their retry is due. Every order is idempotent.
@@ -28,7 +58,7 @@
                 pending.retry_at = None;
                 pending.attempts += 1;
                 let (target, order) = (pending.target.clone(), pending.order.clone());
-                out.push(FormingAction::Order { id, target, order });
+                out.push(FormingAction::Order { id, target, order, send_by: None });
             }
         }
     }
@@ -41,7 +71,13 @@
         outcome: OrderOutcome,
         out: &mut Vec<FormingAction>,
     ) {
-        let Some(pending) = self.pending.remove(&id) else { return };
+        let Some(mut pending) = self.pending.remove(&id) else { return };
+        if outcome == OrderOutcome::Unanswered
+            && let Some(grant) = pending.grant.take()
+        {
+            // Later attempts are the same order: they begin no further load.
+            out.push(FormingAction::KeepGrant { grant });
+        }
         let wanted = self.is_still_needed(&pending);
         if outcome == OrderOutcome::Unanswered && wanted {
             if pending.attempts < self.settings.order_attempts_max {
@@ -70,6 +106,9 @@
                 self.apply_leave_outcome(&key, &pending.target, outcome);
             }
             TargetOrder::Stage { .. } => {
+                if outcome == OrderOutcome::Unanswered {
+                    self.load_grants.record_late_stage(now, &pending.target);
+                }
                 if outcome == OrderOutcome::Accepted {
                     self.stage_backoff.remove(&pending.target);
                 } else {
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,7 +4,6 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
-use crate::domain::free::{Warmth, warmth};
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
@@ -48,29 +47,41 @@
     ) {
         let key = ReplicaKey { replica: plan.replica.clone(), generation };
         let load_ms = view.profile.model(&plan.model).map_or(0, |model| model.load_ms);
+        let may_load =
+            |member: &&VmName| self.join_may_load(now, view.fleet.target(member), &plan.model);
+        let held: Vec<VmName> = plan.members.iter().filter(may_load).cloned().collect();
         let formation = Formation {
             key: key.clone(),
             model: plan.model.clone(),
             members: plan.members.clone(),
             deadline: now.after(load_ms * self.settings.load_timeout_factor),
+            held: held.clone(),
             accepted: Vec::new(),
             open_sent: false,
         };
         self.log_change(&key, "planned", plan.members.first(), out);
-        self.formations.insert(key, formation);
+        self.formations.insert(key.clone(), formation);
         for member in &plan.members {
-            let entry = view.fleet.target(member);
-            if entry.is_none_or(|entry| warmth(entry, &plan.model) == Warmth::Cold) {
-                let target = member.clone();
-                out.push(FormingAction::LogLoad { target, order: "join", allowed: None });
+            if held.contains(member) {
+                continue;
+            }
+            self.send(member.clone(), join_order(&key, &plan.model, &plan.members), out);
+        }
+        self.send_held_joins(now, out);
+    }
+
+    /// Sends the joins that may load a model, as far as loads are granted.
+    pub(crate) fn send_held_joins(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
+        for key in self.formations.keys().cloned().collect::<Vec<_>>() {
+            let Some(formation) = self.formations.get(&key) else { continue };
+            let (model, members) = (formation.model.clone(), formation.members.clone());
+            for member in formation.held.clone() {
+                let Some(load) = self.load_grants.take(now) else { continue };
+                if let Some(formation) = self.formations.get_mut(&key) {
+                    formation.held.retain(|held| *held != member);
+                }
+                self.send_load(member, join_order(&key, &model, &members), load, out);
             }
-            let order = TargetOrder::Join {
-                replica: plan.replica.clone(),
-                generation,
-                model: plan.model.clone(),
-                members: plan.members.clone(),
-            };
-            self.send(member.clone(), order, out);
         }
     }
 
@@ -239,6 +250,7 @@
             model,
             members: replica.members.iter().flatten().cloned().collect(),
             deadline: now.after(load_ms * self.settings.load_timeout_factor),
+            held: Vec::new(),
             accepted: Vec::new(),
             open_sent: false,
         };
@@ -309,3 +321,12 @@
         plans.find(|plan| plan.replica == key.replica && plan.generation == Some(key.generation))
     }
 }
+
+fn join_order(key: &ReplicaKey, model: &ModelName, members: &[VmName]) -> TargetOrder {
+    TargetOrder::Join {
+        replica: key.replica.clone(),
+        generation: key.generation,
+        model: model.clone(),
+        members: members.to_vec(),
+    }
+}
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -10,9 +10,9 @@
 impl DomainPlanner {
     /// Stages models on free targets, so that they can join a replica without a full load.
     ///
-    /// Applies when targets are lost or empty targets arrive. Once callers are served, loads are
-    /// limited in rate and number, because concurrent loads share the bandwidth of the weights
-    /// store. Before that, staging waits until all formations have finished.
+    /// Applies when targets are lost or empty targets arrive. Each load needs a grant. Once callers
+    /// are served, loads are limited in number as well, because concurrent loads share the bandwidth
+    /// of the weights store. Before that, staging waits until all formations have finished.
     pub(crate) fn stage_free_targets(
         &mut self,
         now: TimeMs,
@@ -32,17 +32,14 @@
         let concurrent_max = self.concurrent_loads_max(view);
         let wanted = self.loads_wanted(now, view);
         let second = self.second_loads_wanted(now, view);
-        for (target, model) in wanted.into_iter().chain(second) {
-            let is_full = self.staging.len() >= concurrent_max;
-            if serves && (is_full || !self.load_limiter.try_acquire(now, 1)) {
-                return;
-            }
+        let running = self.staging.len();
+        let count_max = if serves { concurrent_max.saturating_sub(running) } else { usize::MAX };
+        for (target, model) in wanted.into_iter().chain(second).take(count_max) {
+            let Some(load) = self.load_grants.take(now) else { continue };
             let load_ms = view.profile.model(&model).map_or(0, |model| model.load_ms);
             let until = now.after(load_ms * self.settings.load_timeout_factor);
             self.staging.insert(target.clone(), (model.clone(), until));
-            let allowed = serves.then(|| self.load_limiter.tokens());
-            out.push(FormingAction::LogLoad { target: target.clone(), order: "stage", allowed });
-            self.send(target, TargetOrder::Stage { model }, out);
+            self.send_load(target, TargetOrder::Stage { model }, load, out);
         }
     }
 
--- a/crates/forming/src/interface/action.rs
+++ b/crates/forming/src/interface/action.rs
@@ -1,6 +1,7 @@
 use celeryhaven_derives::{number, state};
 use celeryhaven_fleet::{ReplicaKey, TargetOrder};
-use celeryhaven_types::VmName;
+use celeryhaven_load_quota::GrantId;
+use celeryhaven_types::{TimeMs, VmName};
 
 use crate::record::DomainRecord;
 
@@ -27,20 +28,28 @@
             target: VmName,
             /// The order.
             order: TargetOrder,
+            /// When the order must have been sent, as it may begin a granted load. Sent later, it
+            /// counts as refused.
+            send_by: Option<TimeMs>,
+        },
+        /// Count a granted load as one that may still begin, because its order was not answered.
+        KeepGrant {
+            /// The grant.
+            grant: GrantId,
         },
         /// Request a report from a target, to check whether it is reachable.
         Probe {
             /// The target to probe.
             target: VmName,
         },
-        /// Log an order that begins a load, and how the load was limited.
+        /// Log an order that may begin a load.
         LogLoad {
-            /// The target that loads.
+            /// The target that may load.
             target: VmName,
-            /// What loads: an order to stage, or a join on a target without the model.
+            /// The name of the order.
             order: &'static str,
-            /// Loads that the limit still allowed, or `None` if the load was not limited.
-            allowed: Option<f64>,
+            /// The grant of the load.
+            grant: GrantId,
         },
         /// Log a change in the state of a replica.
         LogChange {
--- a/crates/forming/src/interface/event.rs
+++ b/crates/forming/src/interface/event.rs
@@ -1,5 +1,6 @@
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{OrderOutcome, ReplicaKey};
+use celeryhaven_load_quota::GrantedLoads;
 use celeryhaven_types::{Generation, VmName};
 
 use crate::interface::OrderId;
@@ -21,6 +22,11 @@
         /// A read failed, or a write failed or has an unknown result. The record must be read
         /// again.
         RecordFailed,
+        /// Loads were granted that the planner needs.
+        LoadsGranted {
+            /// The loads.
+            granted: GrantedLoads,
+        },
         /// An order has completed.
         OrderCompleted {
             /// The order.
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -32,12 +32,11 @@
         ///
         /// Its state cannot be observed, and its members serve nothing until they leave.
         pub unlisted_drain_timeout_ms: u64,
-        /// Loads from the weights store that this domain may start per second.
-        pub loads_per_s: f64,
         /// Loads that may run at once, over all domains.
         pub concurrent_loads_max: usize,
-        /// Largest burst of loads that this domain may start.
-        pub load_burst_max: f64,
+        /// Time from the start of a coordinator in which loads that its predecessors ordered may
+        /// still be under way, in milliseconds.
+        pub earlier_loads_ms: u64,
         /// Timeout of a formation or of a staged load, as a multiple of the model's load time.
         pub load_timeout_factor: u64,
     }
@@ -57,28 +56,17 @@
             probe_interval_ms: 1_000,
             drain_timeout_ms: 10_000,
             unlisted_drain_timeout_ms: 4_000,
-            loads_per_s: 0.75,
             concurrent_loads_max: 2,
-            load_burst_max: 4.0,
+            earlier_loads_ms: 20_000,
             load_timeout_factor: 4,
         }
     }
 }
 
 impl FormingSettings {
-    /// Divides the load rate among all domains and sets the limit on concurrent loads.
-    ///
-    /// Keeps a margin of a tenth below the rate of the weights store, because the coordinators do
-    /// not see each other's most recent loads.
-    pub fn with_load_limits(
-        mut self,
-        loads_per_s: f64,
-        loads_at_once: f64,
-        domains: usize,
-    ) -> Self {
-        let domains = domains.max(1) as f64;
-        self.loads_per_s = loads_per_s * 0.9 / domains;
-        self.concurrent_loads_max = (loads_at_once as usize).max(1);
+    /// Sets the limit on concurrent loads.
+    pub fn with_concurrent_loads(mut self, concurrent_loads: f64) -> Self {
+        self.concurrent_loads_max = (concurrent_loads as usize).max(1);
         self
     }
 }
--- a/crates/forming/src/interface/view.rs
+++ b/crates/forming/src/interface/view.rs
@@ -16,7 +16,7 @@
     pub profile: &'a EngineProfile,
     /// The fabric domains of the service outside evacuated data centres, by name.
     pub domains: &'a [ListedDomain<'a>],
-    /// Whether callers have sent requests. Loads are not limited before that.
+    /// Whether callers have sent requests, to this node or to another.
     pub traffic_seen: bool,
     /// Whether the store is available to this node. Without it nothing can be planned.
     pub store_available: bool,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -13,6 +13,7 @@
     DomainPlanner, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
     ListedDomain, Reachability,
 };
+use celeryhaven_load_quota::{GrantId, GrantedLoads};
 use celeryhaven_types::{
     DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs, VmName,
 };
@@ -22,6 +23,9 @@
 /// Duration of one step.
 pub const STEP_MS: u64 = 100;
 
+/// Time in which a granted load must be ordered.
+const GRANT_MS: u64 = 500;
+
 /// Number of past target lists kept for lagging coordinators.
 const HISTORY_LEN: usize = 200;
 
@@ -49,6 +53,12 @@
     pub order_delay_ms: Option<u64>,
     delayed_orders: Vec<(TimeMs, VmName, TargetOrder)>,
     pub refuses_stage: BTreeSet<VmName>,
+    /// Whether coordinators are granted the loads that they need.
+    pub grants_loads: bool,
+    /// Number of loads that were granted.
+    pub loads_granted: usize,
+    /// Number of loads that were kept as ones that may still begin.
+    pub grants_kept: usize,
     unlisted: BTreeSet<VmName>,
     /// Replicas that have been listed so far.
     recently_listed: BTreeSet<ReplicaKey>,
@@ -80,6 +90,9 @@
             order_delay_ms: None,
             delayed_orders: Vec::new(),
             refuses_stage: BTreeSet::new(),
+            grants_loads: true,
+            loads_granted: 0,
+            grants_kept: 0,
             unlisted: BTreeSet::new(),
             recently_listed: BTreeSet::new(),
             probes: 0,
@@ -207,10 +220,29 @@
             let mut out = Vec::new();
             self.with_view(index, |planner, now, view| planner.step(now, view, &mut out));
             self.execute(index, out);
+            if self.grants_loads {
+                self.grant_loads(index);
+            }
         }
         self.assert_no_violations();
     }
 
+    /// Grants a coordinator the loads that it needs.
+    pub fn grant_loads(&mut self, index: usize) {
+        let loads = self.coordinators[index].loads_needed();
+        if loads == 0 {
+            return;
+        }
+        let granted = GrantedLoads {
+            grant: GrantId::new(format!("grant-{}", self.now.get())),
+            domain: DomainName::new("rack"),
+            loads,
+            send_by: self.now.after(GRANT_MS),
+        };
+        self.loads_granted += loads as usize;
+        self.handle(index, FormingEvent::LoadsGranted { granted });
+    }
+
     /// Reports a stalled replica to every coordinator.
     pub fn suspect(&mut self, target: &VmName) {
         let Some(member) = self.targets[target].entry.membership.clone() else { return };
@@ -302,7 +334,7 @@
             match action {
                 FormingAction::ReadRecord => self.read_record(index),
                 FormingAction::WriteRecord { record } => self.write_record(index, record),
-                FormingAction::Order { id, target, order } => {
+                FormingAction::Order { id, target, order, .. } => {
                     let outcome = self.order(&target, &order);
                     self.handle(index, FormingEvent::OrderCompleted { id, outcome });
                 }
@@ -314,6 +346,7 @@
                     };
                     self.handle(index, FormingEvent::ProbeCompleted { target, reachability });
                 }
+                FormingAction::KeepGrant { .. } => self.grants_kept += 1,
                 FormingAction::LogChange { .. } | FormingAction::LogLoad { .. } => {}
             }
         }
--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -1,9 +1,10 @@
 use async_channel::Sender;
+use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{OrderOutcome, TargetOrder};
 use celeryhaven_forming::{DomainRecord, FormingAction, FormingEvent, OrderId, Reachability};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
 use celeryhaven_types::store::{ObjectVersion, StoreReply};
-use celeryhaven_types::{DomainName, ModelName, ReplicaName, VmName};
+use celeryhaven_types::{DomainName, ModelName, ReplicaName, TimeMs, VmName};
 use slog::info;
 
 use crate::adapter::Adapter;
@@ -22,14 +23,15 @@
             match action {
                 FormingAction::ReadRecord => self.read_record(domain),
                 FormingAction::WriteRecord { record } => self.write_record(domain, &record),
-                FormingAction::Order { id, target, order } => {
-                    self.send_order(domain, id, target, order);
+                FormingAction::Order { id, target, order, send_by } => {
+                    self.send_order(domain, (id, target), order, send_by);
                 }
+                FormingAction::KeepGrant { grant } => self.load_quota.record_unresolved(&grant),
                 FormingAction::Probe { target } => self.send_probe(domain, target),
-                FormingAction::LogLoad { target, order, allowed } => {
+                FormingAction::LogLoad { target, order, grant } => {
                     info!(self.parts.log, "load ordered"; "domain" => domain.as_str(),
-                        "target" => target.as_str(), "order" => order, "allowed" => allowed,
-                        "traffic_seen" => self.traffic_seen);
+                        "target" => target.as_str(), "order" => order, "grant" => grant.as_str(),
+                        "callers_served" => self.callers_served());
                 }
                 FormingAction::LogChange { replica, change, target } => {
                     info!(self.parts.log, "replica"; "replica" => replica.replica.as_str(),
@@ -62,12 +64,21 @@
         self.executor.spawn(write).detach();
     }
 
-    fn send_order(&self, domain: DomainName, id: OrderId, target: VmName, order: TargetOrder) {
+    fn send_order(
+        &self,
+        domain: DomainName,
+        (id, target): (OrderId, VmName),
+        order: TargetOrder,
+        send_by: Option<TimeMs>,
+    ) {
         let called = self.fleet.target_or_removed(&target).map(CalledTarget::new);
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let (orders, log) = (self.parts.metrics.orders.clone(), self.parts.log.clone());
         let send = async move {
+            // This node may have been suspended since the order was planned.
+            let is_late = send_by.is_some_and(|send_by| BootClock.now() >= send_by);
             let outcome = match &called {
+                _ if is_late => OrderOutcome::Refused,
                 Some(called) => client.send_order(called, &order).await,
                 None => OrderOutcome::TargetRemoved,
             };
--- a/crates/gateway/src/control/advisories.rs
+++ b/crates/gateway/src/control/advisories.rs
@@ -1,18 +1,10 @@
-use std::sync::Arc;
-
 use celeryhaven_quarantine::RequestDigest;
-use celeryhaven_records::{RecordWrite, WriteOutcome};
-use celeryhaven_store::StoreCodec;
-use celeryhaven_types::store::{
-    Object, ObjectChange, ObjectKey, ObjectVersion, StoreReply, StoreRequest,
-};
+use celeryhaven_types::store::{Object, ObjectChange, ObjectKey, ObjectVersion};
 use celeryhaven_types::{TimeMs, VmName};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::counted_store::{CountedStore, StoreCallKind};
+use crate::control::shared_records::parse;
 
 /// Prefix of the advisories in the store: what nodes have seen of requests and of targets.
 pub(super) const ADVISORIES_PREFIX: &str = "advisories/";
@@ -99,43 +91,3 @@
         !changes.is_empty()
     }
 }
-
-/// Carries out a write, and reads the record if the store holds another version.
-pub(super) async fn write_advisory<W: StoreCodec, K, R: Serialize + DeserializeOwned>(
-    store: &CountedStore<W>,
-    key: ObjectKey,
-    write: &RecordWrite<K, R>,
-) -> WriteOutcome<R> {
-    let request = match write {
-        RecordWrite::Put { version, record, .. } => {
-            let Ok(value) = serde_json::to_string(record) else { return WriteOutcome::Failed };
-            let (key, value): (_, Arc<str>) = (key.clone(), value.into());
-            match *version {
-                Some(version) => StoreRequest::Update { key, version, value },
-                None => StoreRequest::Create { key, value },
-            }
-        }
-        RecordWrite::Delete { version, .. } => {
-            StoreRequest::Delete { key: key.clone(), version: *version }
-        }
-    };
-    match store.call(StoreCallKind::Advisories, &request).await {
-        StoreReply::Written { version } => WriteOutcome::Written(version),
-        StoreReply::Conflict => {
-            match store.call(StoreCallKind::Advisories, &StoreRequest::Get { key }).await {
-                StoreReply::Found(object) => match parse(&object.value) {
-                    Some(record) => WriteOutcome::Found(object.version, record),
-                    None => WriteOutcome::Failed,
-                },
-                StoreReply::Missing => WriteOutcome::Missing,
-                _ => WriteOutcome::Failed,
-            }
-        }
-        // Repeating a write that took effect conflicts, and adds nothing.
-        _ => WriteOutcome::Failed,
-    }
-}
-
-fn parse<R: DeserializeOwned>(value: &str) -> Option<R> {
-    serde_json::from_str(value).ok()
-}
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -9,6 +9,7 @@
 use celeryhaven_demand::{DemandMeter, ModelShares};
 use celeryhaven_fleet::{FleetView, RouteTable};
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
+use celeryhaven_load_quota::LoadQuota;
 use celeryhaven_peers::Peers;
 use celeryhaven_quarantine::{Quarantine, Standings};
 use celeryhaven_settings::GatewaySettings;
@@ -81,7 +82,10 @@
     pub(super) published: Option<TrafficUpdate>,
     pub(super) peers: Peers,
     pub(super) coordinators: Coordinators,
-    pub(super) traffic_seen: bool,
+    pub(super) load_quota: LoadQuota,
+    /// Loads that waited at the last look because too many had begun.
+    pub(super) loads_held_back: u32,
+    pub(super) rng: SmallRng,
     pub(super) leaving: bool,
     pub(super) store_unavailable: bool,
     /// End of the period in which this node counts as cut off from the store.
@@ -112,6 +116,9 @@
     pub(crate) fn new(parts: ControlParts<A>, executor: Rc<LocalExecutor<'static>>) -> Self {
         let relay = RelayState::new(&parts.token);
         let coordinators = Coordinators::new(parts.boot);
+        let holder = format!("{}-{:x}", parts.settings.node, parts.boot);
+        let load_quota = LoadQuota::new(holder, parts.settings.load_window_ms());
+        let rng = SmallRng::seed_from_u64(parts.boot);
         let peers = Peers::new(parts.settings.node.clone()).with_own_record(&own_record(&parts));
         let store = CountedStore::new(parts.client.clone(), parts.metrics.clone());
         Self {
@@ -125,7 +132,9 @@
             published: None,
             peers,
             coordinators,
-            traffic_seen: false,
+            load_quota,
+            loads_held_back: 0,
+            rng,
             leaving: false,
             store_unavailable: false,
             cut_off_until: None,
@@ -269,6 +278,14 @@
                 self.record_limit_write(now, &write, outcome);
                 Changes::nodes(true)
             }
+            ControlEvent::LoadQuotaCalled(call, outcome) => {
+                self.record_load_quota_call(now, &call, outcome);
+                Changes::FORMING
+            }
+            ControlEvent::LoadQuotaDue => {
+                self.call_load_quota(now);
+                Changes::NONE
+            }
             ControlEvent::Traffic(report) => {
                 self.handle_traffic_report(now, report) | Changes::FORMING
             }
@@ -329,6 +346,7 @@
         }
         if changes.forming {
             self.execute_planned_actions();
+            self.request_loads(BootClock.now());
         }
     }
 
@@ -338,7 +356,10 @@
             TrafficReport::Crashed(_) | TrafficReport::Completed(_) | TrafficReport::LimitNamed(_)
         );
         match report {
-            TrafficReport::FirstRequest => self.traffic_seen = true,
+            TrafficReport::FirstRequest => {
+                self.load_quota.record_caller();
+                self.call_load_quota(now);
+            }
             TrafficReport::Suspected(replica) => {
                 self.handle_suspicion(now, Suspicion::Stalled(replica));
             }
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -38,7 +38,7 @@
         let domains: Vec<_> = self.fleet.usable_domains(service).map(ListedDomain::new).collect();
         let store_available = self.is_store_available();
         let view =
-            forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, store_available));
+            forming_view(&self.fleet, &profile, &domains, (self.callers_served(), store_available));
         let actions = self.coordinators.handle(now, view, domain, event);
         self.execute_actions(domain, actions);
     }
@@ -57,13 +57,14 @@
         let coordinated =
             coordinated.filter(|domain| self.peers.is_coordinator(domain, is_cut_off));
         let coordinated: BTreeSet<DomainName> = coordinated.map(|&domain| domain.clone()).collect();
-        let settings = FormingSettings::default().with_load_limits(
-            profile.loads_per_s,
-            profile.concurrent_loads,
-            all.len(),
-        );
+        let settings = FormingSettings::default().with_concurrent_loads(profile.concurrent_loads);
+        let before: BTreeSet<_> = self.coordinators.domains.keys().cloned().collect();
         if self.coordinators.set_domains(now, &self.parts.settings.node, &coordinated, settings) {
             self.parts.metrics.domains.set(coordinated.len() as i64);
+            coordinated
+                .difference(&before)
+                .for_each(|domain| self.load_quota.take_over(domain.clone()));
+            before.difference(&coordinated).for_each(|domain| self.load_quota.hand_over(domain));
             let names: Vec<_> = coordinated.iter().map(DomainName::as_str).collect();
             info!(self.parts.log, "decides for"; "domains" => names.join(","));
         }
@@ -77,7 +78,7 @@
         let domains: Vec<_> = self.fleet.usable_domains(service).map(ListedDomain::new).collect();
         let store_available = self.is_store_available();
         let view =
-            forming_view(&self.fleet, &profile, &domains, (self.traffic_seen, store_available));
+            forming_view(&self.fleet, &profile, &domains, (self.callers_served(), store_available));
         for (domain, actions) in self.coordinators.step(BootClock.now(), view) {
             self.execute_actions(&domain, actions);
         }
@@ -174,7 +175,7 @@
 }
 
 /// Returns the first service whose targets form replicas, and its engine profile.
-fn engine_service(routes: &RouteTable) -> Option<(&ServiceName, &EngineProfile)> {
+pub(super) fn engine_service(routes: &RouteTable) -> Option<(&ServiceName, &EngineProfile)> {
     let mut services = routes.config().services.iter();
     services.find_map(|service| Some((&service.name, service.engine.as_ref()?)))
 }
--- a/crates/gateway/src/control/counted_store.rs
+++ b/crates/gateway/src/control/counted_store.rs
@@ -22,6 +22,8 @@
     /// What nodes have seen of targets and of requests.
     Advisories,
     Evacuations,
+    /// The record of granted loads.
+    Loads,
 }
 
 impl StoreCallKind {
@@ -35,6 +37,7 @@
             Self::Placement => "placement",
             Self::Advisories => "advisories",
             Self::Evacuations => "evacuations",
+            Self::Loads => "loads",
         }
     }
 }
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -9,8 +9,10 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::advisories::{target_key, write_advisory};
+use crate::control::advisories::target_key;
+use crate::control::counted_store::StoreCallKind;
 use crate::control::event::ControlEvent;
+use crate::control::shared_records::write_record;
 use crate::traffic::{Destination, NamedLimit};
 
 /// The listed targets and the live nodes, for the limits of targets.
@@ -80,7 +82,13 @@
         for write in self.limits.due_writes(now, &view, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
-                let outcome = write_advisory(&store, target_key(write.key()), &write).await;
+                let outcome = write_record(
+                    &store,
+                    StoreCallKind::Advisories,
+                    target_key(write.key()),
+                    &write,
+                )
+                .await;
                 let event = ControlEvent::LimitWritten(write, outcome);
                 events.send(event).await.unwrap_or_default();
             };
--- /dev/null
+++ b/crates/gateway/src/control/load_quota.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use celeryhaven_forming::FormingEvent;
+use celeryhaven_load_quota::{GrantedLoads, LoadLimit, QuotaCall, QuotaRecord};
+use celeryhaven_records::WriteOutcome;
+use celeryhaven_types::TimeMs;
+use celeryhaven_types::store::{ObjectKey, StoreReply, StoreRequest};
+use rand::Rng;
+use slog::info;
+use smol::Timer;
+
+use crate::adapter::Adapter;
+use crate::control::Control;
+use crate::control::coordination::engine_service;
+use crate::control::counted_store::{CountedStore, StoreCallKind};
+use crate::control::event::ControlEvent;
+use crate::control::shared_records::{parse, write_record};
+
+/// Key of the record of granted loads.
+const QUOTA_KEY: &str = "quotas/loads";
+
+impl<A: Adapter> Control<A> {
+    /// Whether a caller has sent a request to any node, as far as this one knows.
+    pub(super) fn callers_served(&self) -> bool {
+        self.load_quota.callers_served()
+    }
+
+    /// Tells the quota how many loads the planners need, and starts the call that is due.
+    pub(super) fn request_loads(&mut self, now: TimeMs) {
+        for (domain, coordinator) in &self.coordinators.domains {
+            self.load_quota.set_needed(domain, coordinator.planner.loads_needed());
+        }
+        self.call_load_quota(now);
+    }
+
+    /// Starts the call for the record of granted loads that is due, if any.
+    pub(super) fn call_load_quota(&mut self, now: TimeMs) {
+        if self.store_unavailable {
+            return;
+        }
+        let Some(limit) = self.load_limit() else { return };
+        let Some(call) = self.load_quota.due(now, limit) else {
+            return self.log_held_back(now, limit);
+        };
+        let (store, events) = (self.store.clone(), self.parts.events.0.clone());
+        let execute = async move {
+            let outcome = execute_call(&store, &call).await;
+            let event = ControlEvent::LoadQuotaCalled(call, outcome);
+            events.send(event).await.unwrap_or_default();
+        };
+        self.executor.spawn(execute).detach();
+    }
+
+    /// Applies the outcome of a call, and passes granted loads to the planners.
+    pub(super) fn record_load_quota_call(
+        &mut self,
+        now: TimeMs,
+        call: &QuotaCall,
+        outcome: WriteOutcome<QuotaRecord>,
+    ) {
+        let failed = matches!(outcome, WriteOutcome::Failed);
+        let jitter = self.rng.random();
+        for granted in self.load_quota.complete(now, call, outcome, jitter) {
+            self.pass_granted_loads(now, granted);
+        }
+        if failed {
+            self.record_cut_off(now);
+        }
+        match self.load_quota.retry_at(now) {
+            Some(retry_at) => self.call_load_quota_at(now, retry_at),
+            None => self.call_load_quota(now),
+        }
+    }
+
+    fn pass_granted_loads(&mut self, now: TimeMs, granted: GrantedLoads) {
+        info!(self.parts.log, "loads granted"; "domain" => granted.domain.as_str(),
+            "loads" => granted.loads, "grant" => granted.grant.as_str(),
+            "counted" => self.load_quota.counted(now),
+            "callers_served" => self.callers_served());
+        self.parts.metrics.loads_granted.inc_by(u64::from(granted.loads));
+        self.loads_held_back = 0;
+        let domain = granted.domain.clone();
+        self.handle_forming_event(now, &domain, FormingEvent::LoadsGranted { granted });
+    }
+
+    fn call_load_quota_at(&self, now: TimeMs, at: TimeMs) {
+        let (events, pause) = (self.parts.events.0.clone(), Duration::from_millis(at.since(now)));
+        let wake = async move {
+            Timer::after(pause).await;
+            events.send(ControlEvent::LoadQuotaDue).await.unwrap_or_default();
+        };
+        self.executor.spawn(wake).detach();
+    }
+
+    fn load_limit(&self) -> Option<LoadLimit> {
+        let routes = self.routes.as_ref()?;
+        let (_, profile) = engine_service(routes)?;
+        let window_ms = self.parts.settings.load_window_ms();
+        Some(LoadLimit::new(routes.config().number, profile.loads_per_s, window_ms))
+    }
+
+    /// Logs when loads begin to wait because too many have begun.
+    fn log_held_back(&mut self, now: TimeMs, limit: LoadLimit) {
+        let held_back = self.load_quota.held_back();
+        if held_back > 0 && self.loads_held_back == 0 {
+            info!(self.parts.log, "loads held back"; "loads" => held_back,
+                "counted" => self.load_quota.counted(now), "loads_max" => limit.loads_max);
+        }
+        self.loads_held_back = held_back;
+    }
+}
+
+async fn execute_call<W: celeryhaven_store::StoreCodec>(
+    store: &CountedStore<W>,
+    call: &QuotaCall,
+) -> WriteOutcome<QuotaRecord> {
+    let key = ObjectKey::new(QUOTA_KEY);
+    match call {
+        QuotaCall::Write(write) => write_record(store, StoreCallKind::Loads, key, write).await,
+        QuotaCall::Read => {
+            match store.call(StoreCallKind::Loads, &StoreRequest::Get { key }).await {
+                StoreReply::Found(object) => match parse(&object.value) {
+                    Some(record) => WriteOutcome::Found(object.version, record),
+                    None => WriteOutcome::Failed,
+                },
+                StoreReply::Missing => WriteOutcome::Missing,
+                _ => WriteOutcome::Failed,
+            }
+        }
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -16,10 +16,12 @@
 mod feed_updates;
 mod heartbeats;
 mod limits;
+mod load_quota;
 mod node_discovery;
 mod publish;
 mod quarantine;
 mod relay;
+mod shared_records;
 mod suspicions;
 mod target_client;
 
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -9,8 +9,10 @@
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::advisories::{request_key, write_advisory};
+use crate::control::advisories::request_key;
+use crate::control::counted_store::StoreCallKind;
 use crate::control::event::ControlEvent;
+use crate::control::shared_records::write_record;
 use crate::traffic::CrashReport;
 
 impl<A: Adapter> Control<A> {
@@ -63,7 +65,9 @@
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let log = self.parts.log.clone();
         let claim = async move {
-            let outcome = write_advisory(&store, request_key(*write.key()), &write).await;
+            let outcome =
+                write_record(&store, StoreCallKind::Advisories, request_key(*write.key()), &write)
+                    .await;
             let is_granted = matches!(outcome, WriteOutcome::Written(_));
             info!(log, "quarantine trial"; "digest" => digest.to_string(), "granted" => is_granted);
             reply.try_send(is_granted).unwrap_or_default();
@@ -83,7 +87,13 @@
         for write in self.quarantine.due_writes(now, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
-                let outcome = write_advisory(&store, request_key(*write.key()), &write).await;
+                let outcome = write_record(
+                    &store,
+                    StoreCallKind::Advisories,
+                    request_key(*write.key()),
+                    &write,
+                )
+                .await;
                 let event = ControlEvent::QuarantineWritten(write, outcome);
                 events.send(event).await.unwrap_or_default();
             };
--- /dev/null
+++ b/crates/load-quota/src/lib.rs
@@ -0,0 +1,32 @@
+//! Limits how many loads from the weights store begin within a sliding window, over all nodes.
+//!
+//! A part of the rate that every coordinator held for itself would add up to more than the rate:
+//! saved-up parts are spent at one moment, and a new coordinator knows nothing of the loads of the
+//! one before. Here, one record in the store lists the grants of all nodes that may still begin a
+//! load. It is changed by conditional writes only, so that no order of events, and no number of
+//! coordinators, lets more loads begin than it has room for.
+//!
+//! Clocks of nodes are never compared: a node drops a grant once it has itself known it for as long
+//! as the grant counts.
+//!
+//! The crate performs no I/O: the caller passes the time and carries out the calls.
+//!
+//! | type | purpose |
+//! |---|---|
+//! | [`LoadQuota`] | requests grants for the domains that a node coordinates |
+//! | [`QuotaCall`] | a call to the store that the caller carries out |
+//! | [`QuotaRecord`], [`LoadGrant`] | what the store holds |
+//! | [`LoadLimit`] | how many loads a configuration allows within the window |
+//! | [`GrantedLoads`] | loads that a domain may begin |
+
+mod granted_loads;
+mod load_limit;
+mod load_quota;
+mod quota_call;
+mod quota_record;
+
+pub use granted_loads::GrantedLoads;
+pub use load_limit::LoadLimit;
+pub use load_quota::LoadQuota;
+pub use quota_call::QuotaCall;
+pub use quota_record::{GrantId, LoadGrant, QuotaRecord};
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -36,6 +36,8 @@
         retry_ratio: f64 = Kind::decimal(0.0, 1.0, 0.2);
         /// Retries beyond that share that all nodes together may accumulate.
         retry_extra: f64 = Kind::decimal(0.0, 1e6, 100.0);
+        /// Span over which the loads that the weights store allows are counted.
+        load_window_s: f64 = Kind::decimal(0.1, 600.0, 5.0);
         /// Timeout of a call to the store.
         store_timeout_ms: u64 = Kind::number(50, 60_000, 700);
         /// How long a watch of the store waits for a change.
@@ -48,6 +50,11 @@
 }
 
 impl GatewaySettings {
+    /// Returns the span over which loads from the weights store are counted, in milliseconds.
+    pub fn load_window_ms(&self) -> u64 {
+        Duration::from_secs_f64(self.load_window_s).as_millis() as u64
+    }
+
     /// Returns the time from the stop signal until the process is killed.
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s)
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -32,6 +32,8 @@
     pub targets_limited: Gauge,
     /// Targets that have asked this node for a pause.
     pub targets_backing_off: Gauge,
+    /// Loads from the weights store that were granted to this node.
+    pub loads_granted: Counter,
     /// Data centres that are evacuated.
     pub evacuations: Gauge,
     /// Requests that still run in evacuated data centres.
@@ -57,6 +59,7 @@
         let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
         let targets_limited = Gauge::default();
         let targets_backing_off = Gauge::default();
+        let loads_granted = Counter::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -94,6 +97,11 @@
                 "Targets that have asked this node for a pause",
                 targets_backing_off.clone(),
             );
+            registry.register(
+                "loads_granted",
+                "Loads from the weights store that were granted to this node",
+                loads_granted.clone(),
+            );
             registry.register(
                 "evacuations",
                 "Data centres that are evacuated",
@@ -118,6 +126,7 @@
             crash_reports,
             targets_limited,
             targets_backing_off,
+            loads_granted,
             evacuations,
             evacuating_requests,
             store_calls,
