--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -80,7 +80,6 @@
 impl DomainPlanner {
     /// Creates a planner that has not read the domain's record yet.
     pub fn new(now: TimeMs, domain: DomainName, node: NodeName, settings: FormingSettings) -> Self {
-        let load_grants = LoadGrants::new(now.after(settings.earlier_loads_ms));
         Self {
             domain,
             node,
@@ -97,7 +96,7 @@
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
             pending: BTreeMap::new(),
-            load_grants,
+            load_grants: LoadGrants::new(),
             unconfirmed: BTreeSet::new(),
             planned_generation: Generation::default(),
             unlisted_plans: BTreeMap::new(),
@@ -225,6 +224,10 @@
         record: DomainRecord,
         out: &mut Vec<FormingAction>,
     ) {
+        let is_first = self.planned_generation == Generation::default();
+        if is_first && record.decider.is_some() && self.serves_callers(view) == Some(true) {
+            self.load_grants.expect_earlier_loads(now.after(self.settings.earlier_loads_ms));
+        }
         let mut confirmed = Vec::new();
         let newest = record.replicas.iter().filter_map(|plan| plan.generation).max();
         self.resolved.retain(|name| record.replicas.iter().any(|plan| plan.replica == *name));
--- a/crates/forming/src/domain/load_grants.rs
+++ b/crates/forming/src/domain/load_grants.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use celeryhaven_fleet::TargetEntry;
-use celeryhaven_load_quota::{GrantId, GrantedLoads};
+use celeryhaven_load_quota::{GrantId, GrantedLoads, LoadNeeds};
 use celeryhaven_types::{ModelName, TimeMs, VmName};
 
 use crate::domain::DomainPlanner;
@@ -24,17 +24,32 @@
     /// The grant that is being used up.
     granted: Option<GrantedLoads>,
     /// Loads that were needed in this step and not granted.
-    needed: u32,
+    needed: LoadNeeds,
     /// Targets with a stage order that was not answered, and until when it may be carried out.
     late_stages: BTreeMap<VmName, TimeMs>,
-    /// Until when loads of earlier coordinators may be under way.
-    earlier_loads_until: TimeMs,
+    /// Until when loads of an earlier coordinator may be under way.
+    earlier_loads_until: Option<TimeMs>,
+}
+
+/// Whether a load brings targets into service or prepares for losses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoadPurpose {
+    Required,
+    Optional,
 }
 
 impl LoadGrants {
-    pub(crate) const fn new(earlier_loads_until: TimeMs) -> Self {
-        let late_stages = BTreeMap::new();
-        Self { granted: None, needed: 0, late_stages, earlier_loads_until }
+    pub(crate) fn new() -> Self {
+        Self {
+            granted: None,
+            needed: LoadNeeds::default(),
+            late_stages: BTreeMap::new(),
+            earlier_loads_until: None,
+        }
+    }
+
+    pub(crate) const fn expect_earlier_loads(&mut self, until: TimeMs) {
+        self.earlier_loads_until = Some(until);
     }
 
     pub(crate) fn put(&mut self, granted: GrantedLoads) {
@@ -42,12 +57,12 @@
     }
 
     pub(crate) fn begin_step(&mut self, now: TimeMs) {
-        self.needed = 0;
+        self.needed = LoadNeeds::default();
         self.late_stages.retain(|_, until| *until > now);
     }
 
     /// Returns a granted load, or counts it as needed.
-    pub(crate) fn take(&mut self, now: TimeMs) -> Option<GrantedLoad> {
+    pub(crate) fn take(&mut self, now: TimeMs, purpose: LoadPurpose) -> Option<GrantedLoad> {
         let usable =
             self.granted.as_mut().filter(|granted| granted.loads > 0 && granted.send_by > now);
         match usable {
@@ -56,7 +71,10 @@
                 Some(GrantedLoad { grant: granted.grant.clone(), send_by: granted.send_by })
             }
             None => {
-                self.needed += 1;
+                match purpose {
+                    LoadPurpose::Required => self.needed.required += 1,
+                    LoadPurpose::Optional => self.needed.optional += 1,
+                }
                 None
             }
         }
@@ -69,7 +87,7 @@
 
 impl DomainPlanner {
     /// Returns how many loads the planner needs and has no grant for.
-    pub fn loads_needed(&self) -> u32 {
+    pub const fn loads_needed(&self) -> LoadNeeds {
         self.load_grants.needed
     }
 
@@ -90,7 +108,7 @@
                 let stages = self.staging.get(&entry.name);
                 stages.is_some_and(|(staged, _)| staged != model)
                     || self.load_grants.late_stages.contains_key(&entry.name)
-                    || now < self.load_grants.earlier_loads_until
+                    || self.load_grants.earlier_loads_until.is_some_and(|until| now < until)
             }
         }
     }
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,6 +4,7 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
+use crate::domain::load_grants::LoadPurpose;
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
@@ -76,7 +77,9 @@
             let Some(formation) = self.formations.get(&key) else { continue };
             let (model, members) = (formation.model.clone(), formation.members.clone());
             for member in formation.held.clone() {
-                let Some(load) = self.load_grants.take(now) else { continue };
+                let Some(load) = self.load_grants.take(now, LoadPurpose::Required) else {
+                    continue;
+                };
                 if let Some(formation) = self.formations.get_mut(&key) {
                     formation.held.retain(|held| *held != member);
                 }
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -3,6 +3,7 @@
 
 use crate::domain::DomainPlanner;
 use crate::domain::free::{Warmth, warmth};
+use crate::domain::load_grants::LoadPurpose;
 use crate::domain::needs::Needs;
 use crate::interface::{FormingAction, FormingView};
 use crate::mix::ModelCount;
@@ -30,12 +31,15 @@
             return;
         }
         let concurrent_max = self.concurrent_loads_max(view);
-        let wanted = self.loads_wanted(now, view);
-        let second = self.second_loads_wanted(now, view);
+        let with_purpose = |purpose| move |(target, model)| (purpose, target, model);
+        let wanted = self.loads_wanted(now, view).into_iter();
+        let wanted = wanted.map(with_purpose(LoadPurpose::Required));
+        let second = self.second_loads_wanted(now, view).into_iter();
+        let second = second.map(with_purpose(LoadPurpose::Optional));
         let running = self.staging.len();
         let count_max = if serves { concurrent_max.saturating_sub(running) } else { usize::MAX };
-        for (target, model) in wanted.into_iter().chain(second).take(count_max) {
-            let Some(load) = self.load_grants.take(now) else { continue };
+        for (purpose, target, model) in wanted.chain(second).take(count_max) {
+            let Some(load) = self.load_grants.take(now, purpose) else { continue };
             let load_ms = view.profile.model(&model).map_or(0, |model| model.load_ms);
             let until = now.after(load_ms * self.settings.load_timeout_factor);
             self.staging.insert(target.clone(), (model.clone(), until));
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -229,7 +229,8 @@
 
     /// Grants a coordinator the loads that it needs.
     pub fn grant_loads(&mut self, index: usize) {
-        let loads = self.coordinators[index].loads_needed();
+        let needs = self.coordinators[index].loads_needed();
+        let loads = needs.required + needs.optional;
         if loads == 0 {
             return;
         }
--- a/crates/load-quota/src/lib.rs
+++ b/crates/load-quota/src/lib.rs
@@ -17,16 +17,19 @@
 //! | [`QuotaCall`] | a call to the store that the caller carries out |
 //! | [`QuotaRecord`], [`LoadGrant`] | what the store holds |
 //! | [`LoadLimit`] | how many loads a configuration allows within the window |
+//! | [`LoadNeeds`] | how many loads a domain needs |
 //! | [`GrantedLoads`] | loads that a domain may begin |
 
 mod granted_loads;
 mod load_limit;
+mod load_needs;
 mod load_quota;
 mod quota_call;
 mod quota_record;
 
 pub use granted_loads::GrantedLoads;
 pub use load_limit::LoadLimit;
+pub use load_needs::LoadNeeds;
 pub use load_quota::LoadQuota;
 pub use quota_call::QuotaCall;
 pub use quota_record::{GrantId, LoadGrant, QuotaRecord};
--- a/crates/load-quota/src/load_quota.rs
+++ b/crates/load-quota/src/load_quota.rs
@@ -4,7 +4,7 @@
 use celeryhaven_types::store::ObjectVersion;
 use celeryhaven_types::{DomainName, TimeMs};
 
-use crate::{GrantId, GrantedLoads, LoadGrant, LoadLimit, QuotaCall, QuotaRecord};
+use crate::{GrantId, GrantedLoads, LoadGrant, LoadLimit, LoadNeeds, QuotaCall, QuotaRecord};
 
 /// Bounds of the time from the start of the write that makes a grant until its orders must have
 /// been sent, in milliseconds. It follows the time that writes take.
@@ -20,6 +20,9 @@
 /// Time in which an order that was not answered may still be carried out, in milliseconds.
 const UNRESOLVED_MS: u64 = 15_000;
 
+/// Optional loads are granted up to one in this many of the loads that the limit allows.
+const OPTIONAL_PART: u32 = 2;
+
 /// Pause after a call that failed, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 500;
 
@@ -65,7 +68,7 @@
 /// loads that may begin.
 ///
 /// ```
-/// use celeryhaven_load_quota::{LoadLimit, LoadQuota, QuotaCall};
+/// use celeryhaven_load_quota::{LoadLimit, LoadNeeds, LoadQuota, QuotaCall};
 /// use celeryhaven_records::WriteOutcome;
 /// use celeryhaven_types::store::ObjectVersion;
 /// use celeryhaven_types::{ConfigNumber, DomainName, TimeMs};
@@ -73,7 +76,8 @@
 /// let now = TimeMs::new(0);
 /// let limit = LoadLimit::new(ConfigNumber::new(1), 1.0, 5_000);
 /// let mut quota = LoadQuota::new("entry-1-1", 5_000);
-/// quota.set_needed(&DomainName::new("rack-1"), 8);
+/// let needs = LoadNeeds { required: 8, optional: 0 };
+/// quota.set_needed(&DomainName::new("rack-1"), needs);
 /// assert_eq!(quota.due(now, limit), Some(QuotaCall::Read));
 /// assert!(quota.complete(now, &QuotaCall::Read, WriteOutcome::Missing, 0.5).is_empty());
 /// let write = quota.due(now, limit).unwrap();
@@ -87,7 +91,7 @@
     window_ms: u64,
     known: Option<Known>,
     seen: BTreeMap<GrantId, Seen>,
-    needed: BTreeMap<DomainName, u32>,
+    needed: BTreeMap<DomainName, LoadNeeds>,
     /// Loads without an answer that the record does not hold as unresolved yet, by grant.
     unresolved: BTreeMap<GrantId, u32>,
     /// Domains whose earlier coordinators' loads may be unresolved.
@@ -126,10 +130,11 @@
     }
 
     /// Sets how many loads a domain needs now, besides those granted.
-    pub fn set_needed(&mut self, domain: &DomainName, loads: u32) {
-        match loads {
-            0 => drop(self.needed.remove(domain)),
-            loads => drop(self.needed.insert(domain.clone(), loads)),
+    pub fn set_needed(&mut self, domain: &DomainName, needs: LoadNeeds) {
+        if needs == LoadNeeds::default() {
+            self.needed.remove(domain);
+        } else {
+            self.needed.insert(domain.clone(), needs);
         }
     }
 
@@ -170,7 +175,8 @@
     /// Returns the loads that domains need and that the record has no room for, if any.
     pub fn held_back(&self) -> u32 {
         let is_idle = self.under_way.is_none() && self.known.is_some();
-        if is_idle { self.needed.values().sum() } else { 0 }
+        let needed = self.needed.values().map(|needs| needs.required + needs.optional);
+        if is_idle { needed.sum() } else { 0 }
     }
 
     /// Returns the call that is due, if any, and counts it as under way.
@@ -348,7 +354,9 @@
         for grant in &mut record.grants {
             let own = self.unresolved.get(&grant.id).copied().unwrap_or_default();
             let is_own = grant.id.as_str().starts_with(&self.id_prefix);
-            let unresolved = match self.taken_over.contains(&grant.domain) && !is_own {
+            // Before callers are served, every node coordinates every domain for a moment.
+            let may_be_lost = record.callers_served && !is_own;
+            let unresolved = match may_be_lost && self.taken_over.contains(&grant.domain) {
                 true => grant.loads,
                 false => (grant.unresolved + own).min(grant.loads),
             };
@@ -377,13 +385,18 @@
     fn make_grants(&mut self, record: &QuotaRecord) -> Vec<LoadGrant> {
         let counted: u32 = record.grants.iter().map(|grant| grant.loads).sum();
         let mut room = record.loads_max.saturating_sub(counted);
+        let optional_part = (record.loads_max / OPTIONAL_PART).max(1);
         let mut grants = Vec::new();
-        for (domain, &needed) in &self.needed {
-            let loads = needed.min(room);
+        for (domain, needs) in &self.needed {
+            let required = needs.required.min(room);
+            room -= required;
+            let kept_free = record.loads_max - optional_part;
+            let optional = needs.optional.min(room.saturating_sub(kept_free));
+            room -= optional;
+            let loads = required + optional;
             if loads == 0 {
                 continue;
             }
-            room -= loads;
             let id = GrantId::new(format!("{}{}", self.id_prefix, self.next_grant));
             self.next_grant += 1;
             grants.push(LoadGrant {
