--- a/crates/fleet/src/target/order.rs
+++ b/crates/fleet/src/target/order.rs
@@ -57,8 +57,10 @@
     /// The outcome of an order.
     #[derive(Copy, Eq)]
     pub enum OrderOutcome {
-        /// The target has carried out the order, has started to, or was already in that state.
+        /// The target has carried out the order or has started to.
         Accepted,
+        /// The target was in that state already, and has begun nothing.
+        AlreadyHeld,
         /// The order does not fit the target's state, or its generation is older than one already
         /// seen.
         Refused,
@@ -106,6 +108,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Accepted => "accepted",
+            Self::AlreadyHeld => "already held",
             Self::Refused => "refused",
             Self::TargetRemoved => "gone",
             Self::Unanswered => "unanswered",
--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -44,7 +44,10 @@
     ) {
         match outcome {
             // A refusal means that the target is no longer in this replica.
-            OrderOutcome::Accepted | OrderOutcome::Refused | OrderOutcome::TargetRemoved => {
+            OrderOutcome::Accepted
+            | OrderOutcome::AlreadyHeld
+            | OrderOutcome::Refused
+            | OrderOutcome::TargetRemoved => {
                 self.left.insert((member.clone(), key.clone()));
             }
             OrderOutcome::Unanswered => {}
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -1,4 +1,5 @@
 use celeryhaven_fleet::{OrderOutcome, ReplicaKey, TargetOrder};
+use celeryhaven_load_quota::LoadOutcome;
 use celeryhaven_types::{TimeMs, VmName};
 
 use crate::domain::DomainPlanner;
@@ -26,7 +27,7 @@
         out: &mut Vec<FormingAction>,
     ) {
         let (name, grant) = (target.clone(), load.grant.clone());
-        out.push(FormingAction::LogLoad { target: name, order: order.as_str(), grant });
+        out.push(FormingAction::RecordLoadOrder { target: name, order: order.as_str(), grant });
         self.send_with(target, order, Some(load), out);
     }
 
@@ -72,12 +73,11 @@
         out: &mut Vec<FormingAction>,
     ) {
         let Some(mut pending) = self.pending.remove(&id) else { return };
-        if outcome == OrderOutcome::Unanswered
-            && let Some(grant) = pending.grant.take()
-        {
-            // Later attempts are the same order: they begin no further load.
-            out.push(FormingAction::KeepGrant { grant });
+        // Later attempts are the same order: they begin no further load.
+        if let Some(grant) = pending.grant.take() {
+            out.push(FormingAction::RecordLoad { grant, outcome: load_outcome(outcome) });
         }
+        let is_accepted = matches!(outcome, OrderOutcome::Accepted | OrderOutcome::AlreadyHeld);
         let wanted = self.is_still_needed(&pending);
         if outcome == OrderOutcome::Unanswered && wanted {
             if pending.attempts < self.settings.order_attempts_max {
@@ -98,7 +98,7 @@
             TargetOrder::Open { replica, generation } => {
                 let key = key(replica, *generation);
                 if let Some(formation) = self.formations.get_mut(&key) {
-                    formation.open_sent = outcome == OrderOutcome::Accepted;
+                    formation.open_sent = is_accepted;
                 }
             }
             TargetOrder::Leave { replica, generation } => {
@@ -109,7 +109,7 @@
                 if outcome == OrderOutcome::Unanswered {
                     self.load_grants.record_late_stage(now, &pending.target);
                 }
-                if outcome == OrderOutcome::Accepted {
+                if is_accepted {
                     self.stage_backoff.remove(&pending.target);
                 } else {
                     self.stage_failed(now, &pending.target);
@@ -134,6 +134,17 @@
     }
 }
 
+/// Returns whether an order with this outcome may have begun a load.
+const fn load_outcome(outcome: OrderOutcome) -> LoadOutcome {
+    match outcome {
+        OrderOutcome::Accepted => LoadOutcome::Begun,
+        OrderOutcome::Unanswered => LoadOutcome::Unanswered,
+        OrderOutcome::AlreadyHeld | OrderOutcome::Refused | OrderOutcome::TargetRemoved => {
+            LoadOutcome::NotBegun
+        }
+    }
+}
+
 fn key(
     replica: &celeryhaven_types::ReplicaName,
     generation: celeryhaven_types::Generation,
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -99,7 +99,9 @@
     ) {
         let Some(formation) = self.formations.get_mut(key) else { return };
         match outcome {
-            OrderOutcome::Accepted => formation.accepted.push(target.clone()),
+            OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
+                formation.accepted.push(target.clone());
+            }
             OrderOutcome::Refused => self.abandon(key, "join refused", out),
             OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {
                 self.unreachable.insert(target.clone(), now.after(self.settings.probe_interval_ms));
--- a/crates/forming/src/interface/action.rs
+++ b/crates/forming/src/interface/action.rs
@@ -1,6 +1,6 @@
 use celeryhaven_derives::{number, state};
 use celeryhaven_fleet::{ReplicaKey, TargetOrder};
-use celeryhaven_load_quota::GrantId;
+use celeryhaven_load_quota::{GrantId, LoadOutcome};
 use celeryhaven_types::{TimeMs, VmName};
 
 use crate::record::DomainRecord;
@@ -32,18 +32,20 @@
             /// counts as refused.
             send_by: Option<TimeMs>,
         },
-        /// Count a granted load as one that may still begin, because its order was not answered.
-        KeepGrant {
+        /// Record what became of the order of a granted load.
+        RecordLoad {
             /// The grant.
             grant: GrantId,
+            /// What became of it.
+            outcome: LoadOutcome,
         },
         /// Request a report from a target, to check whether it is reachable.
         Probe {
             /// The target to probe.
             target: VmName,
         },
-        /// Log an order that may begin a load.
-        LogLoad {
+        /// Record and log that the order of a granted load is being sent.
+        RecordLoadOrder {
             /// The target that may load.
             target: VmName,
             /// The name of the order.
--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -26,9 +26,12 @@
                 FormingAction::Order { id, target, order, send_by } => {
                     self.send_order(domain, (id, target), order, send_by);
                 }
-                FormingAction::KeepGrant { grant } => self.load_quota.record_unresolved(&grant),
+                FormingAction::RecordLoad { grant, outcome } => {
+                    self.load_quota.record_outcome(&grant, outcome);
+                }
                 FormingAction::Probe { target } => self.send_probe(domain, target),
-                FormingAction::LogLoad { target, order, grant } => {
+                FormingAction::RecordLoadOrder { target, order, grant } => {
+                    self.load_quota.record_order(&grant);
                     info!(self.parts.log, "load ordered"; "domain" => domain.as_str(),
                         "target" => target.as_str(), "order" => order, "grant" => grant.as_str(),
                         "callers_served" => self.callers_served());
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -24,6 +24,10 @@
 /// Timeout of a probe; answering one takes no slot, so load does not delay it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Marks the answer to a request of which an earlier copy may have been received.
+#[derive(Clone, Copy, Debug)]
+struct SentTwice;
+
 /// Client for targets and other nodes.
 #[derive(Clone)]
 pub(crate) struct TargetClient<A> {
@@ -66,7 +70,13 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         self.adapter.expect_target(headers, &target.name);
         match self.call_target(target, request, ORDER_TIMEOUT).await {
-            Some(Ok(answer)) => self.adapter.order_outcome(answer.status),
+            Some(Ok(answer)) => match self.adapter.order_outcome(answer.status) {
+                // The first copy may have changed the target's state.
+                OrderOutcome::AlreadyHeld if answer.extensions.get::<SentTwice>().is_some() => {
+                    OrderOutcome::Accepted
+                }
+                outcome => outcome,
+            },
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 OrderOutcome::TargetRemoved
             }
@@ -140,7 +150,8 @@
                 match connection.send(request.clone()).await {
                     Err(ConnectionError::Closed) if !is_new => {
                         connection = self.connections.connect(address).await?;
-                        let response = connection.send(request).await?;
+                        let mut response = connection.send(request).await?;
+                        response.extensions_mut().insert(SentTwice);
                         Ok((connection, response))
                     }
                     Err(error) => Err(error),
--- a/crates/load-quota/src/lib.rs
+++ b/crates/load-quota/src/lib.rs
@@ -25,11 +25,13 @@
 //! | [`LoadLimit`] | how many loads a configuration allows within the window |
 //! | [`LoadNeeds`] | how many loads a domain needs |
 //! | [`GrantedLoads`] | loads that a domain may begin |
+//! | [`LoadOutcome`] | what became of the order of a granted load |
 
 mod granted_loads;
 mod load_limit;
 mod load_needs;
 mod load_quota;
+mod own_grant;
 mod quota_call;
 mod quota_record;
 mod quota_shard;
@@ -39,6 +41,7 @@
 pub use load_limit::LoadLimit;
 pub use load_needs::LoadNeeds;
 pub use load_quota::LoadQuota;
+pub use own_grant::LoadOutcome;
 pub use quota_call::{QuotaCall, QuotaReply};
 pub use quota_record::{GrantId, LoadGrant, QuotaRecord};
 pub use shard_key::ShardKey;
--- a/crates/load-quota/src/load_quota.rs
+++ b/crates/load-quota/src/load_quota.rs
@@ -2,9 +2,12 @@
 
 use celeryhaven_types::{DomainName, TimeMs};
 
+use crate::own_grant::OwnGrant;
 use crate::quota_call::ShardCall;
 use crate::quota_shard::{CallersState, QuotaShard};
-use crate::{GrantId, GrantedLoads, LoadLimit, LoadNeeds, QuotaCall, QuotaReply, ShardKey};
+use crate::{
+    GrantId, GrantedLoads, LoadLimit, LoadNeeds, LoadOutcome, QuotaCall, QuotaReply, ShardKey,
+};
 
 /// Pause after a call for the callers' record that failed, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 500;
@@ -103,9 +106,18 @@
         self.callers == CallersState::Served
     }
 
-    /// Records that the order of one load of a grant was not answered.
-    pub fn record_unresolved(&mut self, grant: &GrantId) {
-        self.shards.values_mut().for_each(|shard| shard.record_unresolved(grant));
+    /// Records that the order of one load of a grant is being sent.
+    pub fn record_order(&mut self, grant: &GrantId) {
+        self.own_grants(grant).for_each(OwnGrant::record_order);
+    }
+
+    /// Records what became of the order of one load of a grant.
+    pub fn record_outcome(&mut self, grant: &GrantId, outcome: LoadOutcome) {
+        self.own_grants(grant).for_each(|own| own.record_outcome(outcome));
+    }
+
+    fn own_grants<'a>(&'a mut self, grant: &'a GrantId) -> impl Iterator<Item = &'a mut OwnGrant> {
+        self.shards.values_mut().filter_map(move |shard| shard.own_grant(grant))
     }
 
     /// Returns when a call may be due that is not due now because another node's call was faster.
--- a/crates/load-quota/src/quota_shard.rs
+++ b/crates/load-quota/src/quota_shard.rs
@@ -1,9 +1,11 @@
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_records::{RecordWrite, WriteOutcome};
 use celeryhaven_types::store::ObjectVersion;
 use celeryhaven_types::{DomainName, TimeMs};
 
+use crate::own_grant::OwnGrant;
 use crate::quota_call::ShardCall;
 use crate::{GrantId, GrantedLoads, LoadGrant, LoadLimit, LoadNeeds, QuotaRecord};
 
@@ -48,8 +50,10 @@
     started_at: TimeMs,
     /// Grants that the call makes.
     grants: Vec<LoadGrant>,
-    /// Unresolved loads that the call writes.
-    unresolved: BTreeMap<GrantId, u32>,
+    /// Whether it makes them as callers are served.
+    is_served: bool,
+    /// Grants of this node that the call settles.
+    settled: Vec<GrantId>,
     /// Domains whose earlier coordinators' loads the call marks as unresolved.
     taken_over: BTreeSet<DomainName>,
 }
@@ -80,8 +84,8 @@
     known: Option<Known>,
     seen: BTreeMap<GrantId, Seen>,
     needed: BTreeMap<DomainName, LoadNeeds>,
-    /// Loads without an answer that the record does not hold as unresolved yet, by grant.
-    unresolved: BTreeMap<GrantId, u32>,
+    /// Grants of this node that the record does not hold as settled yet.
+    own: BTreeMap<GrantId, OwnGrant>,
     /// Domains whose earlier coordinators' loads may be unresolved.
     taken_over: BTreeSet<DomainName>,
     /// Whether the record must be read before the next write.
@@ -106,7 +110,7 @@
             known: None,
             seen: BTreeMap::new(),
             needed: BTreeMap::new(),
-            unresolved: BTreeMap::new(),
+            own: BTreeMap::new(),
             taken_over: BTreeSet::new(),
             must_read: false,
             unconfirmed: Vec::new(),
@@ -146,9 +150,9 @@
         self.taken_over.remove(domain);
     }
 
-    /// Records that the order of one load of a grant was not answered.
-    pub(crate) fn record_unresolved(&mut self, grant: &GrantId) {
-        *self.unresolved.entry(grant.clone()).or_default() += 1;
+    /// Returns a grant of this node that is not settled.
+    pub(crate) fn own_grant(&mut self, grant: &GrantId) -> Option<&mut OwnGrant> {
+        self.own.get_mut(grant)
     }
 
     /// Returns when a call may be due that is not due now because another node's call was faster.
@@ -175,7 +179,8 @@
         }
         let known = self.known.as_ref().filter(|_| !self.must_read);
         let Some(known) = known.cloned() else {
-            return self.has_news().then(|| self.begin(now, ShardCall::Read, Vec::new()));
+            let call = ShardCall::Read;
+            return self.has_news().then(|| self.begin(now, call, Vec::new(), Vec::new(), false));
         };
         let is_served = callers == CallersState::Served;
         if !is_served && (!self.unconfirmed.is_empty() || callers == CallersState::Unknown) {
@@ -187,7 +192,9 @@
             None => is_served,
         };
         let mut record = self.without_expired(now, callers, &known.record);
-        let mut has_changed = self.mark_unresolved(&mut record, is_served);
+        let settled = self.settle(now, &mut record);
+        let mut has_changed = !settled.is_empty();
+        has_changed |= is_served && self.mark_unresolved(&mut record);
         let is_lower = limit.loads_max < record.loads_max;
         has_changed |= version.is_some() && limit.config > record.config && is_lower;
         if limit.config >= record.config {
@@ -205,9 +212,10 @@
             self.taken_over.clear();
             return None;
         }
+        self.set_ages(now, &mut record);
         record.grants.extend(grants.iter().cloned());
-        let write = RecordWrite::Put { key: (), version, record };
-        Some(self.begin(now, ShardCall::Write(write), grants))
+        let write = ShardCall::Write(RecordWrite::Put { key: (), version, record });
+        Some(self.begin(now, write, grants, settled, is_served))
     }
 
     /// Applies the outcome of the call under way; returns the loads that may begin.
@@ -230,18 +238,15 @@
             (WriteOutcome::Written(version), ShardCall::Write(RecordWrite::Put { record, .. })) => {
                 self.conflicts = 0;
                 self.know(now, Some(version), record.clone());
-                for (grant, loads) in &under_way.unresolved {
-                    if let Some(left) = self.unresolved.get_mut(grant) {
-                        *left = left.saturating_sub(*loads);
-                    }
-                }
-                self.unresolved.retain(|_, loads| *loads > 0);
-                // Of a store that was restored meanwhile, the record lacks grants.
-                if version.era() != record.era {
+                self.own.retain(|id, _| !under_way.settled.contains(id));
+                let granted = self.usable(now, &under_way);
+                // The record of a store that was restored meanwhile lacks grants. One that was
+                // written before callers were served may lack some that count since.
+                let became_served = !under_way.is_served && callers == CallersState::Served;
+                if version.era() != record.era || became_served {
                     return Vec::new();
                 }
-                let granted = self.usable(now, &under_way);
-                if callers == CallersState::Served {
+                if under_way.is_served {
                     return granted;
                 }
                 self.unconfirmed.extend(granted.into_iter().map(|granted| (granted, now)));
@@ -303,16 +308,22 @@
     }
 
     fn has_news(&self) -> bool {
-        !self.needed.is_empty() || !self.unresolved.is_empty() || !self.taken_over.is_empty()
+        !self.needed.is_empty() || !self.own.is_empty() || !self.taken_over.is_empty()
     }
 
-    fn begin(&mut self, now: TimeMs, call: ShardCall, grants: Vec<LoadGrant>) -> ShardCall {
-        let unresolved = self.unresolved.clone();
+    fn begin(
+        &mut self,
+        now: TimeMs,
+        call: ShardCall,
+        grants: Vec<LoadGrant>,
+        settled: Vec<GrantId>,
+        is_served: bool,
+    ) -> ShardCall {
         let taken_over = match call {
             ShardCall::Read => BTreeSet::new(),
             ShardCall::Write(_) => std::mem::take(&mut self.taken_over),
         };
-        self.under_way = Some(UnderWay { started_at: now, grants, unresolved, taken_over });
+        self.under_way = Some(UnderWay { started_at: now, grants, is_served, settled, taken_over });
         call
     }
 
@@ -325,6 +336,9 @@
             (false, true) => (use_ms / 2).max(USE_MS_MIN),
             (false, false) => use_ms,
         };
+        let send_by = under_way.started_at.after(use_ms);
+        let ids = under_way.grants.iter().map(|grant| grant.id.clone());
+        self.own.extend(ids.map(|id| (id, OwnGrant::new(send_by))));
         if is_late {
             return Vec::new();
         }
@@ -332,7 +346,7 @@
             grant: grant.id.clone(),
             domain: grant.domain.clone(),
             loads: grant.loads,
-            send_by: under_way.started_at.after(use_ms),
+            send_by,
         });
         let granted: Vec<_> = granted.collect();
         self.needed.retain(|domain, _| granted.iter().all(|granted| granted.domain != *domain));
@@ -342,10 +356,15 @@
     fn know(&mut self, now: TimeMs, version: Option<ObjectVersion>, record: QuotaRecord) {
         self.seen.retain(|id, _| record.grants.iter().any(|grant| grant.id == *id));
         for grant in &record.grants {
-            let first = Seen { grant_at: now, unresolved: (0, now) };
+            let (grant_at, unresolved_at) =
+                (now.before(grant.age_ms), now.before(grant.unresolved_age_ms));
+            let first = Seen { grant_at, unresolved: (grant.unresolved, unresolved_at) };
             let seen = self.seen.entry(grant.id.clone()).or_insert(first);
-            if grant.unresolved > seen.unresolved.0 {
-                seen.unresolved = (grant.unresolved, now);
+            seen.grant_at = seen.grant_at.min(grant_at);
+            match grant.unresolved.cmp(&seen.unresolved.0) {
+                Ordering::Less => {}
+                Ordering::Equal => seen.unresolved.1 = seen.unresolved.1.min(unresolved_at),
+                Ordering::Greater => seen.unresolved = (grant.unresolved, unresolved_at),
             }
         }
         self.known = Some(Known { version, record });
@@ -378,37 +397,65 @@
         QuotaRecord { grants, ..record.clone() }
     }
 
-    /// Marks the loads that may begin late; returns whether there were any.
-    fn mark_unresolved(&mut self, record: &mut QuotaRecord, is_served: bool) -> bool {
-        let mut has_changed = false;
+    /// Sets how many loads of this node's grants have begun or may begin; returns these grants.
+    fn settle(&mut self, now: TimeMs, record: &mut QuotaRecord) -> Vec<GrantId> {
+        let (own, prefix) = (&self.own, self.id_prefix.as_str());
+        let mut settled = Vec::new();
         for grant in &mut record.grants {
-            let own = self.unresolved.get(&grant.id).copied().unwrap_or_default();
+            let is_own = grant.id.as_str().starts_with(prefix) && !grant.settled;
+            match own.get(&grant.id) {
+                Some(own) if own.is_settled(now) => {
+                    grant.unresolved = own.unanswered;
+                    grant.loads = own.begun + own.unanswered;
+                }
+                // A grant whose write had no answer was never used.
+                None if is_own && self.under_way.is_none() => grant.loads = 0,
+                _ => continue,
+            }
+            grant.settled = true;
+            settled.push(grant.id.clone());
+        }
+        record.grants.retain(|grant| grant.loads > 0);
+        self.own.retain(|id, own| {
+            !own.is_settled(now)
+                || record.grants.iter().any(|grant| grant.id == *id)
+                || settled.contains(id)
+        });
+        settled
+    }
+
+    /// Marks the loads of lost coordinators that may begin late; returns whether there are any.
+    fn mark_unresolved(&mut self, record: &mut QuotaRecord) -> bool {
+        let mut has_changed = false;
+        for grant in record.grants.iter_mut().filter(|grant| !grant.settled) {
             let is_own = grant.id.as_str().starts_with(&self.id_prefix);
-            // Before callers are served, every node coordinates every domain for a moment.
-            let may_be_lost = is_served && !is_own;
-            let unresolved = match may_be_lost && self.taken_over.contains(&grant.domain) {
-                true => grant.loads,
-                false => (grant.unresolved + own).min(grant.loads),
-            };
-            has_changed |= unresolved != grant.unresolved;
-            grant.unresolved = unresolved;
+            if is_own || !self.taken_over.contains(&grant.domain) {
+                continue;
+            }
+            has_changed |= grant.unresolved < grant.loads;
+            grant.unresolved = grant.loads;
         }
-        // Loads of grants that no longer count have nothing to be marked on.
-        self.unresolved.retain(|id, _| record.grants.iter().any(|grant| grant.id == *id));
         has_changed
     }
 
+    fn set_ages(&self, now: TimeMs, record: &mut QuotaRecord) {
+        for grant in &mut record.grants {
+            let Some(seen) = self.seen.get(&grant.id) else { continue };
+            grant.age_ms = now.since(seen.grant_at);
+            grant.unresolved_age_ms = match grant.unresolved > seen.unresolved.0 {
+                true => 0,
+                false => now.since(seen.unresolved.1),
+            };
+        }
+    }
+
     /// Fills a record that may lack grants, as its store has come back from a copy, or other records
     /// were used before.
     fn fill(&self, record: &mut QuotaRecord, era: u64) {
         record.era = era;
-        record.grants = vec![LoadGrant {
-            id: GrantId::new(format!("{}fill-{era}-{}", self.id_prefix, self.next_grant)),
-            domain: DomainName::new(""),
-            loads: record.loads_max,
-            use_ms: USE_MS_MAX,
-            unresolved: 0,
-        }];
+        let id = GrantId::new(format!("{}fill-{era}-{}", self.id_prefix, self.next_grant));
+        let fill = LoadGrant::new(id, DomainName::new(""), record.loads_max, USE_MS_MAX);
+        record.grants = vec![LoadGrant { settled: true, ..fill }];
     }
 
     /// Returns grants for the needs that the record has room for.
@@ -429,13 +476,7 @@
             }
             let id = GrantId::new(format!("{}{}", self.id_prefix, self.next_grant));
             self.next_grant += 1;
-            grants.push(LoadGrant {
-                id,
-                domain: domain.clone(),
-                loads,
-                use_ms: self.use_ms,
-                unresolved: 0,
-            });
+            grants.push(LoadGrant::new(id, domain.clone(), loads, self.use_ms));
         }
         grants
     }
