--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -145,7 +145,7 @@
         }
         self.convert(now, view, out);
         if matches!(self.record, RecordState::Known(_)) {
-            self.plan(view, out);
+            self.plan(now, view, out);
         }
         self.send_held_joins(now, out);
         self.stage_free_targets(now, view, out);
@@ -168,16 +168,23 @@
                     self.record = RecordState::Known(record.clone().with_version(generation));
                     new.iter()
                         .for_each(|plan| self.begin_formation(now, view, plan, generation, out));
+                    self.load_grants.end_reservation();
                     self.unconfirmed.clear();
                     self.planned_generation = generation;
                 }
             }
-            FormingEvent::RecordFailed => self.record_failed(now),
+            FormingEvent::RecordFailed => {
+                self.load_grants.end_reservation();
+                self.record_failed(now);
+            }
             FormingEvent::LoadsGranted { granted } => {
                 self.load_grants.put(granted);
                 self.load_grants.begin_step(now);
                 self.send_held_joins(now, out);
                 if !self.is_evacuated(view) {
+                    if matches!(self.record, RecordState::Known(_)) {
+                        self.plan(now, view, out);
+                    }
                     self.stage_free_targets(now, view, out);
                 }
             }
--- a/crates/forming/src/domain/formation.rs
+++ b/crates/forming/src/domain/formation.rs
@@ -13,6 +13,8 @@
     pub(crate) deadline: TimeMs,
     /// Members whose join may load the model and waits for a grant.
     pub(crate) held: Vec<VmName>,
+    /// When the formation is abandoned if joins still wait.
+    pub(crate) held_until: TimeMs,
     /// Members that have accepted their join.
     pub(crate) accepted: Vec<VmName>,
     pub(crate) open_sent: bool,
--- a/crates/forming/src/domain/load_grants.rs
+++ b/crates/forming/src/domain/load_grants.rs
@@ -23,6 +23,8 @@
 pub(crate) struct LoadGrants {
     /// The grant that is being used up.
     granted: Option<GrantedLoads>,
+    /// Granted loads that are kept for the joins of plans that are being written.
+    reserved: u32,
     /// Loads that were needed in this step and not granted.
     needed: LoadNeeds,
     /// Targets with a stage order that was not answered, and until when it may be carried out.
@@ -42,6 +44,7 @@
     pub(crate) fn new() -> Self {
         Self {
             granted: None,
+            reserved: 0,
             needed: LoadNeeds::default(),
             late_stages: BTreeMap::new(),
             earlier_loads_until: None,
@@ -61,10 +64,35 @@
         self.late_stages.retain(|_, until| *until > now);
     }
 
+    /// Keeps granted loads for the joins of a plan, or counts them as needed if there are too few.
+    pub(crate) fn reserve(&mut self, now: TimeMs, loads: u32) -> bool {
+        let usable = self.granted.as_ref().filter(|granted| granted.send_by > now);
+        let available = usable.map_or(0, |granted| granted.loads);
+        let is_granted = available >= self.reserved + loads;
+        match is_granted {
+            true => self.reserved += loads,
+            false => self.needed.required += loads,
+        }
+        is_granted
+    }
+
+    /// Returns a granted load for a join, or counts it as needed.
+    pub(crate) fn take_reserved(&mut self, now: TimeMs) -> Option<GrantedLoad> {
+        self.reserved = self.reserved.saturating_sub(1);
+        self.take(now, LoadPurpose::Required)
+    }
+
+    pub(crate) const fn end_reservation(&mut self) {
+        self.reserved = 0;
+    }
+
     /// Returns a granted load, or counts it as needed.
     pub(crate) fn take(&mut self, now: TimeMs, purpose: LoadPurpose) -> Option<GrantedLoad> {
-        let usable =
-            self.granted.as_mut().filter(|granted| granted.loads > 0 && granted.send_by > now);
+        let reserved = self.reserved;
+        let usable = self
+            .granted
+            .as_mut()
+            .filter(|granted| granted.loads > reserved && granted.send_by > now);
         match usable {
             Some(granted) => {
                 granted.loads -= 1;
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use celeryhaven_fleet::{MemberState, TargetEntry};
-use celeryhaven_types::{ModelName, ReplicaName, VmName};
+use celeryhaven_types::{ModelName, ReplicaName, TimeMs, VmName};
 
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
@@ -12,12 +12,32 @@
 
 impl DomainPlanner {
     /// Plans replicas of free targets and writes the plans to the record before any order is sent.
-    pub(crate) fn plan(&mut self, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+    ///
+    /// A replica whose joins may load models is planned once these loads are granted: until its
+    /// joins are sent, another coordinator may find its plan and use the members otherwise.
+    pub(crate) fn plan(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        out: &mut Vec<FormingAction>,
+    ) {
         let mut free = self.free_targets(view);
         let wanted = self.wanted(view);
         let mut current = self.current_replicas(view);
         let mut plans = Vec::new();
         while let Some((model, members)) = self.next_replica(view, &wanted, &current, &free) {
+            let may_load = |planner: &Self, entry: &&TargetEntry| {
+                members.contains(&entry.name) && planner.join_may_load(now, Some(entry), &model)
+            };
+            let loads = free.iter().filter(|entry| may_load(self, entry)).count();
+            if loads > 0 && !self.load_grants.reserve(now, loads as u32) {
+                let is_cold = |entry: &&&TargetEntry| warmth(entry, &model) == Warmth::Cold;
+                if free.iter().filter(|entry| members.contains(&entry.name)).any(|e| is_cold(&e)) {
+                    break;
+                }
+                free.retain(|entry| !may_load(self, entry));
+                continue;
+            }
             free.retain(|entry| !members.contains(&entry.name));
             *current.entry(model.clone()).or_default() += 1;
             plans.push(self.new_plan(model, members));
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,7 +4,6 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
-use crate::domain::load_grants::LoadPurpose;
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
@@ -31,8 +30,10 @@
                 self.evaluate_listed(now, view, &replica, out);
             }
         }
-        let failed =
-            self.formations.values().filter(|f| f.deadline <= now || self.has_lost_member(view, f));
+        let failed = self.formations.values().filter(|formation| {
+            let was_held = !formation.held.is_empty() && formation.held_until <= now;
+            was_held || formation.deadline <= now || self.has_lost_member(view, formation)
+        });
         let failed: Vec<_> = failed.map(|formation| formation.key.clone()).collect();
         failed.iter().for_each(|key| self.abandon(key, "formation abandoned", out));
     }
@@ -57,6 +58,7 @@
             members: plan.members.clone(),
             deadline: now.after(load_ms * self.settings.load_timeout_factor),
             held: held.clone(),
+            held_until: now.after(self.settings.held_join_max_ms),
             accepted: Vec::new(),
             open_sent: false,
         };
@@ -75,11 +77,12 @@
     pub(crate) fn send_held_joins(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
         for key in self.formations.keys().cloned().collect::<Vec<_>>() {
             let Some(formation) = self.formations.get(&key) else { continue };
+            if formation.held_until <= now {
+                continue;
+            }
             let (model, members) = (formation.model.clone(), formation.members.clone());
             for member in formation.held.clone() {
-                let Some(load) = self.load_grants.take(now, LoadPurpose::Required) else {
-                    continue;
-                };
+                let Some(load) = self.load_grants.take_reserved(now) else { continue };
                 if let Some(formation) = self.formations.get_mut(&key) {
                     formation.held.retain(|held| *held != member);
                 }
@@ -256,6 +259,7 @@
             members: replica.members.iter().flatten().cloned().collect(),
             deadline: now.after(load_ms * self.settings.load_timeout_factor),
             held: Vec::new(),
+            held_until: now,
             accepted: Vec::new(),
             open_sent: false,
         };
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -15,6 +15,10 @@
         pub adopt_after_ms: u64,
         /// Time that the target list may lag behind another coordinator's plan, in milliseconds.
         pub unlisted_plan_grace_ms: u64,
+        /// Longest time from a plan to its joins, in milliseconds.
+        ///
+        /// Shorter than the time after which another coordinator retracts the plan.
+        pub held_join_max_ms: u64,
         /// Longest time that unlisted members of an unlisted plan count as taken, in milliseconds.
         pub unlisted_plan_max_ms: u64,
         /// First pause before a target that refused to stage is asked again, in milliseconds.
@@ -50,6 +54,7 @@
             record_retry_ms: 500,
             adopt_after_ms: 1_500,
             unlisted_plan_grace_ms: 1_500,
+            held_join_max_ms: 1_000,
             unlisted_plan_max_ms: 20_000,
             stage_retry_ms: 3_000,
             stage_retry_max_ms: 12_000,
