--- a/crates/fleet/src/config/route.rs
+++ b/crates/fleet/src/config/route.rs
@@ -1,7 +1,7 @@
-use celeryhaven_derives::state;
+use celeryhaven_derives::data;
 use celeryhaven_types::ServiceName;
 
-state! {
+data! {
     /// How requests below a path of one host are handled.
     pub struct Route {
         /// The route name.
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -260,6 +260,7 @@
                 self.record_cut_off(now);
                 Changes::nodes(true)
             }
+            ControlEvent::LinksChanged => Changes::nodes(true),
             ControlEvent::Forming(domain, event) => {
                 self.handle_forming_event(now, &domain, event);
                 Changes::FORMING
@@ -337,6 +338,7 @@
     fn process_changes(&mut self, changes: Changes) {
         if changes.targets {
             self.destinations = self.find_destinations();
+            self.parts.target_client.links.links.set_destinations(self.destinations.clone());
             self.update_limits(BootClock.now());
         }
         if changes.targets || changes.nodes {
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -89,6 +89,8 @@
     Probed { node: NodeName, probe: ProbeResult },
     /// Suspicion reported by another node.
     Suspicion(Suspicion),
+    /// This node has lost its links to the targets of a service, or has them back.
+    LinksChanged,
     /// A store call was rejected or not answered.
     StoreCallFailed,
     /// Event for the planner of a domain.
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -16,6 +16,7 @@
 
 use crate::adapter::Adapter;
 use crate::http::CUT_OFF_HEADER;
+use crate::links::LinkCheck;
 use crate::traffic::SharedNotices;
 
 /// Timeout of an order. Orders can be repeated safely.
@@ -34,6 +35,7 @@
     pub(crate) adapter: A,
     pub(crate) connections: ConnectionPool,
     pub(crate) notices: SharedNotices,
+    pub(crate) links: LinkCheck,
 }
 
 /// A target, as it is called.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,10 +12,12 @@
 //! | `control` | the control thread: store feeds, coordination of domains, updates for traffic |
 //! | `traffic` | requests: admission, attempts, streams, cancellation |
 //! | `http` | the listeners |
+//! | `links` | whether this node reaches any target of a service |
 
 pub mod adapter;
 mod control;
 mod http;
+mod links;
 pub mod process;
 mod traffic;
 
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -16,6 +16,7 @@
 use crate::adapter::Adapter;
 use crate::control::{Control, ControlEvent, ControlParts, TargetClient};
 use crate::http::{answer_caller, answer_lookup, answer_metrics, answer_ready};
+use crate::links::{LinkCheck, SharedLinks};
 use crate::process::ProcessError;
 use crate::process::error::{ListenSnafu, RandomSnafu, ThreadSnafu};
 use crate::process::signals::Signals;
@@ -53,6 +54,7 @@
     log: Logger,
     events: Sender<ControlEvent>,
     notices: SharedNotices,
+    links: SharedLinks,
 }
 
 /// Serves until the process is told to stop.
@@ -70,8 +72,9 @@
     let seed = getrandom::u64().context(RandomSnafu)?;
     let (events, event_receiver) = unbounded();
     let (updates, update_receiver) = unbounded();
-    let notices = SharedNotices::default();
-    let parts = Parts { settings, adapter, metrics: GatewayMetrics::new(), log, events, notices };
+    let (notices, links) = (SharedNotices::default(), SharedLinks::new(seed));
+    let metrics = GatewayMetrics::new();
+    let parts = Parts { settings, adapter, metrics, log, events, notices, links };
     let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
     start_control(&parts, token, event_receiver, updates)?;
     let executor = Rc::new(LocalExecutor::new());
@@ -89,8 +92,8 @@
     event_receiver: Receiver<ControlEvent>,
     traffic: Sender<TrafficUpdate>,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, notices } = parts;
-    let notices = notices.clone();
+    let Parts { settings, adapter, metrics, log, events, notices, links } = parts;
+    let (notices, links) = (notices.clone(), links.clone());
     let (settings, adapter, metrics) = (settings.clone(), adapter.clone(), metrics.clone());
     let (log, events) = (log.clone(), events.clone());
     let boot = celeryhaven_clock::unix_ms();
@@ -102,7 +105,15 @@
         let timeout = Duration::from_millis(settings.store_timeout_ms);
         let client = StoreClient::with_codec(settings.store, timeout, adapter.clone());
         let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
-        let target_client = TargetClient { adapter: adapter.clone(), connections, notices };
+        let links = LinkCheck::new(
+            links,
+            executor.clone(),
+            connections.clone(),
+            events.clone(),
+            metrics.clone(),
+            log.clone(),
+        );
+        let target_client = TargetClient { adapter: adapter.clone(), connections, notices, links };
         let parts = ControlParts {
             adapter,
             settings,
@@ -131,16 +142,25 @@
     executor: Rc<LocalExecutor<'static>>,
     signals: Signals,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, notices } = parts;
+    let Parts { settings, adapter, metrics, log, events, notices, links } = parts;
     let (reports, report_receiver) = unbounded();
     let retry_ratio = settings.retry_ratio * RETRY_SHARE;
     let retry_extra = settings.retry_extra * RETRY_SHARE;
     let state = DispatchState::new(seed, retry_ratio, retry_extra);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
+    let links = LinkCheck::new(
+        links,
+        executor.clone(),
+        connections.clone(),
+        events.clone(),
+        metrics.clone(),
+        log.clone(),
+    );
     let dispatcher = Dispatcher::new(
         adapter,
         executor.clone(),
         connections,
+        links,
         state,
         metrics,
         log.clone(),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -15,6 +15,10 @@
 /// Part of the deadline budget reserved for the return of the answer, in milliseconds.
 const ANSWER_TRANSIT_MS: u64 = 5;
 
+/// Age up to which a connection to another target shows that this node is not isolated, in
+/// milliseconds.
+const FRESH_CONNECTION_MS: u64 = 30;
+
 /// The outcome of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptOutcome {
@@ -47,6 +51,7 @@
             Err(outcome) => return outcome,
         };
         let dispatcher = self.exchange.dispatcher.clone();
+        dispatcher.links.links.received(&self.destination.service);
         let head = dispatcher.adapter.answer_head(response.status(), response.headers());
         if let Some(load) = head.load {
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
@@ -71,6 +76,9 @@
         let address = self.destination.address;
         let (connection, is_new) =
             self.connect_or_fail(async { connections.take(address).await }).await?;
+        if is_new {
+            self.exchange.dispatcher.links.connected(&self.destination.service);
+        }
         match self.send_on(connection).await {
             Err(SendError::NotSent) if !is_new => {}
             Err(SendError::NotSent) => return Err(AttemptOutcome::Failed(Verdict::NotRun)),
@@ -78,6 +86,7 @@
             Ok(answered) => return Ok(answered),
         }
         let connection = self.connect_or_fail(async { connections.connect(address).await }).await?;
+        self.exchange.dispatcher.links.connected(&self.destination.service);
         match self.send_on(connection).await {
             Err(SendError::NotSent) => Err(AttemptOutcome::Failed(Verdict::NotRun)),
             Err(SendError::Ended(outcome)) => Err(outcome),
@@ -95,12 +104,15 @@
             return Err(SendError::Ended(AttemptOutcome::Withheld));
         }
         let request = self.build_request();
+        let dispatcher = &self.exchange.dispatcher;
+        dispatcher.links.links.sent(dispatcher.now(), &self.destination.service);
         let answer = self.exchange.unless_interrupted(connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(ConnectionError::Closed)) => Err(SendError::NotSent),
             Ok(Err(error)) => {
-                self.log_failure(&error);
+                let is_isolated = self.is_isolated().await;
+                self.log_failure(&error, is_isolated);
                 if error.verdict() == Verdict::MayHaveRun {
                     self.record_crash();
                 }
@@ -118,7 +130,8 @@
         match self.exchange.unless_interrupted(connect).await {
             Ok(Ok(connected)) => Ok(connected),
             Ok(Err(error)) => {
-                self.log_failure(&error);
+                let is_isolated = self.is_isolated().await;
+                self.log_failure(&error, is_isolated);
                 let dispatcher = &self.exchange.dispatcher;
                 dispatcher
                     .notify_control(TrafficReport::LossReported(self.destination.target.clone()));
@@ -176,7 +189,16 @@
         self.exchange.dispatcher.record_crash(&self.exchange.request, self.destination);
     }
 
-    fn log_failure(&self, error: &ConnectionError) {
+    /// Whether a connection has failed because this node reaches no target of the service.
+    async fn is_isolated(&self) -> bool {
+        let links = &self.exchange.dispatcher.links;
+        let fresh_at = self.exchange.dispatcher.now().before(FRESH_CONNECTION_MS);
+        let Destination { service, address, .. } = self.destination;
+        let check = links.is_isolated(service, *address, fresh_at);
+        self.exchange.unless_interrupted(check).await.unwrap_or(false)
+    }
+
+    fn log_failure(&self, error: &ConnectionError, is_isolated: bool) {
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
             "digest" => self.exchange.request.digest.to_string(),
@@ -184,6 +206,7 @@
             "attempt" => self.exchange.attempts,
             "verdict" => error.verdict().as_str(),
             "error" => error.to_string(),
+            "isolated" => is_isolated,
         );
     }
 
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -12,6 +12,7 @@
 use smol::LocalExecutor;
 
 use crate::adapter::{Adapter, ReportedLoad};
+use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction};
 use crate::traffic::{CallerRequest, DestinationName, SharedNotices, TrafficReport, TrafficUpdate};
 
@@ -26,6 +27,7 @@
     pub(crate) adapter: A,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) links: LinkCheck,
     pub(crate) state: RefCell<DispatchState>,
     pub(crate) notices: SharedNotices,
     pub(crate) metrics: GatewayMetrics,
@@ -43,6 +45,7 @@
         adapter: A,
         executor: Rc<LocalExecutor<'static>>,
         connections: ConnectionPool,
+        links: LinkCheck,
         state: DispatchState,
         metrics: GatewayMetrics,
         log: Logger,
@@ -54,6 +57,7 @@
             adapter,
             executor,
             connections,
+            links,
             state,
             notices: SharedNotices::default(),
             metrics,
@@ -104,6 +108,7 @@
         loop {
             smol::Timer::after(TICK_INTERVAL).await;
             self.apply_notices();
+            self.links.start_due();
             let stalled = self.state.borrow_mut().tick(self.now());
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -185,6 +185,8 @@
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
+                        let links = &self.exchange.dispatcher.links.links;
+                        links.received(&self.destination.service);
                         return ReadResult::Data(bytes);
                     }
                 }
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -36,6 +36,10 @@
     pub loads_granted: Counter,
     /// Data centres that are evacuated.
     pub evacuations: Gauge,
+    /// Whether this node has lost its links to all targets of a service.
+    pub isolated: Gauge,
+    /// Requests that were delegated to other nodes, by outcome.
+    pub delegated: Family<OutcomeLabel, Counter>,
     /// Requests that still run in evacuated data centres.
     pub evacuating_requests: Gauge,
     /// Calls to the platform's store, by kind of object and call.
@@ -60,6 +64,7 @@
         let targets_limited = Gauge::default();
         let targets_backing_off = Gauge::default();
         let loads_granted = Counter::default();
+        let (isolated, delegated) = (Gauge::default(), Family::default());
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -112,6 +117,16 @@
                 "Requests that still run in evacuated data centres",
                 evacuating_requests.clone(),
             );
+            registry.register(
+                "isolated",
+                "Whether this node has lost its links to all targets of a service",
+                isolated.clone(),
+            );
+            registry.register(
+                "delegated",
+                "Requests that were delegated to other nodes, by outcome",
+                delegated.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -129,6 +144,8 @@
             loads_granted,
             evacuations,
             evacuating_requests,
+            isolated,
+            delegated,
             store_calls,
         }
     }
