--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -260,7 +260,11 @@
                 self.record_cut_off(now);
                 Changes::nodes(true)
             }
-            ControlEvent::LinksChanged => Changes::nodes(true),
+            ControlEvent::LinksChanged => {
+                // Results of calls that fail meanwhile must not reach the planners.
+                self.update_coordinated_domains();
+                Changes::nodes(true)
+            }
             ControlEvent::Forming(domain, event) => {
                 self.handle_forming_event(now, &domain, event);
                 Changes::FORMING
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -50,7 +50,7 @@
         let Some((service, profile)) = engine_service(&routes) else { return };
         let all: Vec<&DomainName> = self.fleet.domains(service).map(|(name, _)| name).collect();
         self.peers.set_domains(all.iter().copied());
-        let is_cut_off = self.is_cut_off(now);
+        let is_cut_off = self.cannot_coordinate(now);
         // Without the records of the other nodes, this node would coordinate every domain.
         let may_coordinate = !self.leaving && self.nodes_listed;
         let coordinated = all.iter().filter(|_| may_coordinate);
@@ -139,6 +139,17 @@
         self.cut_off_until.is_some_and(|until| until > now)
     }
 
+    /// Whether other nodes should coordinate domains in place of this one.
+    pub(super) fn cannot_coordinate(&self, now: TimeMs) -> bool {
+        self.is_cut_off(now) || self.is_isolated()
+    }
+
+    /// Whether this node has lost its links to all targets that form replicas.
+    pub(super) fn is_isolated(&self) -> bool {
+        let service = self.routes.as_deref().and_then(engine_service).map(|(service, _)| service);
+        service.is_some_and(|service| self.parts.target_client.links.links.is_isolated(service))
+    }
+
     /// Records a store call that was rejected or not answered.
     pub(super) fn record_cut_off(&mut self, now: TimeMs) {
         if !self.is_cut_off(now) {
--- a/crates/gateway/src/control/limits.rs
+++ b/crates/gateway/src/control/limits.rs
@@ -77,7 +77,7 @@
             destinations: &self.destinations,
             peers: &self.peers,
             nodes_known: self.nodes_listed,
-            leaving: self.leaving,
+            leaving: self.leaving || self.is_isolated(),
         };
         for write in self.limits.due_writes(now, &view, removes_expired) {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
@@ -115,7 +115,7 @@
             destinations: &self.destinations,
             peers: &self.peers,
             nodes_known: self.nodes_listed,
-            leaving: self.leaving,
+            leaving: self.leaving || self.is_isolated(),
         };
         let limits = self.limits.limits(now, &view);
         if limits == *self.node_limits {
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -2,12 +2,17 @@
 use std::sync::Arc;
 
 use celeryhaven_clock::BootClock;
+use celeryhaven_delegation::Peer;
 use celeryhaven_fleet::{Configuration, FleetView, Replica, TargetPhase};
 
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::feed_conditions::FleetScale;
-use crate::traffic::{Destination, DestinationName, TrafficUpdate};
+use crate::traffic::{Destination, DestinationName, SharedPeers, TrafficUpdate};
+
+/// One part in this many of the nodes must not be isolated for the isolated to be left out of address
+/// answers.
+const ISOLATED_LEFT_OUT_MAX_PART: usize = 2;
 
 impl<A: Adapter> Control<A> {
     /// Returns all destinations for the current targets and configuration.
@@ -30,7 +35,8 @@
             routes: self.routes.clone(),
             destinations: self.destinations.clone(),
             addresses: self.addresses(),
-            senders: self.peers.live_count() as u32 + 1,
+            senders: self.peers.sender_count() as u32 + 1,
+            peers: self.delegation_peers(),
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
             evacuations: self.fleet.evacuations().clone(),
@@ -54,10 +60,31 @@
     }
 
     /// Returns the addresses to advertise to callers.
+    ///
+    /// Isolated nodes are left out, unless the others would be too few for all callers.
     fn addresses(&self) -> Vec<SocketAddr> {
-        let advertised = self.peers.advertised(BootClock.now()).map(|record| record.caller_address);
-        let own = self.is_ready().then_some(self.parts.settings.caller_listen);
-        advertised.chain(own).collect()
+        let own_is_isolated = self.parts.target_client.links.links.is_isolated_from_any();
+        let own = self.is_ready().then_some((self.parts.settings.caller_listen, own_is_isolated));
+        let advertised = self.peers.advertised(BootClock.now());
+        let advertised =
+            advertised.map(|(record, is_isolated)| (record.caller_address, is_isolated));
+        let all: Vec<(SocketAddr, bool)> = advertised.chain(own).collect();
+        let connected = all.iter().filter(|(_, is_isolated)| !is_isolated).count();
+        let includes_isolated = connected * ISOLATED_LEFT_OUT_MAX_PART < all.len();
+        let included = all.into_iter().filter(|(_, is_isolated)| includes_isolated || !is_isolated);
+        included.map(|(address, _)| address).collect()
+    }
+
+    /// Returns the nodes that can run requests for this one.
+    fn delegation_peers(&self) -> SharedPeers {
+        let advertised = self.peers.advertised(BootClock.now());
+        let peers = advertised.map(|(record, is_isolated)| Peer {
+            node: record.node.clone(),
+            address: record.caller_address,
+            token: record.token.clone(),
+            is_isolated,
+        });
+        peers.collect()
     }
 }
 
--- a/crates/gateway/src/control/suspicions.rs
+++ b/crates/gateway/src/control/suspicions.rs
@@ -58,6 +58,9 @@
     /// A coordinator may have no stream at the affected replica, and would otherwise learn of the
     /// loss only when the target's entry expires.
     pub(super) fn handle_suspicion(&mut self, now: TimeMs, suspicion: Suspicion) {
+        if self.is_isolated() {
+            return;
+        }
         let Some(domain) = self.domain_of(&suspicion) else { return };
         if self.coordinators.domains.contains_key(&domain) {
             return self.investigate(now, suspicion);
@@ -65,7 +68,7 @@
         if !self.recent_suspicions.record(now, &suspicion) {
             return;
         }
-        let coordinator = self.peers.coordinator_of(&domain, self.is_cut_off(now));
+        let coordinator = self.peers.coordinator_of(&domain, self.cannot_coordinate(now));
         let Some(record) = coordinator.and_then(|node| self.peers.record(node)).cloned() else {
             return;
         };
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -7,7 +7,7 @@
 use celeryhaven_forming::Reachability;
 use celeryhaven_http::{ConnectionError, ConnectionPool};
 use celeryhaven_peers::ProbeResult;
-use celeryhaven_types::VmName;
+use celeryhaven_types::{ServiceName, VmName};
 use http::header::{CONTENT_TYPE, HOST};
 use http::response::Parts;
 use http::{HeaderValue, Method, Request, StatusCode};
@@ -15,7 +15,7 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::http::CUT_OFF_HEADER;
+use crate::http::{CUT_OFF_HEADER, ISOLATED_HEADER};
 use crate::links::LinkCheck;
 use crate::traffic::SharedNotices;
 
@@ -43,6 +43,8 @@
 pub(crate) struct CalledTarget {
     /// The name.
     pub(crate) name: VmName,
+    /// The service to which it belongs.
+    pub(crate) service: ServiceName,
     /// The address on which it listens.
     pub(crate) address: SocketAddr,
     /// Start time of its process, in Unix milliseconds.
@@ -52,8 +54,9 @@
 impl CalledTarget {
     /// Creates it from the target's entry.
     pub(crate) fn new(entry: &TargetEntry) -> Self {
-        let TargetEntry { name, address, started_at_ms, .. } = entry;
-        Self { name: name.clone(), address: *address, started_at_ms: *started_at_ms }
+        let TargetEntry { name, service, address, started_at_ms, .. } = entry;
+        let (name, service) = (name.clone(), service.clone());
+        Self { name, service, address: *address, started_at_ms: *started_at_ms }
     }
 }
 
@@ -79,6 +82,7 @@
                 }
                 outcome => outcome,
             },
+            _ if self.is_isolated(target).await => OrderOutcome::Unanswered,
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 OrderOutcome::TargetRemoved
             }
@@ -86,8 +90,8 @@
         }
     }
 
-    /// Requests a report to find out whether the target is reachable; returns `None` without a call
-    /// if the target has asked for a pause.
+    /// Requests a report to find out whether the target is reachable; returns `None` if the target has
+    /// asked for a pause, or if this node reaches no target.
     pub(crate) async fn probe_target(&self, target: &CalledTarget) -> Option<Reachability> {
         let notices = self.notices.current();
         if notices.back_offs.holds(BootClock.now(), &target.name, target.started_at_ms) {
@@ -95,7 +99,11 @@
         }
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
-        Some(match self.call_target(target, request, PROBE_TIMEOUT).await {
+        let answer = self.call_target(target, request, PROBE_TIMEOUT).await;
+        if !matches!(answer, Some(Ok(_))) && self.is_isolated(target).await {
+            return None;
+        }
+        Some(match answer {
             Some(Ok(_)) => Reachability::Answers,
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 Reachability::Gone
@@ -104,12 +112,22 @@
         })
     }
 
+    /// Whether a target has not answered because this node reaches no other target either.
+    ///
+    /// Only a connection that was opened after the failure shows that it does.
+    async fn is_isolated(&self, target: &CalledTarget) -> bool {
+        self.links.is_isolated(&target.service, target.address, BootClock.now().after(1)).await
+    }
+
     /// Probes the readiness endpoint of a node.
     pub(crate) async fn probe_node(&self, address: SocketAddr) -> ProbeResult {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
         match self.exchange(address, request, PROBE_TIMEOUT).await {
             Some(Ok(answer)) if answer.status != StatusCode::OK => ProbeResult::NotReady,
+            Some(Ok(answer)) if answer.headers.contains_key(ISOLATED_HEADER) => {
+                ProbeResult::Isolated
+            }
             Some(Ok(answer)) if answer.headers.contains_key(CUT_OFF_HEADER) => ProbeResult::CutOff,
             Some(Ok(_)) => ProbeResult::Ready,
             Some(Err(_)) | None => ProbeResult::Unanswered,
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -2,11 +2,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal};
 use celeryhaven_fleet::{Route, RouteTable};
 use celeryhaven_quarantine::RequestDigest;
-use celeryhaven_types::{OrganisationName, Refusal, RefusalCode};
+use celeryhaven_types::{ModelName, OrganisationName, Refusal, RefusalCode, ServiceName};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::info;
@@ -15,7 +16,8 @@
 use crate::adapter::{Adapter, CallerHead};
 use crate::http::{refusal_parts, strip_hop_by_hop};
 use crate::traffic::{
-    Admission, AnswerBody, AnswerParts, CallerRequest, Dispatcher, Exchange, answer_sink,
+    Admission, AnswerBody, AnswerParts, CallerRequest, DELEGATED_HEADER, Delegated, Dispatcher,
+    Exchange, add_delegation_refusal, answer_sink,
 };
 
 /// Retry delay suggested while this node does not accept requests, in milliseconds.
@@ -41,12 +43,17 @@
     dispatcher: Rc<Dispatcher<A>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
+    let is_delegated = request.headers().contains_key(DELEGATED_HEADER);
     let mut response = match read_request(&dispatcher, request).await {
         Ok(request) => serve(dispatcher.clone(), request).await,
         Err(Rejection::Refusal(status, refusal)) => {
             info!(dispatcher.log, "request rejected"; "status" => status.as_u16(),
                 "code" => format!("{:?}", refusal.code));
-            build_response(refusal_parts(status, &refusal, None), AnswerBody::full(Bytes::new()))
+            let mut parts = refusal_parts(status, &refusal, None);
+            if is_delegated {
+                add_delegation_refusal(&mut parts, &DelegationRefusal::local());
+            }
+            build_response(parts, AnswerBody::full(Bytes::new()))
         }
     };
     if dispatcher.state.borrow().leaving_since.is_some() {
@@ -103,7 +110,12 @@
         "organisation" => request.organisation.as_ref().map(OrganisationName::as_str),
         "outcome" => outcome, "took_ms" => took_ms);
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    let parts = refusal_parts(status, refusal, request.caller.request_id.as_deref());
+    let mut parts = refusal_parts(status, refusal, request.caller.request_id.as_deref());
+    if request.delegated.is_some() {
+        let is_local = refusal.code == RefusalCode::NodeUnavailable;
+        let refusal = DelegationRefusal { is_local, ..DelegationRefusal::local() };
+        add_delegation_refusal(&mut parts, &refusal);
+    }
     build_response(parts, AnswerBody::full(Bytes::new()))
 }
 
@@ -123,7 +135,8 @@
     request: Request<Incoming>,
 ) -> Result<CallerRequest, Rejection> {
     let arrived_at = dispatcher.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let delegated = read_delegated(dispatcher, &mut parts.headers)?;
     let caller = dispatcher.adapter.caller_head(&parts.headers);
     let body = read_body(dispatcher, body).await?;
     let (routes, leaving_ms) = {
@@ -133,17 +146,14 @@
     };
     let Some(routes) = routes else { return Err(unavailable()) };
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = routes.route(host, parts.uri.path()).ok_or_else(|| {
-        Rejection::Refusal(StatusCode::NOT_FOUND, Refusal::not_run(RefusalCode::UnknownService))
-    })?;
-    let (organisation, own_rank) = authenticate(&routes, route, &caller)?;
+    let resolved = match delegated {
+        Some(delegated) => Resolved::from(delegated),
+        None => resolve(&routes, (host, parts.uri.path()), &caller)?,
+    };
     if leaving_ms.is_some_and(|ms| ms > DRAIN_ACCEPT_MS) {
         return Err(unavailable());
     }
-    let service =
-        route.select_service(request_fraction(&caller)).cloned().ok_or_else(unavailable)?;
-    let has_engines =
-        routes.config().service(&service).is_some_and(|service| service.engine.is_some());
+    let Resolved { route, service, model, organisation, rank, delegated } = resolved;
     let digest = {
         let organisation = organisation.as_ref().map_or("", OrganisationName::as_str);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
@@ -156,9 +166,9 @@
     headers.remove(CONTENT_LENGTH);
     Ok(CallerRequest {
         service,
-        model: caller.model.clone().filter(|_| has_engines),
+        model,
         organisation,
-        rank: own_rank.unwrap_or(route.rank),
+        rank,
         method: parts.method,
         uri: parts.uri,
         headers,
@@ -166,11 +176,71 @@
         digest,
         arrived_at,
         deadline: arrived_at.after(budget_ms),
-        route: route.clone(),
+        route,
         caller,
+        delegated,
+    })
+}
+
+/// Route, service and caller of a request.
+struct Resolved {
+    route: Route,
+    service: ServiceName,
+    model: Option<ModelName>,
+    organisation: Option<OrganisationName>,
+    rank: u8,
+    delegated: Option<Delegated>,
+}
+
+impl From<DelegatedRequest> for Resolved {
+    fn from(request: DelegatedRequest) -> Self {
+        let DelegatedRequest { route, service, model, organisation, rank, is_counted, .. } =
+            request;
+        let delegated = Some(Delegated { is_counted });
+        Self { route, service, model, organisation, rank, delegated }
+    }
+}
+
+/// Finds the route and the service of a request, and authenticates its caller.
+fn resolve(
+    routes: &Arc<RouteTable>,
+    (host, path): (&str, &str),
+    caller: &CallerHead,
+) -> Result<Resolved, Rejection> {
+    let route = routes.route(host, path).ok_or_else(|| {
+        Rejection::Refusal(StatusCode::NOT_FOUND, Refusal::not_run(RefusalCode::UnknownService))
+    })?;
+    let (organisation, own_rank) = authenticate(routes, route, caller)?;
+    let service =
+        route.select_service(request_fraction(caller)).cloned().ok_or_else(unavailable)?;
+    let has_engines =
+        routes.config().service(&service).is_some_and(|service| service.engine.is_some());
+    Ok(Resolved {
+        rank: own_rank.unwrap_or(route.rank),
+        model: caller.model.clone().filter(|_| has_engines),
+        route: route.clone(),
+        service,
+        organisation,
+        delegated: None,
     })
 }
 
+/// Takes what another node has said of a request that this node runs for it.
+///
+/// Only a node that has read this node's token from the store may delegate requests.
+fn read_delegated<A: Adapter>(
+    dispatcher: &Rc<Dispatcher<A>>,
+    headers: &mut HeaderMap,
+) -> Result<Option<DelegatedRequest>, Rejection> {
+    let Some(value) = headers.remove(DELEGATED_HEADER) else { return Ok(None) };
+    let request = DelegatedRequest::decode(value.as_bytes());
+    match request.filter(|request| request.token == dispatcher.token) {
+        Some(request) => Ok(Some(request)),
+        // This node may have started anew since its token was read.
+        None => Err(unavailable()),
+    }
+}
+
 /// Returns the organisation and rank that belong to the caller's key; rejects unknown keys.
 fn authenticate(
     routes: &Arc<RouteTable>,
--- a/crates/gateway/src/http/endpoints.rs
+++ b/crates/gateway/src/http/endpoints.rs
@@ -13,6 +13,9 @@
 /// Header that marks a node as cut off from the store.
 pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("celeryhaven-cut-off");
 
+/// Header that marks a node as having lost its links to targets.
+pub(crate) const ISOLATED_HEADER: HeaderName = HeaderName::from_static("celeryhaven-isolated");
+
 /// Answers a readiness probe of the platform or another node.
 pub(crate) async fn answer_ready<A: Adapter>(
     dispatcher: Rc<Dispatcher<A>>,
@@ -29,6 +32,9 @@
     if state.cut_off_until.is_some_and(|until| until > dispatcher.now()) {
         response.headers_mut().insert(CUT_OFF_HEADER, HeaderValue::from_static("1"));
     }
+    if dispatcher.links.links.is_isolated_from_any() {
+        response.headers_mut().insert(ISOLATED_HEADER, HeaderValue::from_static("1"));
+    }
     response
 }
 
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -6,6 +6,8 @@
 mod refusal;
 
 pub(crate) use callers::answer_caller;
-pub(crate) use endpoints::{CUT_OFF_HEADER, answer_lookup, answer_metrics, answer_ready};
+pub(crate) use endpoints::{
+    CUT_OFF_HEADER, ISOLATED_HEADER, answer_lookup, answer_metrics, answer_ready,
+};
 pub(crate) use headers::strip_hop_by_hop;
 pub(crate) use refusal::refusal_parts;
--- a/crates/gateway/src/links/link_check.rs
+++ b/crates/gateway/src/links/link_check.rs
@@ -23,11 +23,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LinkCheck {
     pub(crate) links: SharedLinks,
-    executor: Rc<LocalExecutor<'static>>,
-    connections: ConnectionPool,
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) connections: ConnectionPool,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) log: Logger,
     events: Sender<ControlEvent>,
-    metrics: GatewayMetrics,
-    log: Logger,
 }
 
 impl LinkCheck {
--- a/crates/gateway/src/links/shared_links.rs
+++ b/crates/gateway/src/links/shared_links.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -63,6 +63,17 @@
         self.lock().detector.is_isolated_from_any()
     }
 
+    /// Returns the services from which the node is isolated.
+    pub(crate) fn isolated_services(&self) -> BTreeSet<ServiceName> {
+        self.lock().detector.isolated_services().cloned().collect()
+    }
+
+    /// Whether it is being checked now if the node has lost its links to a service.
+    pub(crate) fn is_checking(&self) -> bool {
+        let state = self.lock();
+        state.running.keys().any(|service| !state.detector.is_isolated(service))
+    }
+
     /// Records that a request was sent to a target.
     pub(crate) fn sent(&self, now: TimeMs, service: &ServiceName) {
         self.lock().detector.sent(now, service);
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -76,11 +76,17 @@
     let metrics = GatewayMetrics::new();
     let parts = Parts { settings, adapter, metrics, log, events, notices, links };
     let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
-    start_control(&parts, token, event_receiver, updates)?;
+    start_control(&parts, token.clone(), event_receiver, updates)?;
     let executor = Rc::new(LocalExecutor::new());
     let log = parts.log.clone();
-    let traffic =
-        run_traffic(parts, settings_file, seed, update_receiver, executor.clone(), signals);
+    let traffic = run_traffic(
+        parts,
+        settings_file,
+        (seed, token),
+        update_receiver,
+        executor.clone(),
+        signals,
+    );
     let result = smol::block_on(executor.run(traffic));
     info!(log, "stopped");
     result
@@ -137,7 +143,7 @@
 async fn run_traffic<A: Adapter>(
     parts: Parts<A>,
     settings_file: &str,
-    seed: u64,
+    (seed, token): (u64, String),
     updates: Receiver<TrafficUpdate>,
     executor: Rc<LocalExecutor<'static>>,
     signals: Signals,
@@ -148,25 +154,10 @@
     let retry_extra = settings.retry_extra * RETRY_SHARE;
     let state = DispatchState::new(seed, retry_ratio, retry_extra);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
-    let links = LinkCheck::new(
-        links,
-        executor.clone(),
-        connections.clone(),
-        events.clone(),
-        metrics.clone(),
-        log.clone(),
-    );
-    let dispatcher = Dispatcher::new(
-        adapter,
-        executor.clone(),
-        connections,
-        links,
-        state,
-        metrics,
-        log.clone(),
-        reports,
-    );
-    let dispatcher = Rc::new(dispatcher.with_notices(notices));
+    let links =
+        LinkCheck::new(links, executor.clone(), connections, events.clone(), metrics, log.clone());
+    let dispatcher = Dispatcher::new(adapter, links, state, reports);
+    let dispatcher = Rc::new(dispatcher.with_notices(notices).with_token(token));
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(INITIAL_LIMITS));
     let open = listen(&settings, &dispatcher, &stop, &limits)?;
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,16 +1,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use celeryhaven_delegation::{DelegationRefusal, Peer};
 use celeryhaven_http::{Connection, ConnectionError};
 use celeryhaven_types::Verdict;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::info;
 
 use crate::adapter::{Adapter, AnswerHead, TargetRequestHead};
+use crate::traffic::delegation::delegation_refusal;
 use crate::traffic::exchange::{Exchange, Interrupt};
-use crate::traffic::{Destination, TrafficReport};
+use crate::traffic::{DELEGATED_HEADER, Destination, TrafficReport};
 
 /// Part of the deadline budget reserved for the return of the answer, in milliseconds.
 const ANSWER_TRANSIT_MS: u64 = 5;
@@ -30,17 +32,28 @@
     Interrupted(Interrupt),
     /// Nothing was sent, because the target must not be sent anything now.
     Withheld,
+    /// The connection failed, and this node reaches no other target of the service either.
+    Isolated(Verdict),
+    /// A peer gave no answer of a target; with the retry delay that it suggests, in milliseconds.
+    PeerRefused(DelegationRefusal, Option<u64>),
 }
 
 /// One attempt to send a request to one target.
 pub(crate) struct Attempt<'a, A: Adapter> {
     pub(crate) exchange: &'a mut Exchange<A>,
     pub(crate) destination: &'a Destination,
+    /// The peer that runs the request; `None` if the destination is a target.
+    peer: Option<&'a Peer>,
 }
 
 impl<'a, A: Adapter> Attempt<'a, A> {
     pub(crate) fn new(exchange: &'a mut Exchange<A>, destination: &'a Destination) -> Self {
-        Self { exchange, destination }
+        Self { exchange, destination, peer: None }
+    }
+
+    /// Lets a peer run the request.
+    pub(crate) fn with_peer(self, peer: &'a Peer) -> Self {
+        Self { peer: Some(peer), ..self }
     }
 
     /// Sends the request and forwards the answer.
@@ -51,8 +64,11 @@
             Err(outcome) => return outcome,
         };
         let dispatcher = self.exchange.dispatcher.clone();
-        dispatcher.links.links.received(&self.destination.service);
         let head = dispatcher.adapter.answer_head(response.status(), response.headers());
+        if self.peer.is_some() {
+            return self.forward_peer(connection, response, head).await;
+        }
+        dispatcher.received(self.exchange.ticket, &self.destination.service);
         if let Some(load) = head.load {
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
         }
@@ -62,6 +78,15 @@
         if head.not_run {
             return self.refused(&response, &head);
         }
+        self.forward_own(connection, response, head).await
+    }
+
+    async fn forward_own(
+        &mut self,
+        connection: Connection,
+        response: Response<Incoming>,
+        head: AnswerHead,
+    ) -> AttemptOutcome {
         if !self.is_own_answer(&head) {
             self.log_end("answer of another request", response.status().as_u16());
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
@@ -69,6 +94,27 @@
         self.forward(connection, response, head).await
     }
 
+    /// Forwards the answer of a target that a peer has forwarded, or returns the peer's refusal.
+    async fn forward_peer(
+        &mut self,
+        connection: Connection,
+        response: Response<Incoming>,
+        head: AnswerHead,
+    ) -> AttemptOutcome {
+        let Some(refusal) = delegation_refusal(response.headers()) else {
+            return self.forward_own(connection, response, head).await;
+        };
+        let retry_after_ms = head.back_off_ms;
+        self.log_end("refused by peer", response.status().as_u16());
+        // The rest of the answer only tells callers what the header says.
+        if self.exchange.unless_interrupted(response.into_body().collect()).await.is_ok()
+            && !head.closes_connection
+        {
+            self.pool_connection(connection, &head).await;
+        }
+        AttemptOutcome::PeerRefused(refusal, retry_after_ms)
+    }
+
     /// Sends on a pooled connection, and on a new one if the target had already closed the pooled
     /// one.
     async fn send(&mut self) -> Result<(Connection, Response<Incoming>), AttemptOutcome> {
@@ -77,7 +123,7 @@
         let (connection, is_new) =
             self.connect_or_fail(async { connections.take(address).await }).await?;
         if is_new {
-            self.exchange.dispatcher.links.connected(&self.destination.service);
+            self.connected();
         }
         match self.send_on(connection).await {
             Err(SendError::NotSent) if !is_new => {}
@@ -86,7 +132,7 @@
             Ok(answered) => return Ok(answered),
         }
         let connection = self.connect_or_fail(async { connections.connect(address).await }).await?;
-        self.exchange.dispatcher.links.connected(&self.destination.service);
+        self.connected();
         match self.send_on(connection).await {
             Err(SendError::NotSent) => Err(AttemptOutcome::Failed(Verdict::NotRun)),
             Err(SendError::Ended(outcome)) => Err(outcome),
@@ -100,19 +146,26 @@
     ) -> Result<(Connection, Response<Incoming>), SendError> {
         // The target may have asked for a pause, or announced that it leaves, while this node
         // connected to it.
-        if self.exchange.dispatcher.is_withheld(self.destination) {
+        if self.is_at_target() && self.exchange.dispatcher.is_withheld(self.destination) {
             return Err(SendError::Ended(AttemptOutcome::Withheld));
         }
         let request = self.build_request();
-        let dispatcher = &self.exchange.dispatcher;
-        dispatcher.links.links.sent(dispatcher.now(), &self.destination.service);
+        if self.is_at_target() {
+            self.exchange.dispatcher.sent(self.exchange.ticket, &self.destination.service);
+        }
         let answer = self.exchange.unless_interrupted(connection.send(request)).await;
+        if self.is_at_target() && !matches!(answer, Ok(Err(ConnectionError::Closed))) {
+            self.exchange.reached += 1;
+        }
         match answer {
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(ConnectionError::Closed)) => Err(SendError::NotSent),
             Ok(Err(error)) => {
                 let is_isolated = self.is_isolated().await;
                 self.log_failure(&error, is_isolated);
+                if is_isolated {
+                    return Err(SendError::Ended(AttemptOutcome::Isolated(error.verdict())));
+                }
                 if error.verdict() == Verdict::MayHaveRun {
                     self.record_crash();
                 }
@@ -122,6 +175,17 @@
         }
     }
 
+    /// Whether the destination is a target rather than a peer.
+    pub(crate) fn is_at_target(&self) -> bool {
+        self.peer.is_none()
+    }
+
+    fn connected(&self) {
+        if self.is_at_target() {
+            self.exchange.dispatcher.links.connected(&self.destination.service);
+        }
+    }
+
     /// Waits for a connection; without one, the request has not run.
     async fn connect_or_fail<T>(
         &mut self,
@@ -132,6 +196,12 @@
             Ok(Err(error)) => {
                 let is_isolated = self.is_isolated().await;
                 self.log_failure(&error, is_isolated);
+                if is_isolated {
+                    return Err(AttemptOutcome::Isolated(Verdict::NotRun));
+                }
+                if self.peer.is_some() {
+                    return Err(AttemptOutcome::Failed(Verdict::NotRun));
+                }
                 let dispatcher = &self.exchange.dispatcher;
                 dispatcher
                     .notify_control(TrafficReport::LossReported(self.destination.target.clone()));
@@ -156,6 +226,11 @@
         };
         let mut headers = caller_request.headers.clone();
         self.exchange.dispatcher.adapter.prepare_headers(&mut headers, &request_head);
+        if let Some(peer) = self.peer {
+            let message = self.exchange.delegated_request(peer).encode();
+            let value = message.and_then(|bytes| HeaderValue::from_bytes(&bytes).ok());
+            headers.extend(value.map(|value| (DELEGATED_HEADER, value)));
+        }
         let mut request = Request::new(Full::new(caller_request.body.clone()));
         *request.method_mut() = caller_request.method.clone();
         *request.uri_mut() = caller_request.uri.clone();
@@ -190,7 +265,10 @@
     }
 
     /// Whether a connection has failed because this node reaches no target of the service.
-    async fn is_isolated(&self) -> bool {
+    pub(crate) async fn is_isolated(&self) -> bool {
+        if self.peer.is_some() {
+            return false;
+        }
         let links = &self.exchange.dispatcher.links;
         let fresh_at = self.exchange.dispatcher.now().before(FRESH_CONNECTION_MS);
         let Destination { service, address, .. } = self.destination;
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Uri};
 
 use crate::adapter::CallerHead;
+use crate::traffic::Delegated;
 
 /// Relative worth of a request, used for every route.
 const WORTH: u32 = 1;
@@ -33,6 +34,8 @@
     pub(crate) digest: RequestDigest,
     pub(crate) arrived_at: TimeMs,
     pub(crate) deadline: TimeMs,
+    /// What another node has said of it, if this node runs it for that one.
+    pub(crate) delegated: Option<Delegated>,
 }
 
 impl CallerRequest {
--- /dev/null
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -0,0 +1,180 @@
+use std::sync::Arc;
+
+use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal, Peer};
+use celeryhaven_telemetry::metrics::OutcomeLabel;
+use celeryhaven_types::{NodeName, Refusal, RefusalCode, VmName};
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::adapter::Adapter;
+use crate::traffic::attempt::{Attempt, AttemptOutcome};
+use crate::traffic::{AnswerParts, CallerRequest, Destination, DestinationName, Exchange};
+
+/// Header of a request that another node runs for this one.
+pub(crate) const DELEGATED_HEADER: HeaderName =
+    HeaderName::from_static("celeryhaven-delegated-request");
+
+/// Header of an answer to a delegated request that is not the answer of a target.
+const REFUSAL_HEADER: HeaderName = HeaderName::from_static("celeryhaven-delegation-refusal");
+
+/// Maximum number of peers that one request is delegated to.
+const PEERS_MAX: usize = 3;
+
+/// What became of a delegated request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delegation {
+    /// The caller has its final answer.
+    Completed,
+    /// No peer could send the request to a target.
+    NoPeer,
+}
+
+/// What a node keeps of a request that it runs for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Delegated {
+    /// Whether the delegating node has counted the request as load already.
+    pub(crate) is_counted: bool,
+}
+
+impl<A: Adapter> Exchange<A> {
+    /// Whether peers may still run this request.
+    pub(crate) fn may_delegate(&self) -> bool {
+        self.request.delegated.is_none()
+            && !self.is_trial
+            && self.reached < self.request.route.attempts_max
+    }
+
+    /// Lets peers run the request until one of them gives a final answer.
+    pub(crate) async fn delegate(&mut self) -> Delegation {
+        let mut tried = Vec::new();
+        while tried.len() < PEERS_MAX {
+            let Some(peer) = self.dispatcher.choose_peer(&self.request, &tried) else { break };
+            tried.push(peer.node.clone());
+            let destination = peer_destination(&peer, &self.request);
+            let guard = PeerGuard::new(self, &peer.node);
+            let outcome = Attempt::new(self, &destination).with_peer(&peer).run().await;
+            drop(guard);
+            self.dispatcher.count_delegation(outcome);
+            match outcome {
+                AttemptOutcome::PeerRefused(refusal, _) if refusal.is_local => {
+                    self.dispatcher.avoid_peer(&peer.node, &self.request);
+                }
+                // The peer was not reached.
+                AttemptOutcome::Failed(celeryhaven_types::Verdict::NotRun) => {
+                    self.dispatcher.avoid_peer(&peer.node, &self.request);
+                }
+                outcome => {
+                    self.resolve_delegated(outcome).await;
+                    return Delegation::Completed;
+                }
+            }
+        }
+        Delegation::NoPeer
+    }
+
+    /// Completes the request with what a peer has answered.
+    async fn resolve_delegated(&mut self, outcome: AttemptOutcome) {
+        match outcome {
+            AttemptOutcome::Answered => self.answered(),
+            AttemptOutcome::PeerRefused(refusal, retry_after_ms) => {
+                self.reached += refusal.attempts;
+                self.may_have_run |= refusal.verdict != celeryhaven_types::Verdict::NotRun;
+                let own = Refusal::not_run(RefusalCode::Overloaded);
+                let own = retry_after_ms.map_or(own, |ms| own.with_retry_after_ms(ms));
+                self.refuse(own).await;
+            }
+            _ => {
+                self.may_have_run = true;
+                self.fail(RefusalCode::AnswerLost).await;
+            }
+        }
+    }
+
+    /// Returns the message for a peer.
+    pub(crate) fn delegated_request(&self, peer: &Peer) -> DelegatedRequest {
+        let request = &self.request;
+        let mut route = request.route.clone();
+        route.attempts_max = route.attempts_max.saturating_sub(self.reached);
+        route.shares.clear();
+        DelegatedRequest {
+            token: peer.token.clone(),
+            route,
+            service: request.service.clone(),
+            model: request.model.clone(),
+            organisation: request.organisation.clone(),
+            rank: request.rank,
+            is_counted: self.is_registered,
+        }
+    }
+}
+
+/// Counts a request as running at a peer until it is dropped.
+struct PeerGuard<A: Adapter> {
+    dispatcher: std::rc::Rc<crate::traffic::Dispatcher<A>>,
+    node: NodeName,
+}
+
+impl<A: Adapter> PeerGuard<A> {
+    fn new(exchange: &Exchange<A>, node: &NodeName) -> Self {
+        let dispatcher = exchange.dispatcher.clone();
+        dispatcher.state.borrow_mut().peers.sent(node);
+        Self { dispatcher, node: node.clone() }
+    }
+}
+
+impl<A: Adapter> Drop for PeerGuard<A> {
+    fn drop(&mut self) {
+        self.dispatcher.state.borrow_mut().peers.ended(&self.node);
+    }
+}
+
+impl<A: Adapter> crate::traffic::Dispatcher<A> {
+    fn choose_peer(&self, request: &CallerRequest, tried: &[NodeName]) -> Option<Peer> {
+        let now = self.now();
+        self.state.borrow_mut().choose_peer(now, &request.service, tried)
+    }
+
+    fn avoid_peer(&self, node: &NodeName, request: &CallerRequest) {
+        let now = self.now();
+        self.state.borrow_mut().peers.avoid(now, node, &request.service);
+    }
+
+    fn count_delegation(&self, outcome: AttemptOutcome) {
+        let outcome = match outcome {
+            AttemptOutcome::Answered => "answered",
+            AttemptOutcome::PeerRefused(refusal, _) if refusal.is_local => "peer isolated",
+            AttemptOutcome::PeerRefused(..) => "refused",
+            _ => "failed",
+        };
+        let label = OutcomeLabel { call: "delegate", outcome };
+        self.metrics.delegated.get_or_create(&label).inc();
+    }
+}
+
+/// Adds the reason of a refusal for the node that has delegated the request.
+pub(crate) fn add_delegation_refusal(parts: &mut AnswerParts, refusal: &DelegationRefusal) {
+    let value = refusal.encode().and_then(|bytes| HeaderValue::from_bytes(&bytes).ok());
+    if let Some(value) = value {
+        parts.headers.insert(REFUSAL_HEADER, value);
+    }
+}
+
+/// Returns the reason for which a peer gives no answer of a target.
+pub(crate) fn delegation_refusal(headers: &HeaderMap) -> Option<DelegationRefusal> {
+    DelegationRefusal::decode(headers.get(REFUSAL_HEADER)?.as_bytes())
+}
+
+fn peer_destination(peer: &Peer, request: &CallerRequest) -> Destination {
+    Destination {
+        name: DestinationName::Peer(peer.node.clone()),
+        service: request.service.clone(),
+        model: request.model.clone(),
+        target: VmName::new(peer.node.as_str()),
+        data_centre: celeryhaven_types::DataCentreName::new(""),
+        address: peer.address,
+        slots: 0,
+        started_at_ms: None,
+    }
+}
+
+/// The peers of an update, shared with the thread of traffic.
+pub(crate) type SharedPeers = Arc<[Peer]>;
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -2,11 +2,12 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
+use celeryhaven_delegation::{Peer, PeerSet};
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
 use celeryhaven_types::{
-    DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
+    DataCentreName, Map, ModelName, NodeName, Refusal, RequestClass, ServiceName, TimeMs,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -17,6 +18,10 @@
     TargetNotices,
 };
 
+/// Silence of a target after which a repeatable request is taken off it while this node is isolated,
+/// in milliseconds.
+const ISOLATED_SILENCE_MS: u64 = 600;
+
 /// Identifies a pool: the service, and the model if the service has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct PoolKey {
@@ -43,6 +48,8 @@
     pub(crate) destination: Option<DestinationName>,
     /// Data centre of the last destination.
     pub(crate) data_centre: Option<DataCentreName>,
+    /// When its target last sent something, or the request was sent to it.
+    pub(crate) heard_at: TimeMs,
     /// When its stream produced the first event; `None` if it has not at this target.
     pub(crate) streaming_since: Option<TimeMs>,
     /// Whether the request may be sent again after it may have run.
@@ -65,6 +72,8 @@
     /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
     /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
+    /// Nodes that can run requests for this one.
+    pub(crate) peers: PeerSet,
     /// Crashes that are not reported yet.
     pub(crate) crashes: PendingCrashes<CrashReport>,
     /// Limits of targets, and this node's parts of them.
@@ -79,6 +88,7 @@
     seed: u64,
     retry_earned_per_arrival: f64,
     shared_retries: SharedRetryBudget,
+    rng: SmallRng,
 }
 
 impl DispatchState {
@@ -96,6 +106,8 @@
             active_requests: Map::default(),
             evacuations: Evacuations::default(),
             standings: None,
+            peers: PeerSet::new(),
+            rng: SmallRng::seed_from_u64(seed.wrapping_add(1)),
             crashes: PendingCrashes::new(),
             limits: Arc::default(),
             notices: Arc::default(),
@@ -113,17 +125,17 @@
     pub(crate) fn register(
         &mut self,
         now: TimeMs,
+        ticket: Ticket,
         request: &CallerRequest,
         instructions: Sender<Instruction>,
-    ) -> Ticket {
-        let ticket = self.next_ticket;
-        self.next_ticket = ticket.next();
+    ) {
         let key = PoolKey { service: request.service.clone(), model: request.model.clone() };
         let active = ActiveRequest {
             pool: key.clone(),
             instructions,
             destination: None,
             data_centre: None,
+            heard_at: now,
             streaming_since: None,
             may_repeat: request.may_repeat(),
             digest: request.digest,
@@ -132,12 +144,66 @@
         let mut out = Vec::new();
         if let Some(pool) = self.pool_or_insert(now, &key) {
             let head = request.head(now, pool.tokens_per_event);
-            pool.arrived(now, ticket, &head, &mut out);
+            let is_counted = request.delegated.is_some_and(|delegated| delegated.is_counted);
+            pool.arrived(now, ticket, &head, is_counted, &mut out);
         }
         self.execute(&key, out);
+    }
+
+    /// Returns a ticket for a request that is not registered yet.
+    pub(crate) fn reserve_ticket(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket = ticket.next();
         ticket
     }
 
+    /// Chooses a node that can run a request of a service.
+    pub(crate) fn choose_peer(
+        &mut self,
+        now: TimeMs,
+        service: &ServiceName,
+        tried: &[NodeName],
+    ) -> Option<Peer> {
+        self.peers.choose(now, service, tried, &mut self.rng).cloned()
+    }
+
+    /// Whether the retry budget, which is charged, allows another attempt of a request.
+    pub(crate) fn try_withdraw_retry(&mut self, ticket: Ticket) -> bool {
+        let pool = self.active_requests.get(&ticket).map(|active| &active.pool);
+        pool.and_then(|key| self.pools.get_mut(key)).is_some_and(Pool::try_withdraw_retry)
+    }
+
+    /// Cancels the repeatable requests at targets of isolated services that have been silent.
+    ///
+    /// Peers run them instead.
+    pub(crate) fn cancel_isolated(
+        &mut self,
+        now: TimeMs,
+        is_isolated: impl Fn(&ServiceName) -> bool,
+    ) {
+        let silent = self.active_requests.iter().filter(|(_, active)| {
+            active.may_repeat
+                && active.destination.is_some()
+                && now.since(active.heard_at) >= ISOLATED_SILENCE_MS
+                && is_isolated(&active.pool.service)
+        });
+        let mut tickets: Vec<Ticket> = silent.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            let Some(active) = self.active_requests.get_mut(&ticket) else { continue };
+            // Not again before it is silent as long.
+            active.heard_at = now;
+            active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
+        }
+    }
+
+    /// Forgets what calls have shown of the targets of a service, as this node was isolated.
+    pub(crate) fn forget_failures(&mut self, now: TimeMs, service: &ServiceName) {
+        self.crashes.retain(|crash| crash.service != *service);
+        self.stall_detector.clear_suspicions(now);
+        self.refresh_targets(now);
+    }
+
     /// Sends an event about an active request to its pool, and executes the resulting decisions.
     pub(crate) fn notify_pool(
         &mut self,
@@ -223,8 +289,13 @@
 
     /// Suspects the destinations that have stalled and returns them, moves their requests, and
     /// processes timers that are due.
-    pub(crate) fn tick(&mut self, now: TimeMs) -> Vec<DestinationName> {
-        let stalled = self.stall_detector.detect_stalled(now);
+    ///
+    /// While it is not known whether this node reaches any target, none is suspected.
+    pub(crate) fn tick(&mut self, now: TimeMs, links_known: bool) -> Vec<DestinationName> {
+        let stalled = match links_known {
+            true => self.stall_detector.detect_stalled(now),
+            false => Vec::new(),
+        };
         if self.stall_detector.take_changed() {
             self.refresh_targets(now);
         }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use celeryhaven_http::ConnectionPool;
 use celeryhaven_policy::Ticket;
 use celeryhaven_telemetry::GatewayMetrics;
-use celeryhaven_types::{TimeMs, Verdict};
+use celeryhaven_types::{ServiceName, TimeMs, Verdict};
 use slog::{Logger, info};
 use smol::LocalExecutor;
 
@@ -37,20 +38,21 @@
     ticks: Cell<u32>,
     /// Whether no request runs in an evacuated data centre.
     is_clear: Cell<bool>,
+    /// Services from which this node was isolated at the last look.
+    isolated: RefCell<BTreeSet<ServiceName>>,
+    /// Bearer token that other nodes present when they delegate requests to this one.
+    pub(crate) token: String,
 }
 
 impl<A: Adapter> Dispatcher<A> {
-    /// Creates a dispatcher without destinations.
+    /// Creates a dispatcher without destinations, which connects to targets as `links` does.
     pub(crate) fn new(
         adapter: A,
-        executor: Rc<LocalExecutor<'static>>,
-        connections: ConnectionPool,
         links: LinkCheck,
         state: DispatchState,
-        metrics: GatewayMetrics,
-        log: Logger,
         reports: Sender<TrafficReport>,
     ) -> Self {
+        let LinkCheck { executor, connections, metrics, log, .. } = links.clone();
         let (state, first_request_seen, ticks) =
             (RefCell::new(state), Cell::new(false), Cell::new(0));
         Self {
@@ -66,6 +68,8 @@
             first_request_seen,
             ticks,
             is_clear: Cell::new(true),
+            isolated: RefCell::default(),
+            token: String::new(),
         }
     }
 
@@ -74,6 +78,11 @@
         Self { notices, ..self }
     }
 
+    /// Sets the bearer token of this node.
+    pub(crate) fn with_token(self, token: String) -> Self {
+        Self { token, ..self }
+    }
+
     /// Returns the current time.
     pub(crate) fn now(&self) -> TimeMs {
         BootClock.now()
@@ -96,6 +105,7 @@
                 state.evacuations = update.evacuations;
                 self.is_clear.set(false);
             }
+            state.peers.set_peers(update.peers);
             state.set_senders(now, update.senders);
             // A target that comes up must not receive the queue before its limit is known.
             state.set_limits(now, update.limits);
@@ -108,8 +118,8 @@
         loop {
             smol::Timer::after(TICK_INTERVAL).await;
             self.apply_notices();
-            self.links.start_due();
-            let stalled = self.state.borrow_mut().tick(self.now());
+            self.follow_links();
+            let stalled = self.state.borrow_mut().tick(self.now(), !self.links.links.is_checking());
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
             }
@@ -120,6 +130,21 @@
         }
     }
 
+    /// Starts the checks of links that are due, and applies what they have found.
+    fn follow_links(&self) {
+        self.links.start_due();
+        let isolated = self.links.links.isolated_services();
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let before = self.isolated.replace(isolated.clone());
+        for service in before.symmetric_difference(&isolated) {
+            state.forget_failures(now, service);
+        }
+        if !isolated.is_empty() {
+            state.cancel_isolated(now, |service| isolated.contains(service));
+        }
+    }
+
     /// Counts the requests that still run in evacuated data centres, and logs when none is left.
     fn report_evacuating(&self) {
         let state = self.state.borrow();
@@ -147,15 +172,24 @@
         }
     }
 
-    /// Registers a request; the receiver yields the instructions for it.
-    pub(crate) fn register(&self, request: &CallerRequest) -> (Ticket, Receiver<Instruction>) {
+    /// Returns a ticket for a request that is not registered yet.
+    pub(crate) fn reserve_ticket(&self) -> Ticket {
         if !self.first_request_seen.replace(true) {
             self.notify_control(TrafficReport::FirstRequest);
         }
+        self.state.borrow_mut().reserve_ticket()
+    }
+
+    /// Registers a request; the receiver yields the instructions for it.
+    pub(crate) fn register(
+        &self,
+        ticket: Ticket,
+        request: &CallerRequest,
+    ) -> Receiver<Instruction> {
         // Capacity for a cancellation and the instruction that follows it.
         let (sender, instructions) = async_channel::bounded(4);
-        let ticket = self.state.borrow_mut().register(self.now(), request, sender);
-        (ticket, instructions)
+        self.state.borrow_mut().register(self.now(), ticket, request, sender);
+        instructions
     }
 
     /// Records the first event of a stream, or the head of a plain answer.
@@ -174,6 +208,30 @@
         state.notify_pool(ticket, |pool, out| pool.started(now, ticket, out));
     }
 
+    /// Records that a request was sent to a target.
+    pub(crate) fn sent(&self, ticket: Ticket, service: &ServiceName) {
+        let now = self.now();
+        self.links.links.sent(now, service);
+        self.heard(now, ticket);
+    }
+
+    /// Records that the target of a request has sent a part of its answer.
+    pub(crate) fn received(&self, ticket: Ticket, service: &ServiceName) {
+        self.links.links.received(service);
+        self.heard(self.now(), ticket);
+    }
+
+    fn heard(&self, now: TimeMs, ticket: Ticket) {
+        if let Some(active) = self.state.borrow_mut().active_requests.get_mut(&ticket) {
+            active.heard_at = now;
+        }
+    }
+
+    /// Whether the retry budget, which is charged, allows another attempt of a request.
+    pub(crate) fn try_withdraw_retry(&self, ticket: Ticket) -> bool {
+        self.state.borrow_mut().try_withdraw_retry(ticket)
+    }
+
     /// Records that a stream of the destination has produced an event.
     pub(crate) fn progressed(&self, name: &DestinationName) {
         let now = self.now();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
+use celeryhaven_delegation::DelegationRefusal;
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
 use celeryhaven_types::{Refusal, RefusalCode, Verdict, VmName};
@@ -14,9 +15,10 @@
 use crate::adapter::Adapter;
 use crate::http::refusal_parts;
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
+use crate::traffic::delegation::Delegation;
 use crate::traffic::delivery_times::DeliveryTimes;
 use crate::traffic::dispatch_state::Instruction;
-use crate::traffic::{AnswerParts, AnswerSink, CallerRequest, Dispatcher};
+use crate::traffic::{AnswerParts, AnswerSink, CallerRequest, Dispatcher, add_delegation_refusal};
 
 /// Retry delay suggested for a request that failed without having run, in milliseconds.
 ///
@@ -50,7 +52,11 @@
     pub(crate) ticket: Ticket,
     pub(crate) instructions: Receiver<Instruction>,
     /// Whether a quarantined request is sent once, to see whether it still ends its target.
-    is_trial: bool,
+    pub(crate) is_trial: bool,
+    /// Whether the policy knows the request.
+    pub(crate) is_registered: bool,
+    /// Number of targets that the request may have reached.
+    pub(crate) reached: u32,
     completed: bool,
 }
 
@@ -65,13 +71,14 @@
 }
 
 impl<A: Adapter> Exchange<A> {
-    /// Registers a request with the dispatcher.
+    /// Creates the exchange of a request, which is not registered with the dispatcher yet.
     pub(crate) fn new(
         dispatcher: Rc<Dispatcher<A>>,
         request: CallerRequest,
         sink: AnswerSink,
     ) -> Self {
-        let (ticket, instructions) = dispatcher.register(&request);
+        let ticket = dispatcher.reserve_ticket();
+        let (_, instructions) = async_channel::bounded(1);
         let splitter = EventSplitter::new(request.caller.last_event_id.clone());
         Self {
             dispatcher,
@@ -87,6 +94,8 @@
             ticket,
             instructions,
             is_trial: false,
+            is_registered: false,
+            reached: 0,
             completed: false,
         }
     }
@@ -100,6 +109,16 @@
 
     /// Sends the request to targets until the caller has a final answer.
     pub(crate) async fn run(mut self) {
+        if self.dispatcher.links.links.is_isolated(&self.request.service) {
+            if self.request.delegated.is_some() {
+                return self.refuse_isolated().await;
+            }
+            if self.may_delegate() && self.delegate().await == Delegation::Completed {
+                return;
+            }
+        }
+        self.instructions = self.dispatcher.register(self.ticket, &self.request);
+        self.is_registered = true;
         loop {
             let instruction = match self.next_instruction().await {
                 None => return self.fail(RefusalCode::DeadlineUnreachable).await,
@@ -136,7 +155,9 @@
         let cancel = async {
             loop {
                 match self.instructions.recv().await {
-                    Ok(Instruction::Cancel) | Err(_) => return Err(Interrupt::Cancelled),
+                    Ok(Instruction::Cancel) => return Err(Interrupt::Cancelled),
+                    // The policy does not know the request, so nothing cancels it.
+                    Err(_) => std::future::pending().await,
                     Ok(Instruction::Send(_) | Instruction::Refuse(_)) => {}
                 }
             }
@@ -175,13 +196,13 @@
             AttemptOutcome::Answered => None,
             AttemptOutcome::Interrupted(Interrupt::Deadline) => Some("deadline"),
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => Some("taken off its target"),
-            AttemptOutcome::Failed(_) => Some("broken"),
+            AttemptOutcome::Failed(_) | AttemptOutcome::PeerRefused(..) => Some("broken"),
             AttemptOutcome::Withheld => Some("withheld"),
+            AttemptOutcome::Isolated(_) => Some("node isolated"),
         };
         match outcome {
             AttemptOutcome::Answered => {
-                self.dispatcher.completed(self.ticket, self.splitter.event_count(), &self.request);
-                self.complete("answered", self.splitter.event_count());
+                self.answered();
                 true
             }
             AttemptOutcome::Interrupted(Interrupt::Deadline) => {
@@ -192,13 +213,21 @@
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => {
                 self.log_cancelled_attempt();
                 self.may_have_run = true;
-                self.retry_or_fail(Verdict::MayHaveRun).await
+                match self.dispatcher.links.links.is_isolated(&self.request.service) {
+                    true => self.delegate_or_fail().await,
+                    false => self.retry_or_fail(Verdict::MayHaveRun).await,
+                }
+            }
+            AttemptOutcome::Isolated(verdict) => {
+                self.may_have_run |= verdict != Verdict::NotRun;
+                self.delegate_or_fail().await
             }
             AttemptOutcome::Withheld => {
                 self.attempts -= 1;
                 self.retry_or_fail(Verdict::NotRun).await
             }
-            AttemptOutcome::Failed(verdict) => {
+            AttemptOutcome::Failed(verdict)
+            | AttemptOutcome::PeerRefused(DelegationRefusal { verdict, .. }, _) => {
                 self.may_have_run |= verdict != Verdict::NotRun;
                 self.retry_or_fail(verdict).await
             }
@@ -215,8 +244,41 @@
         true
     }
 
+    /// Lets a peer run a request that this node cannot send to any target; returns true.
+    async fn delegate_or_fail(&mut self) -> bool {
+        let may_retry = self.request.may_repeat() || !self.may_have_run;
+        // Peers do not know that the request may have reached a target already.
+        let is_paid = self.reached == 0 || self.dispatcher.try_withdraw_retry(self.ticket);
+        self.detach();
+        if !(may_retry && is_paid && self.may_delegate())
+            || self.delegate().await == Delegation::NoPeer
+        {
+            self.fail(RefusalCode::AnswerLost).await;
+        }
+        true
+    }
+
+    /// Removes the request from the policy, whose instructions then no longer arrive.
+    fn detach(&mut self) {
+        self.dispatcher.abandoned(self.ticket);
+        let (_, instructions) = async_channel::bounded(1);
+        self.instructions = instructions;
+    }
+
+    /// Tells the node that has delegated the request that this node is isolated as well.
+    async fn refuse_isolated(&mut self) {
+        let refusal = Refusal::not_run(RefusalCode::NodeUnavailable);
+        self.refuse(refusal.with_retry_after_ms(REFUSED_RETRY_AFTER_MS)).await;
+    }
+
+    /// Completes a request whose caller has the complete answer.
+    pub(crate) fn answered(&mut self) {
+        self.dispatcher.completed(self.ticket, self.splitter.event_count(), &self.request);
+        self.complete("answered", self.splitter.event_count());
+    }
+
     /// Ends a request that no target will answer.
-    async fn fail(&mut self, code: RefusalCode) {
+    pub(crate) async fn fail(&mut self, code: RefusalCode) {
         self.dispatcher.abandoned(self.ticket);
         let refusal = match self.may_have_run {
             true => Refusal::may_have_run(code),
@@ -226,7 +288,7 @@
         self.refuse(refusal).await;
     }
 
-    async fn refuse(&mut self, refusal: Refusal) {
+    pub(crate) async fn refuse(&mut self, refusal: Refusal) {
         if self.sink.head_sent() {
             // Dropping the sink without an end mark makes the caller see a truncated answer.
             return self.complete("broken off", self.splitter.event_count());
@@ -245,9 +307,17 @@
             (true, false) => StatusCode::BAD_GATEWAY,
             (false, _) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        self.sink
-            .send_head(refusal_parts(status, &refusal, self.request.caller.request_id.as_deref()))
-            .await;
+        let request_id = self.request.caller.request_id.as_deref();
+        let mut parts = refusal_parts(status, &refusal, request_id);
+        if self.request.delegated.is_some() {
+            // Another peer may reach a target if this node could not send the request to any.
+            let is_isolated = self.dispatcher.links.links.is_isolated(&self.request.service);
+            let verdict = if self.may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
+            let is_local = verdict == Verdict::NotRun && is_isolated;
+            let refusal = DelegationRefusal { verdict, attempts: self.reached, is_local };
+            add_delegation_refusal(&mut parts, &refusal);
+        }
+        self.sink.send_head(parts).await;
         self.complete(if self.may_have_run { "may have run" } else { "not run" }, 0);
     }
 
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -8,8 +8,8 @@
 
 use crate::adapter::{Adapter, AnswerHead};
 use crate::http::strip_hop_by_hop;
-use crate::traffic::AnswerParts;
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
+use crate::traffic::{AnswerParts, Exchange};
 
 /// Longest plain answer that is buffered until it is complete, in bytes.
 ///
@@ -180,13 +180,19 @@
                 Ok(None) => return ReadResult::Complete,
                 Ok(Some(Err(_))) => {
                     self.log_end("answer broke off", StatusCode::OK.as_u16());
+                    if self.is_isolated().await {
+                        let outcome = AttemptOutcome::Isolated(Verdict::MayHaveRun);
+                        return ReadResult::Ended(outcome);
+                    }
                     self.record_crash();
                     return ReadResult::Ended(AttemptOutcome::Failed(Verdict::MayHaveRun));
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
-                        let links = &self.exchange.dispatcher.links.links;
-                        links.received(&self.destination.service);
+                        if self.is_at_target() {
+                            let Exchange { dispatcher, ticket, .. } = &*self.exchange;
+                            dispatcher.received(*ticket, &self.destination.service);
+                        }
                         return ReadResult::Data(bytes);
                     }
                 }
@@ -195,7 +201,7 @@
     }
 
     /// Returns the connection to the pool once its exchange is complete.
-    async fn pool_connection(&self, mut connection: Connection, head: &AnswerHead) {
+    pub(crate) async fn pool_connection(&self, mut connection: Connection, head: &AnswerHead) {
         if connection.wait_idle().await {
             let connections = &self.exchange.dispatcher.connections;
             connections.put(self.destination.address, connection, Self::idle_timeout(head));
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -315,14 +315,18 @@
         self.update_targets(now, out);
     }
 
+    /// Handles the arrival of a request; `is_counted` tells whether another node counts its load.
     pub(crate) fn arrived(
         &mut self,
         now: TimeMs,
         ticket: Ticket,
         head: &RequestHead,
+        is_counted: bool,
         out: &mut Vec<Decision>,
     ) {
-        self.offered_slot_ms += self.request_times.request_ms(head, self.output);
+        if !is_counted {
+            self.offered_slot_ms += self.request_times.request_ms(head, self.output);
+        }
         self.policy.handle(now, PolicyEvent::Arrived { ticket, head }, out);
     }
 
@@ -342,6 +346,11 @@
         self.policy.handle(now, event, out);
     }
 
+    /// Whether the retry budget, which is charged, allows another attempt.
+    pub(crate) fn try_withdraw_retry(&mut self) -> bool {
+        self.policy.try_withdraw_retry()
+    }
+
     pub(crate) fn stalled(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
         self.policy.handle(now, PolicyEvent::Stalled { ticket }, out);
     }
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -6,7 +6,9 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::traffic::{CallerRequest, CrashReport, Destination, Dispatcher, TrafficReport};
+use crate::traffic::{
+    CallerRequest, CrashReport, Destination, DestinationName, Dispatcher, TrafficReport,
+};
 
 /// Longest wait for the claim of a trial, which is one write to the store.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -79,11 +81,18 @@
     }
 
     /// Records that a connection broke while its target may have been running a request.
+    ///
+    /// A node that is isolated cannot tell.
     pub(crate) fn record_crash(&self, request: &CallerRequest, destination: &Destination) {
+        let is_peer = matches!(destination.name, DestinationName::Peer(_));
+        if is_peer || self.links.links.is_isolated(&destination.service) {
+            return;
+        }
         let report = CrashReport {
             digest: request.digest,
             organisation: request.organisation.clone(),
             route: request.route.name.clone(),
+            service: destination.service.clone(),
             target: destination.target.clone(),
             started_at_ms: destination.started_at_ms,
         };
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -5,9 +5,11 @@
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
 use celeryhaven_quarantine::{RequestDigest, Standings};
-use celeryhaven_types::{DataCentreName, ModelName, OrganisationName, ServiceName, TimeMs, VmName};
+use celeryhaven_types::{
+    DataCentreName, ModelName, NodeName, OrganisationName, ServiceName, TimeMs, VmName,
+};
 
-use crate::traffic::TargetLimitMap;
+use crate::traffic::{SharedPeers, TargetLimitMap};
 
 state! {
     /// Identifies a destination.
@@ -17,6 +19,8 @@
         Replica(ReplicaKey),
         /// A target of a plain service.
         Plain(VmName),
+        /// Another node, which runs requests for this one.
+        Peer(NodeName),
     }
 
     /// A whole replica, or a target of a plain service.
@@ -59,6 +63,8 @@
         pub(crate) organisation: Option<OrganisationName>,
         /// Name of the route.
         pub(crate) route: String,
+        /// The service of the target.
+        pub(crate) service: ServiceName,
         /// The target.
         pub(crate) target: VmName,
         /// Start time of the target's process, in Unix milliseconds.
@@ -72,6 +78,7 @@
         match self {
             Self::Replica(key) => key.replica.as_str(),
             Self::Plain(target) => target.as_str(),
+            Self::Peer(node) => node.as_str(),
         }
     }
 }
@@ -87,6 +94,8 @@
     pub(crate) addresses: Vec<SocketAddr>,
     /// Number of live nodes that send to the same targets, including this one.
     pub(crate) senders: u32,
+    /// Nodes that can run requests for this one.
+    pub(crate) peers: SharedPeers,
     /// Whether this node accepts requests.
     pub(crate) ready: bool,
     /// Time until which this node counts as cut off from the store.
@@ -115,6 +124,7 @@
             && Arc::ptr_eq(&self.destinations, &other.destinations)
             && self.addresses == other.addresses
             && self.senders == other.senders
+            && self.peers == other.peers
             && self.ready == other.ready
             && self.cut_off_until == other.cut_off_until
             && self.evacuations == other.evacuations
--- a/crates/isolation/src/detector.rs
+++ b/crates/isolation/src/detector.rs
@@ -86,6 +86,11 @@
         self.services.values().any(|links| links.is_isolated)
     }
 
+    /// Returns the services from which the node is isolated, in order.
+    pub fn isolated_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.iter().filter(|(_, links)| links.is_isolated).map(|(service, _)| service)
+    }
+
     /// Whether the node was isolated from a service at or after a time.
     ///
     /// What calls have shown of targets since then may be an effect of the node's own cut.
--- a/crates/peers/src/fleet/node_state.rs
+++ b/crates/peers/src/fleet/node_state.rs
@@ -42,7 +42,10 @@
             ProbeResult::Unanswered => {
                 self.consecutive_failures = self.consecutive_failures.saturating_add(1);
             }
-            ProbeResult::Ready | ProbeResult::CutOff | ProbeResult::NotReady => {
+            ProbeResult::Ready
+            | ProbeResult::CutOff
+            | ProbeResult::Isolated
+            | ProbeResult::NotReady => {
                 self.consecutive_failures = 0;
                 self.last_answered_at = Some(now);
                 self.last_result = Some(result);
@@ -90,6 +93,16 @@
         self.is_live() && self.last_result == Some(ProbeResult::CutOff)
     }
 
+    /// Whether the node is live and reports that it has lost its links to targets.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.is_live() && self.last_result == Some(ProbeResult::Isolated)
+    }
+
+    /// Whether the node can neither write plans nor judge targets.
+    pub(crate) fn cannot_coordinate(&self) -> bool {
+        self.is_cut_off() || self.is_isolated()
+    }
+
     /// Whether the node may be advertised to callers.
     pub(crate) fn is_advertised(&self, now: TimeMs) -> bool {
         let answered_recently =
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -72,6 +72,8 @@
     /// Number of live nodes, and of live nodes that have store access.
     live_count: usize,
     store_access_count: usize,
+    /// Number of live nodes that have lost their links to targets.
+    isolated_count: usize,
     unprobed_count: usize,
     /// Number of nodes that others may follow.
     relay_capable_count: usize,
@@ -100,6 +102,7 @@
             nodes: BTreeMap::new(),
             live_count: 0,
             store_access_count: 0,
+            isolated_count: 0,
             unprobed_count: 0,
             relay_capable_count: 0,
             probe_order,
@@ -207,6 +210,7 @@
         let counted = [
             (&mut self.live_count, state.is_live()),
             (&mut self.store_access_count, state.has_store_access()),
+            (&mut self.isolated_count, state.is_isolated()),
             (&mut self.unprobed_count, state.is_unprobed()),
             (&mut self.relay_capable_count, state.may_relay()),
         ];
@@ -255,7 +259,8 @@
     pub fn record_probe(&mut self, now: TimeMs, node: &NodeName, result: ProbeResult) -> bool {
         let Some(mut state) = self.nodes.remove(node) else { return false };
         let status = |state: &NodeState| {
-            (state.is_live(), state.has_store_access(), state.is_cut_off(), state.may_relay())
+            let access = (state.has_store_access(), state.is_cut_off(), state.is_isolated());
+            (state.is_live(), access, state.may_relay())
         };
         let before = status(&state);
         self.update_counts(&state, false);
@@ -276,6 +281,11 @@
         self.live_count
     }
 
+    /// Returns the number of other live nodes that send requests to targets.
+    pub fn sender_count(&self) -> usize {
+        self.live_count - self.isolated_count
+    }
+
     /// Whether another node has store access, according to the last probes.
     pub fn any_has_store_access(&self) -> bool {
         self.store_access_count > 0
@@ -286,10 +296,12 @@
         self.nodes.get(node).map(|state| &state.record)
     }
 
-    /// Returns the nodes to advertise to callers: probed nodes that answered recently.
-    pub fn advertised(&self, now: TimeMs) -> impl Iterator<Item = &NodeRecord> {
+    /// Returns the nodes to advertise to callers: probed nodes that answered recently, and whether
+    /// each has lost its links to targets.
+    pub fn advertised(&self, now: TimeMs) -> impl Iterator<Item = (&NodeRecord, bool)> {
         let states = self.probed_nodes().filter_map(|node| self.nodes.get(node));
-        states.filter(move |state| state.is_advertised(now)).map(|state| &state.record)
+        let advertised = states.filter(move |state| state.is_advertised(now));
+        advertised.map(|state| (&state.record, state.is_isolated()))
     }
 
     /// Returns the nodes that this one probes for its address answers.
@@ -379,12 +391,12 @@
     pub fn position_for(&self, key: &str, own_is_leaving: bool) -> (usize, usize) {
         let order = Ranking::new(key);
         let own = order.weight(&self.own);
-        let live = self.nodes.values().filter(|state| state.is_live());
+        let live = self.nodes.values().filter(|state| state.is_live() && !state.is_isolated());
         let preceding = live.filter(|state| {
             own_is_leaving
                 || (order.weight(&state.record.node), &state.record.node) < (own, &self.own)
         });
-        (preceding.count(), self.live_count + 1)
+        (preceding.count(), self.sender_count() + 1)
     }
 
     /// Returns the relays of this node's data centre that follow the roots.
@@ -405,14 +417,15 @@
 
     /// Returns the coordinator of a domain, as far as this node knows.
     ///
-    /// A coordinator that is cut off from the store could not write a plan, so the next candidate
-    /// with store access takes its place. If the store is unavailable to all nodes, the domains
+    /// A coordinator that is cut off from the store could not write a plan, and one that has lost its
+    /// links to targets takes them all for lost, so the next candidate with store access takes its
+    /// place. If the store is unavailable to all nodes, the domains
     /// keep their coordinators.
     pub fn coordinator_of(&self, domain: &DomainName, own_is_cut_off: bool) -> Option<&NodeName> {
         let any_has_access = !own_is_cut_off || self.any_has_store_access();
         let own_can_coordinate = !own_is_cut_off || !self.any_has_store_access();
         let can_coordinate =
-            |state: &NodeState| state.is_live() && (!any_has_access || !state.is_cut_off());
+            |state: &NodeState| state.is_live() && (!any_has_access || !state.cannot_coordinate());
         self.coordinators.get(domain)?.nodes().find(|node| match **node == self.own {
             true => own_can_coordinate,
             false => self.nodes.get(*node).is_some_and(can_coordinate),
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -92,6 +92,11 @@
         self.pick_visits + self.classes.iter().map(|class| class.queue.visits()).sum::<u64>()
     }
 
+    /// Whether the retry budget, which is charged, allows an attempt that the policy does not send.
+    pub fn try_withdraw_retry(&mut self) -> bool {
+        self.retry_budget.try_withdraw()
+    }
+
     /// Sets the most retries that the budget may save.
     pub fn set_retry_saved_max(&mut self, saved_max: f64) {
         self.retry_budget.set_saved_max(saved_max);
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -133,6 +133,13 @@
         suspicion.is_some_and(|suspicion| suspicion.is_stalled)
     }
 
+    /// Clears all suspicions, and lets streams be silent as long again.
+    pub fn clear_suspicions(&mut self, now: TimeMs) {
+        self.changed |= !self.suspected.is_empty();
+        self.suspected.clear();
+        self.replicas.values_mut().for_each(|streams| streams.last_event_at = now);
+    }
+
     /// Returns whether the set of suspected replicas changed since the last call.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -81,6 +81,14 @@
         self.by_request.remove(&digest);
     }
 
+    /// Keeps only the crashes that match.
+    pub fn retain(&mut self, matches: impl Fn(&C) -> bool) {
+        self.by_request.retain(|_, crashes| {
+            crashes.retain(|(_, crash)| matches(crash));
+            !crashes.is_empty()
+        });
+    }
+
     /// Removes and returns the crashes that are due to be reported.
     ///
     /// `streaming_ms` returns how long a request has been streaming from a target by now, if it is.
