--- a/crates/delegation/src/peer_set.rs
+++ b/crates/delegation/src/peer_set.rs
@@ -40,13 +40,8 @@
         tried: &[NodeName],
         rng: &mut impl Rng,
     ) -> Option<&Peer> {
-        let is_candidate = |peer: &&Peer| {
-            let avoided_until = self.avoided_until.get(&(peer.node.clone(), service.clone()));
-            !peer.is_isolated
-                && !tried.contains(&peer.node)
-                && avoided_until.is_none_or(|until| *until <= now)
-        };
-        let candidates: Vec<&Peer> = self.peers.iter().filter(is_candidate).collect();
+        let peers = self.peers.iter().filter(|peer| self.may_reach(now, peer, service));
+        let candidates: Vec<&Peer> = peers.filter(|peer| !tried.contains(&peer.node)).collect();
         if candidates.is_empty() {
             return None;
         }
@@ -55,6 +50,11 @@
         Some(if self.running(second) < self.running(first) { second } else { first })
     }
 
+    /// Whether a peer may reach a service.
+    pub fn has_candidate(&self, now: TimeMs, service: &ServiceName) -> bool {
+        self.peers.iter().any(|peer| self.may_reach(now, peer, service))
+    }
+
     /// Records a request that was sent to a peer.
     pub fn sent(&mut self, node: &NodeName) {
         *self.running.entry(node.clone()).or_default() += 1;
@@ -76,6 +76,11 @@
         self.avoided_until.insert((node.clone(), service.clone()), now.after(AVOID_MS));
     }
 
+    fn may_reach(&self, now: TimeMs, peer: &Peer, service: &ServiceName) -> bool {
+        let avoided_until = self.avoided_until.get(&(peer.node.clone(), service.clone()));
+        !peer.is_isolated && avoided_until.is_none_or(|until| *until <= now)
+    }
+
     fn running(&self, peer: &Peer) -> u32 {
         self.running.get(&peer.node).copied().unwrap_or(0)
     }
--- a/crates/gateway/src/links/shared_links.rs
+++ b/crates/gateway/src/links/shared_links.rs
@@ -68,10 +68,10 @@
         self.lock().detector.isolated_services().cloned().collect()
     }
 
-    /// Whether it is being checked now if the node has lost its links to a service.
-    pub(crate) fn is_checking(&self) -> bool {
+    /// Returns the services from which the node is isolated, or may be as a check is running.
+    pub(crate) fn unknown_services(&self) -> BTreeSet<ServiceName> {
         let state = self.lock();
-        state.running.keys().any(|service| !state.detector.is_isolated(service))
+        state.running.keys().chain(state.detector.isolated_services()).cloned().collect()
     }
 
     /// Records that a request was sent to a target.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -151,11 +151,13 @@
         }
         let request = self.build_request();
         if self.is_at_target() {
-            self.exchange.dispatcher.sent(self.exchange.ticket, &self.destination.service);
+            self.exchange.reached += 1;
+            let (ticket, may_delegate) = (self.exchange.ticket, self.exchange.may_delegate());
+            self.exchange.dispatcher.sent(ticket, &self.destination.service, may_delegate);
         }
         let answer = self.exchange.unless_interrupted(connection.send(request)).await;
-        if self.is_at_target() && !matches!(answer, Ok(Err(ConnectionError::Closed))) {
-            self.exchange.reached += 1;
+        if self.is_at_target() && matches!(answer, Ok(Err(ConnectionError::Closed))) {
+            self.exchange.reached -= 1;
         }
         match answer {
             Ok(Ok(response)) => Ok((connection, response)),
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -20,7 +21,9 @@
 
 /// Silence of a target after which a repeatable request is taken off it while this node is isolated,
 /// in milliseconds.
-const ISOLATED_SILENCE_MS: u64 = 600;
+///
+/// The links may be back within a second; callers give up after two.
+const ISOLATED_SILENCE_MS: u64 = 1_200;
 
 /// Identifies a pool: the service, and the model if the service has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -54,6 +57,10 @@
     pub(crate) streaming_since: Option<TimeMs>,
     /// Whether the request may be sent again after it may have run.
     pub(crate) may_repeat: bool,
+    /// Whether it may be sent to a further target by a peer.
+    pub(crate) may_delegate: bool,
+    /// Whether a retry by a peer has been charged to the retry budget.
+    pub(crate) is_retry_paid: bool,
     pub(crate) digest: RequestDigest,
 }
 
@@ -138,6 +145,8 @@
             heard_at: now,
             streaming_since: None,
             may_repeat: request.may_repeat(),
+            may_delegate: false,
+            is_retry_paid: false,
             digest: request.digest,
         };
         self.active_requests.insert(ticket, active);
@@ -167,15 +176,19 @@
         self.peers.choose(now, service, tried, &mut self.rng).cloned()
     }
 
-    /// Whether the retry budget, which is charged, allows another attempt of a request.
+    /// Whether the retry budget, which is charged unless it has been already, allows another attempt of
+    /// a request.
     pub(crate) fn try_withdraw_retry(&mut self, ticket: Ticket) -> bool {
+        if self.active_requests.get(&ticket).is_some_and(|active| active.is_retry_paid) {
+            return true;
+        }
         let pool = self.active_requests.get(&ticket).map(|active| &active.pool);
         pool.and_then(|key| self.pools.get_mut(key)).is_some_and(Pool::try_withdraw_retry)
     }
 
-    /// Cancels the repeatable requests at targets of isolated services that have been silent.
+    /// Takes repeatable requests off the silent targets of isolated services, so that peers run them.
     ///
-    /// Peers run them instead.
+    /// One that no peer could run, or whose retry is not granted, stays: the target may go on.
     pub(crate) fn cancel_isolated(
         &mut self,
         now: TimeMs,
@@ -183,6 +196,7 @@
     ) {
         let silent = self.active_requests.iter().filter(|(_, active)| {
             active.may_repeat
+                && active.may_delegate
                 && active.destination.is_some()
                 && now.since(active.heard_at) >= ISOLATED_SILENCE_MS
                 && is_isolated(&active.pool.service)
@@ -190,9 +204,14 @@
         let mut tickets: Vec<Ticket> = silent.map(|(ticket, _)| *ticket).collect();
         tickets.sort_unstable();
         for ticket in tickets {
+            let Some(active) = self.active_requests.get(&ticket) else { continue };
+            let has_peer = self.peers.has_candidate(now, &active.pool.service);
+            if !has_peer || !self.try_withdraw_retry(ticket) {
+                return;
+            }
             let Some(active) = self.active_requests.get_mut(&ticket) else { continue };
-            // Not again before it is silent as long.
-            active.heard_at = now;
+            // It is cancelled only once.
+            (active.may_delegate, active.is_retry_paid) = (false, true);
             active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
         }
     }
@@ -290,12 +309,15 @@
     /// Suspects the destinations that have stalled and returns them, moves their requests, and
     /// processes timers that are due.
     ///
-    /// While it is not known whether this node reaches any target, none is suspected.
-    pub(crate) fn tick(&mut self, now: TimeMs, links_known: bool) -> Vec<DestinationName> {
-        let stalled = match links_known {
-            true => self.stall_detector.detect_stalled(now),
-            false => Vec::new(),
-        };
+    /// No destination of an `unknown` service is suspected: this node may be isolated from it.
+    pub(crate) fn tick(
+        &mut self,
+        now: TimeMs,
+        unknown: &BTreeSet<ServiceName>,
+    ) -> Vec<DestinationName> {
+        let excluded = self.destinations.iter().filter(|at| unknown.contains(&at.service));
+        let excluded: BTreeSet<&DestinationName> = excluded.map(|at| &at.name).collect();
+        let stalled = self.stall_detector.detect_stalled(now, |name| !excluded.contains(name));
         if self.stall_detector.take_changed() {
             self.refresh_targets(now);
         }
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -119,7 +119,8 @@
             smol::Timer::after(TICK_INTERVAL).await;
             self.apply_notices();
             self.follow_links();
-            let stalled = self.state.borrow_mut().tick(self.now(), !self.links.links.is_checking());
+            let unknown = self.links.links.unknown_services();
+            let stalled = self.state.borrow_mut().tick(self.now(), &unknown);
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
             }
@@ -209,19 +210,21 @@
     }
 
     /// Records that a request was sent to a target.
-    pub(crate) fn sent(&self, ticket: Ticket, service: &ServiceName) {
+    ///
+    /// `may_delegate` tells whether a peer may send it to a further one.
+    pub(crate) fn sent(&self, ticket: Ticket, service: &ServiceName, may_delegate: bool) {
         let now = self.now();
         self.links.links.sent(now, service);
-        self.heard(now, ticket);
+        if let Some(active) = self.state.borrow_mut().active_requests.get_mut(&ticket) {
+            active.heard_at = now;
+            active.may_delegate = may_delegate;
+        }
     }
 
     /// Records that the target of a request has sent a part of its answer.
     pub(crate) fn received(&self, ticket: Ticket, service: &ServiceName) {
         self.links.links.received(service);
-        self.heard(self.now(), ticket);
-    }
-
-    fn heard(&self, now: TimeMs, ticket: Ticket) {
+        let now = self.now();
         if let Some(active) = self.state.borrow_mut().active_requests.get_mut(&ticket) {
             active.heard_at = now;
         }
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -25,8 +25,8 @@
 /// let mut detector = StallDetector::new();
 /// detector.stream_started(TimeMs::new(0), &"replica");
 /// detector.event_received(TimeMs::new(100), &"replica");
-/// assert!(detector.detect_stalled(TimeMs::new(500)).is_empty());
-/// assert_eq!(detector.detect_stalled(TimeMs::new(900)), ["replica"]);
+/// assert!(detector.detect_stalled(TimeMs::new(500), |_| true).is_empty());
+/// assert_eq!(detector.detect_stalled(TimeMs::new(900), |_| true), ["replica"]);
 /// assert!(detector.is_suspected(TimeMs::new(900), &"replica"));
 /// ```
 #[derive(Clone, Debug)]
@@ -88,14 +88,16 @@
         }
     }
 
-    /// Returns the stalled replicas that are not suspected yet, in order, and suspects them.
-    pub fn detect_stalled(&mut self, now: TimeMs) -> Vec<K> {
+    /// Returns the stalled replicas that are not suspected yet and that match, in order, and suspects
+    /// them.
+    pub fn detect_stalled(&mut self, now: TimeMs, matches: impl Fn(&K) -> bool) -> Vec<K> {
         let before = self.suspected.len();
         self.suspected.retain(|_, suspicion| suspicion.expires_at > now);
         self.changed |= self.suspected.len() != before;
         let stalled = self.replicas.iter().filter(|(name, streams)| {
             now.since(streams.last_event_at) >= STALL_TIMEOUT_MS
                 && !self.suspected.contains_key(*name)
+                && matches(name)
         });
         let mut stalled: Vec<_> = stalled.map(|(name, _)| name.clone()).collect();
         stalled.sort();
