gateway: bytes to a target may stay unacknowledged as long as keep-alive probes take (RECOVER)

Cause: the user timeout of 1.5 s also ends keep-alive probes: a link that was silent for 1.6 to 2.5 s cost the answers of requests that may not be repeated, although the target went on. Change: 3 s, one second until the first probe and two probes after it.

--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -28,11 +28,12 @@
 
 /// Connection pool settings for targets.
 ///
-/// The connect timeout fits connections within a region. A target that leaves data unacknowledged
-/// is disconnected after the time that the detection of a stalled replica takes.
+/// The connect timeout fits connections within a region. The user timeout also ends keep-alive
+/// probes, whatever their count, so it leaves them all the time that they take: a target that is
+/// silent for a second or two may go on.
 const TARGET_POOL_SETTINGS: PoolSettings = PoolSettings {
     connect_timeout: Duration::from_millis(300),
-    tcp_user_timeout: Duration::from_millis(1_500),
+    tcp_user_timeout: Duration::from_millis(3_000),
     idle_timeout: Duration::from_secs(10),
     idle_max: 8,
 };
