policy, gateway: nodes are spaced evenly over the targets, so that none is left out by most of them (limits_ended)

Cause: where a target has fewer than two slots a node, each node selected five targets by a random seed of its own; by chance three of five left the same one out. Class: nodes that choose at random, each for itself, what has to be even over all of them. Change: targets form a ring in one order for all nodes, and the nodes are spaced on it by their ranks among the live ones. A node or target more or less moves a subset by one target at most. Still by chance: which nodes an address answer names where there are more than eleven.

--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -8,7 +8,10 @@
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::feed_conditions::FleetScale;
-use crate::traffic::{Destination, DestinationName, SharedPeers, TrafficUpdate};
+use crate::traffic::{Destination, DestinationName, Senders, SharedPeers, TrafficUpdate};
+
+/// Key of the order of the nodes that send to the same targets.
+const SENDERS_KEY: &str = "senders";
 
 /// One part in this many of the nodes must not be isolated for the isolated to be left out of address
 /// answers.
@@ -35,7 +38,7 @@
             routes: self.routes.clone(),
             destinations: self.destinations.clone(),
             addresses: self.addresses(),
-            senders: self.peers.sender_count() as u32 + 1,
+            senders: self.senders(),
             peers: self.delegation_peers(),
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
@@ -75,6 +78,11 @@
         included.map(|(address, _)| address).collect()
     }
 
+    fn senders(&self) -> Senders {
+        let (rank, nodes) = self.peers.position_for(SENDERS_KEY, self.leaving);
+        Senders { nodes: nodes as u32, rank: rank as u32 }
+    }
+
     /// Returns the nodes that can run requests for this one.
     fn delegation_peers(&self) -> SharedPeers {
         let advertised = self.peers.advertised(BootClock.now());
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -15,7 +15,7 @@
 
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::{
-    CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, TargetLimitMap,
+    CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, Senders, TargetLimitMap,
     TargetNotices,
 };
 
@@ -90,7 +90,7 @@
     /// When the next pause of a target ends.
     back_off_ends_at: Option<TimeMs>,
     pools: Map<PoolKey, Pool>,
-    senders: u32,
+    senders: Senders,
     next_ticket: Ticket,
     seed: u64,
     retry_earned_per_arrival: f64,
@@ -120,7 +120,7 @@
             notices: Arc::default(),
             back_off_ends_at: None,
             pools: Map::default(),
-            senders: 1,
+            senders: Senders { nodes: 1, rank: 0 },
             next_ticket: Ticket::default(),
             seed,
             retry_earned_per_arrival,
@@ -290,8 +290,8 @@
         }
     }
 
-    /// Sets the number of nodes that send to the same targets.
-    pub(crate) fn set_senders(&mut self, now: TimeMs, senders: u32) {
+    /// Sets the nodes that send to the same targets.
+    pub(crate) fn set_senders(&mut self, now: TimeMs, senders: Senders) {
         if senders == self.senders {
             return;
         }
@@ -463,7 +463,7 @@
         let config = self.routes.as_ref().map(|routes| routes.config());
         let engine = config.and_then(|config| config.service(&key.service)?.engine.as_ref());
         let pools = engine.map_or(1, |engine| engine.models.len());
-        let saved_max = self.shared_retries.node_part(self.senders, pools);
+        let saved_max = self.shared_retries.node_part(self.senders.nodes, pools);
         RetryLimits { earned_per_arrival: self.retry_earned_per_arrival, saved_max }
     }
 
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -9,7 +9,7 @@
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
 use crate::adapter::ReportedLoad;
-use crate::traffic::{Destination, DestinationName, TargetLimitMap, TargetNotices};
+use crate::traffic::{Destination, DestinationName, Senders, TargetLimitMap, TargetNotices};
 
 /// Initial estimate of the time for a plain answer, in milliseconds.
 const INITIAL_PLAIN_ANSWER_MS: f64 = 40.0;
@@ -139,7 +139,7 @@
             destinations: Map::default(),
             next_key: TargetKey::default(),
             all_destinations: Vec::new(),
-            subset: TargetSubset::new(seed),
+            subset: TargetSubset::new(0, 1),
             limits: Arc::default(),
             notices: Arc::default(),
             backing_off: BTreeSet::new(),
@@ -302,15 +302,16 @@
         self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
     }
 
-    /// Sets the number of sending nodes and the retry limits of this one.
+    /// Sets the sending nodes and the retry limits of this one.
     pub(crate) fn set_senders(
         &mut self,
         now: TimeMs,
-        nodes: u32,
+        senders: Senders,
         retries: RetryLimits,
         out: &mut Vec<Decision>,
     ) {
-        self.senders = nodes.max(1);
+        self.senders = senders.nodes.max(1);
+        self.subset = TargetSubset::new(senders.rank as usize, senders.nodes as usize);
         self.policy.set_retry_saved_max(retries.saved_max);
         self.update_targets(now, out);
     }
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -44,6 +44,15 @@
         pub(crate) started_at_ms: Option<u64>,
     }
 
+    /// The live nodes that send to the same targets, including this one.
+    #[derive(Copy, Eq)]
+    pub(crate) struct Senders {
+        /// Number of nodes.
+        pub(crate) nodes: u32,
+        /// Rank of this node in an order that is the same on every node; the first has rank 0.
+        pub(crate) rank: u32,
+    }
+
     /// The limit that an answer of a target has named.
     pub(crate) struct NamedLimit {
         /// The target.
@@ -92,8 +101,8 @@
     pub(crate) destinations: Arc<[Destination]>,
     /// Addresses of the nodes that accept requests, including this node's if it does.
     pub(crate) addresses: Vec<SocketAddr>,
-    /// Number of live nodes that send to the same targets, including this one.
-    pub(crate) senders: u32,
+    /// The live nodes that send to the same targets.
+    pub(crate) senders: Senders,
     /// Nodes that can run requests for this one.
     pub(crate) peers: SharedPeers,
     /// Whether this node accepts requests.
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -134,7 +134,8 @@
         let with_name = |replica: &u32| (*replica, format!("replica-{replica}"));
         let all: Vec<(u32, String)> = self.replicas.keys().map(with_name).collect();
         for (node, current) in subsets.iter_mut().enumerate() {
-            let chosen = TargetSubset::new(node as u64).choose(&all, |(_, name)| name.as_str());
+            let subset = TargetSubset::new(node, self.nodes.len());
+            let chosen = subset.choose(&all, |(_, name)| name.as_str());
             let chosen: BTreeSet<u32> = chosen.iter().map(|(replica, _)| *replica).collect();
             for &removed in current.difference(&chosen) {
                 self.send_event(node, PolicyEvent::TargetDown { target: TargetKey::new(removed) });
--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -7,7 +7,7 @@
     let names: Vec<String> = (0..targets).map(|number| format!("target-{number}")).collect();
     let mut senders = vec![0; targets];
     for node in 0..nodes {
-        let subset = TargetSubset::new(node as u64);
+        let subset = TargetSubset::new(node, nodes);
         for chosen in subset.choose(&names, String::as_str) {
             let index = names.iter().position(|name| name == chosen);
             senders[index.unwrap_or_default()] += 1;
