--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -342,7 +342,7 @@
     fn process_changes(&mut self, changes: Changes) {
         if changes.targets {
             self.destinations = self.find_destinations();
-            self.parts.target_client.links.links.set_destinations(self.destinations.clone());
+            self.parts.target_client.link_check.links.set_destinations(self.destinations.clone());
             self.update_limits(BootClock.now());
         }
         if changes.targets || changes.nodes {
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -147,7 +147,8 @@
     /// Whether this node has lost its links to all targets that form replicas.
     pub(super) fn is_isolated(&self) -> bool {
         let service = self.routes.as_deref().and_then(engine_service).map(|(service, _)| service);
-        service.is_some_and(|service| self.parts.target_client.links.links.is_isolated(service))
+        service
+            .is_some_and(|service| self.parts.target_client.link_check.links.is_isolated(service))
     }
 
     /// Records a store call that was rejected or not answered.
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -8,7 +8,7 @@
 use crate::adapter::Adapter;
 use crate::control::Control;
 use crate::control::feed_conditions::FleetScale;
-use crate::traffic::{Destination, DestinationName, Senders, SharedPeers, TrafficUpdate};
+use crate::traffic::{Destination, DestinationName, Senders, TrafficUpdate};
 
 /// Key of the order of the nodes that send to the same targets.
 const SENDERS_KEY: &str = "senders";
@@ -66,7 +66,7 @@
     ///
     /// Isolated nodes are left out, unless the others would be too few for all callers.
     fn addresses(&self) -> Vec<SocketAddr> {
-        let own_is_isolated = self.parts.target_client.links.links.is_isolated_from_any();
+        let own_is_isolated = self.parts.target_client.link_check.links.is_isolated_from_any();
         let own = self.is_ready().then_some((self.parts.settings.caller_listen, own_is_isolated));
         let advertised = self.peers.advertised(BootClock.now());
         let advertised =
@@ -84,7 +84,7 @@
     }
 
     /// Returns the nodes that can run requests for this one.
-    fn delegation_peers(&self) -> SharedPeers {
+    fn delegation_peers(&self) -> Arc<[Peer]> {
         let advertised = self.peers.advertised(BootClock.now());
         let peers = advertised.map(|(record, is_isolated)| Peer {
             node: record.node.clone(),
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -35,7 +35,7 @@
     pub(crate) adapter: A,
     pub(crate) connections: ConnectionPool,
     pub(crate) notices: SharedNotices,
-    pub(crate) links: LinkCheck,
+    pub(crate) link_check: LinkCheck,
 }
 
 /// A target, as it is called.
@@ -116,7 +116,7 @@
     ///
     /// Only a connection that was opened after the failure shows that it does.
     async fn is_isolated(&self, target: &CalledTarget) -> bool {
-        self.links.is_isolated(&target.service, target.address, BootClock.now().after(1)).await
+        self.link_check.is_isolated(&target.service, target.address, BootClock.now().after(1)).await
     }
 
     /// Probes the readiness endpoint of a node.
--- a/crates/gateway/src/http/endpoints.rs
+++ b/crates/gateway/src/http/endpoints.rs
@@ -32,7 +32,7 @@
     if state.cut_off_until.is_some_and(|until| until > dispatcher.now()) {
         response.headers_mut().insert(CUT_OFF_HEADER, HeaderValue::from_static("1"));
     }
-    if dispatcher.links.links.is_isolated_from_any() {
+    if dispatcher.link_check.links.is_isolated_from_any() {
         response.headers_mut().insert(ISOLATED_HEADER, HeaderValue::from_static("1"));
     }
     response
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -112,7 +112,7 @@
         let timeout = Duration::from_millis(settings.store_timeout_ms);
         let client = StoreClient::with_codec(settings.store, timeout, adapter.clone());
         let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
-        let links = LinkCheck::new(
+        let link_check = LinkCheck::new(
             links,
             executor.clone(),
             connections.clone(),
@@ -120,7 +120,8 @@
             metrics.clone(),
             log.clone(),
         );
-        let target_client = TargetClient { adapter: adapter.clone(), connections, notices, links };
+        let target_client =
+            TargetClient { adapter: adapter.clone(), connections, notices, link_check };
         let parts = ControlParts {
             adapter,
             settings,
@@ -155,9 +156,9 @@
     let retry_extra = settings.retry_extra * RETRY_SHARE;
     let state = DispatchState::new(seed, retry_ratio, retry_extra);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
-    let links =
+    let link_check =
         LinkCheck::new(links, executor.clone(), connections, events.clone(), metrics, log.clone());
-    let dispatcher = Dispatcher::new(adapter, links, state, reports);
+    let dispatcher = Dispatcher::new(adapter, link_check, state, reports);
     let dispatcher = Rc::new(dispatcher.with_notices(notices).with_token(token));
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(INITIAL_LIMITS));
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -184,7 +184,7 @@
 
     fn connected(&self) {
         if self.is_at_target() {
-            self.exchange.dispatcher.links.connected(&self.destination.service);
+            self.exchange.dispatcher.link_check.connected(&self.destination.service);
         }
     }
 
@@ -271,10 +271,10 @@
         if self.peer.is_some() {
             return false;
         }
-        let links = &self.exchange.dispatcher.links;
+        let link_check = &self.exchange.dispatcher.link_check;
         let fresh_at = self.exchange.dispatcher.now().before(FRESH_CONNECTION_MS);
         let Destination { service, address, .. } = self.destination;
-        let check = links.is_isolated(service, *address, fresh_at);
+        let check = link_check.is_isolated(service, *address, fresh_at);
         self.exchange.unless_interrupted(check).await.unwrap_or(false)
     }
 
--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -1,13 +1,15 @@
-use std::sync::Arc;
+use std::rc::Rc;
 
 use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal, Peer};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
-use celeryhaven_types::{NodeName, Refusal, RefusalCode, VmName};
+use celeryhaven_types::{DataCentreName, NodeName, Refusal, RefusalCode, Verdict, VmName};
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::adapter::Adapter;
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
-use crate::traffic::{AnswerParts, CallerRequest, Destination, DestinationName, Exchange};
+use crate::traffic::{
+    AnswerParts, CallerRequest, Destination, DestinationName, Dispatcher, Exchange,
+};
 
 /// Header of a request that another node runs for this one.
 pub(crate) const DELEGATED_HEADER: HeaderName =
@@ -59,7 +61,7 @@
                     self.dispatcher.avoid_peer(&peer.node, &self.request);
                 }
                 // The peer was not reached.
-                AttemptOutcome::Failed(celeryhaven_types::Verdict::NotRun) => {
+                AttemptOutcome::Failed(Verdict::NotRun) => {
                     self.dispatcher.avoid_peer(&peer.node, &self.request);
                 }
                 outcome => {
@@ -77,7 +79,7 @@
             AttemptOutcome::Answered => self.answered(),
             AttemptOutcome::PeerRefused(refusal, retry_after_ms) => {
                 self.reached += refusal.attempts;
-                self.may_have_run |= refusal.verdict != celeryhaven_types::Verdict::NotRun;
+                self.may_have_run |= refusal.verdict != Verdict::NotRun;
                 let own = Refusal::not_run(RefusalCode::Overloaded);
                 let own = retry_after_ms.map_or(own, |ms| own.with_retry_after_ms(ms));
                 self.refuse(own).await;
@@ -109,7 +111,7 @@
 
 /// Counts a request as running at a peer until it is dropped.
 struct PeerGuard<A: Adapter> {
-    dispatcher: std::rc::Rc<crate::traffic::Dispatcher<A>>,
+    dispatcher: Rc<Dispatcher<A>>,
     node: NodeName,
 }
 
@@ -127,7 +129,7 @@
     }
 }
 
-impl<A: Adapter> crate::traffic::Dispatcher<A> {
+impl<A: Adapter> Dispatcher<A> {
     fn choose_peer(&self, request: &CallerRequest, tried: &[NodeName]) -> Option<Peer> {
         let now = self.now();
         self.state.borrow_mut().choose_peer(now, &request.service, tried)
@@ -169,12 +171,9 @@
         service: request.service.clone(),
         model: request.model.clone(),
         target: VmName::new(peer.node.as_str()),
-        data_centre: celeryhaven_types::DataCentreName::new(""),
+        data_centre: DataCentreName::new(""),
         address: peer.address,
         slots: 0,
         started_at_ms: None,
     }
 }
-
-/// The peers of an update, shared with the thread of traffic.
-pub(crate) type SharedPeers = Arc<[Peer]>;
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
-use celeryhaven_delegation::{Peer, PeerSet};
+use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
 use celeryhaven_types::{
-    DataCentreName, Map, ModelName, NodeName, Refusal, RequestClass, ServiceName, TimeMs,
+    DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -19,12 +19,6 @@
     TargetNotices,
 };
 
-/// Silence of a target after which a repeatable request is taken off it while this node is isolated,
-/// in milliseconds.
-///
-/// The links may be back within a second; callers give up after two.
-const ISOLATED_SILENCE_MS: u64 = 1_200;
-
 /// Identifies a pool: the service, and the model if the service has engines.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct PoolKey {
@@ -89,13 +83,13 @@
     notices: Arc<TargetNotices>,
     /// When the next pause of a target ends.
     back_off_ends_at: Option<TimeMs>,
-    pools: Map<PoolKey, Pool>,
+    pub(super) pools: Map<PoolKey, Pool>,
     senders: Senders,
     next_ticket: Ticket,
     seed: u64,
     retry_earned_per_arrival: f64,
     shared_retries: SharedRetryBudget,
-    rng: SmallRng,
+    pub(super) rng: SmallRng,
 }
 
 impl DispatchState {
@@ -166,63 +160,6 @@
         ticket
     }
 
-    /// Chooses a node that can run a request of a service.
-    pub(crate) fn choose_peer(
-        &mut self,
-        now: TimeMs,
-        service: &ServiceName,
-        tried: &[NodeName],
-    ) -> Option<Peer> {
-        self.peers.choose(now, service, tried, &mut self.rng).cloned()
-    }
-
-    /// Whether the retry budget, which is charged unless it has been already, allows another attempt of
-    /// a request.
-    pub(crate) fn try_withdraw_retry(&mut self, ticket: Ticket) -> bool {
-        if self.active_requests.get(&ticket).is_some_and(|active| active.is_retry_paid) {
-            return true;
-        }
-        let pool = self.active_requests.get(&ticket).map(|active| &active.pool);
-        pool.and_then(|key| self.pools.get_mut(key)).is_some_and(Pool::try_withdraw_retry)
-    }
-
-    /// Takes repeatable requests off the silent targets of isolated services, so that peers run them.
-    ///
-    /// One that no peer could run, or whose retry is not granted, stays: the target may go on.
-    pub(crate) fn cancel_isolated(
-        &mut self,
-        now: TimeMs,
-        is_isolated: impl Fn(&ServiceName) -> bool,
-    ) {
-        let silent = self.active_requests.iter().filter(|(_, active)| {
-            active.may_repeat
-                && active.may_delegate
-                && active.destination.is_some()
-                && now.since(active.heard_at) >= ISOLATED_SILENCE_MS
-                && is_isolated(&active.pool.service)
-        });
-        let mut tickets: Vec<Ticket> = silent.map(|(ticket, _)| *ticket).collect();
-        tickets.sort_unstable();
-        for ticket in tickets {
-            let Some(active) = self.active_requests.get(&ticket) else { continue };
-            let has_peer = self.peers.has_candidate(now, &active.pool.service);
-            if !has_peer || !self.try_withdraw_retry(ticket) {
-                return;
-            }
-            let Some(active) = self.active_requests.get_mut(&ticket) else { continue };
-            // It is cancelled only once.
-            (active.may_delegate, active.is_retry_paid) = (false, true);
-            active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
-        }
-    }
-
-    /// Forgets what calls have shown of the targets of a service, as this node was isolated.
-    pub(crate) fn forget_failures(&mut self, now: TimeMs, service: &ServiceName) {
-        self.crashes.retain(|crash| crash.service != *service);
-        self.stall_detector.clear_suspicions(now);
-        self.refresh_targets(now);
-    }
-
     /// Sends an event about an active request to its pool, and executes the resulting decisions.
     pub(crate) fn notify_pool(
         &mut self,
@@ -404,7 +341,7 @@
     }
 
     /// Gives each pool the destinations that are neither suspected nor leaving.
-    fn refresh_targets(&mut self, now: TimeMs) {
+    pub(super) fn refresh_targets(&mut self, now: TimeMs) {
         for key in self.pools.keys().cloned().collect::<Vec<_>>() {
             let eligible = self.eligible_destinations(now, &key);
             let mut out = Vec::new();
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -28,7 +28,7 @@
     pub(crate) adapter: A,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) connections: ConnectionPool,
-    pub(crate) links: LinkCheck,
+    pub(crate) link_check: LinkCheck,
     pub(crate) state: RefCell<DispatchState>,
     pub(crate) notices: SharedNotices,
     pub(crate) metrics: GatewayMetrics,
@@ -45,21 +45,21 @@
 }
 
 impl<A: Adapter> Dispatcher<A> {
-    /// Creates a dispatcher without destinations, which connects to targets as `links` does.
+    /// Creates a dispatcher without destinations, which connects to targets as `link_check` does.
     pub(crate) fn new(
         adapter: A,
-        links: LinkCheck,
+        link_check: LinkCheck,
         state: DispatchState,
         reports: Sender<TrafficReport>,
     ) -> Self {
-        let LinkCheck { executor, connections, metrics, log, .. } = links.clone();
+        let LinkCheck { executor, connections, metrics, log, .. } = link_check.clone();
         let (state, first_request_seen, ticks) =
             (RefCell::new(state), Cell::new(false), Cell::new(0));
         Self {
             adapter,
             executor,
             connections,
-            links,
+            link_check,
             state,
             notices: SharedNotices::default(),
             metrics,
@@ -119,7 +119,7 @@
             smol::Timer::after(TICK_INTERVAL).await;
             self.apply_notices();
             self.follow_links();
-            let unknown = self.links.links.unknown_services();
+            let unknown = self.link_check.links.unknown_services();
             let stalled = self.state.borrow_mut().tick(self.now(), &unknown);
             for name in stalled {
                 self.suspect_replica(&name, "streams stand still");
@@ -133,8 +133,8 @@
 
     /// Starts the checks of links that are due, and applies what they have found.
     fn follow_links(&self) {
-        self.links.start_due();
-        let isolated = self.links.links.isolated_services();
+        self.link_check.start_due();
+        let isolated = self.link_check.links.isolated_services();
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let before = self.isolated.replace(isolated.clone());
@@ -214,7 +214,7 @@
     /// `may_delegate` tells whether a peer may send it to a further one.
     pub(crate) fn sent(&self, ticket: Ticket, service: &ServiceName, may_delegate: bool) {
         let now = self.now();
-        self.links.links.sent(now, service);
+        self.link_check.links.sent(now, service);
         if let Some(active) = self.state.borrow_mut().active_requests.get_mut(&ticket) {
             active.heard_at = now;
             active.may_delegate = may_delegate;
@@ -223,7 +223,7 @@
 
     /// Records that the target of a request has sent a part of its answer.
     pub(crate) fn received(&self, ticket: Ticket, service: &ServiceName) {
-        self.links.links.received(service);
+        self.link_check.links.received(service);
         let now = self.now();
         if let Some(active) = self.state.borrow_mut().active_requests.get_mut(&ticket) {
             active.heard_at = now;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -109,7 +109,7 @@
 
     /// Sends the request to targets until the caller has a final answer.
     pub(crate) async fn run(mut self) {
-        if self.dispatcher.links.links.is_isolated(&self.request.service) {
+        if self.dispatcher.link_check.links.is_isolated(&self.request.service) {
             if self.request.delegated.is_some() {
                 return self.refuse_isolated().await;
             }
@@ -213,7 +213,7 @@
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => {
                 self.log_cancelled_attempt();
                 self.may_have_run = true;
-                match self.dispatcher.links.links.is_isolated(&self.request.service) {
+                match self.dispatcher.link_check.links.is_isolated(&self.request.service) {
                     true => self.delegate_or_fail().await,
                     false => self.retry_or_fail(Verdict::MayHaveRun).await,
                 }
@@ -311,7 +311,7 @@
         let mut parts = refusal_parts(status, &refusal, request_id);
         if self.request.delegated.is_some() {
             // Another peer may reach a target if this node could not send the request to any.
-            let is_isolated = self.dispatcher.links.links.is_isolated(&self.request.service);
+            let is_isolated = self.dispatcher.link_check.links.is_isolated(&self.request.service);
             let verdict = if self.may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
             let is_local = verdict == Verdict::NotRun && is_isolated;
             let refusal = DelegationRefusal { verdict, attempts: self.reached, is_local };
--- /dev/null
+++ b/crates/gateway/src/traffic/isolated.rs
@@ -0,0 +1,73 @@
+use celeryhaven_delegation::Peer;
+use celeryhaven_policy::Ticket;
+use celeryhaven_types::{NodeName, ServiceName, TimeMs};
+
+use crate::traffic::DispatchState;
+use crate::traffic::dispatch_state::Instruction;
+use crate::traffic::pool::Pool;
+
+/// Silence of a target after which a repeatable request is taken off it while this node is isolated,
+/// in milliseconds.
+///
+/// The links may be back within a second; callers give up after two.
+const ISOLATED_SILENCE_MS: u64 = 1_200;
+
+/// What changes while this node reaches no target of a service.
+impl DispatchState {
+    /// Chooses a node that can run a request of a service.
+    pub(crate) fn choose_peer(
+        &mut self,
+        now: TimeMs,
+        service: &ServiceName,
+        tried: &[NodeName],
+    ) -> Option<Peer> {
+        self.peers.choose(now, service, tried, &mut self.rng).cloned()
+    }
+
+    /// Whether the retry budget, which is charged unless it has been already, allows another attempt of
+    /// a request.
+    pub(crate) fn try_withdraw_retry(&mut self, ticket: Ticket) -> bool {
+        if self.active_requests.get(&ticket).is_some_and(|active| active.is_retry_paid) {
+            return true;
+        }
+        let pool = self.active_requests.get(&ticket).map(|active| &active.pool);
+        pool.and_then(|key| self.pools.get_mut(key)).is_some_and(Pool::try_withdraw_retry)
+    }
+
+    /// Takes repeatable requests off the silent targets of isolated services, so that peers run them.
+    ///
+    /// One that no peer could run, or whose retry is not granted, stays: the target may go on.
+    pub(crate) fn cancel_isolated(
+        &mut self,
+        now: TimeMs,
+        is_isolated: impl Fn(&ServiceName) -> bool,
+    ) {
+        let silent = self.active_requests.iter().filter(|(_, active)| {
+            active.may_repeat
+                && active.may_delegate
+                && active.destination.is_some()
+                && now.since(active.heard_at) >= ISOLATED_SILENCE_MS
+                && is_isolated(&active.pool.service)
+        });
+        let mut tickets: Vec<Ticket> = silent.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        for ticket in tickets {
+            let Some(active) = self.active_requests.get(&ticket) else { continue };
+            let has_peer = self.peers.has_candidate(now, &active.pool.service);
+            if !has_peer || !self.try_withdraw_retry(ticket) {
+                return;
+            }
+            let Some(active) = self.active_requests.get_mut(&ticket) else { continue };
+            // It is cancelled only once.
+            (active.may_delegate, active.is_retry_paid) = (false, true);
+            active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
+        }
+    }
+
+    /// Forgets what calls have shown of the targets of a service, as this node was isolated.
+    pub(crate) fn forget_failures(&mut self, now: TimeMs, service: &ServiceName) {
+        self.crashes.retain(|crash| crash.service != *service);
+        self.stall_detector.clear_suspicions(now);
+        self.refresh_targets(now);
+    }
+}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod dispatcher;
 mod exchange;
 mod forward;
+mod isolated;
 mod limits;
 mod notices;
 mod pool;
@@ -18,7 +19,7 @@
 
 pub(crate) use body::AnswerBody;
 pub(crate) use caller_request::CallerRequest;
-pub(crate) use delegation::{DELEGATED_HEADER, Delegated, SharedPeers, add_delegation_refusal};
+pub(crate) use delegation::{DELEGATED_HEADER, Delegated, add_delegation_refusal};
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use exchange::Exchange;
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -85,7 +85,7 @@
     /// A node that is isolated cannot tell.
     pub(crate) fn record_crash(&self, request: &CallerRequest, destination: &Destination) {
         let is_peer = matches!(destination.name, DestinationName::Peer(_));
-        if is_peer || self.links.links.is_isolated(&destination.service) {
+        if is_peer || self.link_check.links.is_isolated(&destination.service) {
             return;
         }
         let report = CrashReport {
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use async_channel::Sender;
+use celeryhaven_delegation::Peer;
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
 use celeryhaven_quarantine::{RequestDigest, Standings};
@@ -9,7 +10,7 @@
     DataCentreName, ModelName, NodeName, OrganisationName, ServiceName, TimeMs, VmName,
 };
 
-use crate::traffic::{SharedPeers, TargetLimitMap};
+use crate::traffic::TargetLimitMap;
 
 state! {
     /// Identifies a destination.
@@ -104,7 +105,7 @@
     /// The live nodes that send to the same targets.
     pub(crate) senders: Senders,
     /// Nodes that can run requests for this one.
-    pub(crate) peers: SharedPeers,
+    pub(crate) peers: Arc<[Peer]>,
     /// Whether this node accepts requests.
     pub(crate) ready: bool,
     /// Time until which this node counts as cut off from the store.
--- a/crates/isolation/src/detector.rs
+++ b/crates/isolation/src/detector.rs
@@ -12,10 +12,10 @@
 /// use celeryhaven_types::{ServiceName, TimeMs};
 ///
 /// let (mut detector, service) = (IsolationDetector::new(), ServiceName::new("models"));
-/// detector.failed(&service);
-/// let due = detector.take_due_checks(TimeMs::new(10));
+/// detector.sent(TimeMs::new(0), &service);
+/// let due = detector.take_due_checks(TimeMs::new(300));
 /// assert_eq!(due[0].service, service);
-/// let change = detector.check_ended(TimeMs::new(12), &service, CheckOutcome::Unreachable);
+/// let change = detector.check_ended(TimeMs::new(302), &service, CheckOutcome::Unreachable);
 /// assert_eq!(change, Some(LinkChange::Isolated));
 /// assert!(detector.is_isolated(&service));
 /// ```
@@ -40,11 +40,6 @@
         self.links(service).received();
     }
 
-    /// Records a call that failed without an answer: a check is due.
-    pub fn failed(&mut self, service: &ServiceName) {
-        self.links(service).failed();
-    }
-
     /// Records a new connection to a target, which shows that the node is not isolated.
     pub fn connected(&mut self, now: TimeMs, service: &ServiceName) -> Option<LinkChange> {
         self.links(service).connected(now)
@@ -60,7 +55,7 @@
         due.collect()
     }
 
-    /// Begins a check that is wanted at once.
+    /// Begins a check that is wanted at once, as a call has failed without an answer.
     pub fn begin_check(&mut self, now: TimeMs, service: &ServiceName) -> DueCheck {
         let targets_max = self.links(service).begin_check(now);
         DueCheck { service: service.clone(), targets_max }
@@ -91,13 +86,6 @@
         self.services.iter().filter(|(_, links)| links.is_isolated).map(|(service, _)| service)
     }
 
-    /// Whether the node was isolated from a service at or after a time.
-    ///
-    /// What calls have shown of targets since then may be an effect of the node's own cut.
-    pub fn was_isolated_since(&self, service: &ServiceName, at: TimeMs) -> bool {
-        self.services.get(service).is_some_and(|links| links.was_isolated_since(at))
-    }
-
     /// Whether a new connection to a target of a service was opened at or after a time.
     pub fn has_connected_since(&self, service: &ServiceName, at: TimeMs) -> bool {
         self.services.get(service).is_some_and(|links| links.has_connected_since(at))
--- a/crates/isolation/src/service_links.rs
+++ b/crates/isolation/src/service_links.rs
@@ -29,13 +29,9 @@
         connected_at: Option<TimeMs>,
         /// When the oldest request was sent that no byte of any target has followed.
         silent_since: Option<TimeMs>,
-        /// Whether a call has failed since the last check began.
-        has_failed: bool,
         is_being_checked: bool,
         check_started_at: Option<TimeMs>,
         pub(crate) is_isolated: bool,
-        /// When the node was last isolated.
-        last_isolated_at: Option<TimeMs>,
     }
 }
 
@@ -48,13 +44,9 @@
         self.silent_since = None;
     }
 
-    pub(crate) fn failed(&mut self) {
-        self.has_failed = true;
-    }
-
     pub(crate) fn connected(&mut self, now: TimeMs) -> Option<LinkChange> {
         self.connected_at = Some(now);
-        self.restore(now)
+        self.restore()
     }
 
     /// Returns the number of targets to check, and begins the check, if one is due.
@@ -63,14 +55,14 @@
         let is_silent = self.silent_since.is_some_and(|since| now.since(since) >= SILENCE_MS);
         let is_due = match self.is_isolated {
             true => since_check_ms >= ISOLATED_CHECK_INTERVAL_MS,
-            false => (self.has_failed || is_silent) && since_check_ms >= CHECK_INTERVAL_MS,
+            false => is_silent && since_check_ms >= CHECK_INTERVAL_MS,
         };
         (is_due && !self.is_being_checked).then(|| self.begin_check(now))
     }
 
     /// Begins a check that is wanted at once; returns the number of targets.
     pub(crate) fn begin_check(&mut self, now: TimeMs) -> usize {
-        (self.is_being_checked, self.has_failed) = (true, false);
+        self.is_being_checked = true;
         self.check_started_at = Some(now);
         if self.is_isolated { ISOLATED_CHECK_TARGETS } else { CHECK_TARGETS }
     }
@@ -79,10 +71,9 @@
         self.is_being_checked = false;
         match outcome {
             CheckOutcome::Reached => self.connected(now),
-            CheckOutcome::NoTargets => self.restore(now),
+            CheckOutcome::NoTargets => self.restore(),
             CheckOutcome::Unreachable if self.has_connected_since_check() => None,
             CheckOutcome::Unreachable => {
-                self.last_isolated_at = Some(now);
                 let was_isolated = std::mem::replace(&mut self.is_isolated, true);
                 (!was_isolated).then_some(LinkChange::Isolated)
             }
@@ -94,20 +85,13 @@
         self.connected_at.is_some_and(|connected_at| connected_at >= at)
     }
 
-    pub(crate) fn was_isolated_since(&self, at: TimeMs) -> bool {
-        self.is_isolated || self.last_isolated_at.is_some_and(|isolated_at| isolated_at >= at)
-    }
-
     fn has_connected_since_check(&self) -> bool {
         self.check_started_at.is_some_and(|at| self.has_connected_since(at))
     }
 
-    fn restore(&mut self, now: TimeMs) -> Option<LinkChange> {
+    fn restore(&mut self) -> Option<LinkChange> {
         self.silent_since = None;
         let was_isolated = std::mem::replace(&mut self.is_isolated, false);
-        if was_isolated {
-            self.last_isolated_at = Some(now);
-        }
         was_isolated.then_some(LinkChange::Restored)
     }
 }
--- a/crates/isolation/tests/detector.rs
+++ b/crates/isolation/tests/detector.rs
@@ -13,15 +13,14 @@
 
 fn isolated_at(ms: u64) -> IsolationDetector {
     let mut detector = IsolationDetector::new();
-    detector.failed(&service());
-    assert_eq!(detector.take_due_checks(at(ms)).len(), 1);
+    detector.begin_check(at(ms), &service());
     let change = detector.check_ended(at(ms), &service(), CheckOutcome::Unreachable);
     assert_eq!(change, Some(LinkChange::Isolated));
     detector
 }
 
 #[test]
-fn take_due_checks_nothing_failed() {
+fn take_due_checks_answered() {
     let mut detector = IsolationDetector::new();
     detector.sent(at(0), &service());
     detector.received(&service());
@@ -39,13 +38,13 @@
     assert!(detector.take_due_checks(at(5_000)).is_empty(), "one check at a time");
 }
 
-/// Failures of a target that has ended must not make the node open connections all the time.
+/// Targets that are slow must not make the node open connections all the time.
 #[test]
-fn take_due_checks_repeated_failures() {
+fn take_due_checks_repeated_silence() {
     let mut detector = IsolationDetector::new();
     let mut checks = 0;
     for ms in 0..10_000 {
-        detector.failed(&service());
+        detector.sent(at(ms), &service());
         checks += detector.take_due_checks(at(ms)).len();
         detector.check_ended(at(ms), &service(), CheckOutcome::Reached);
     }
@@ -66,8 +65,6 @@
     let mut detector = isolated_at(0);
     assert_eq!(detector.connected(at(500), &service()), Some(LinkChange::Restored));
     assert!(!detector.is_isolated(&service()));
-    assert!(detector.was_isolated_since(&service(), at(400)));
-    assert!(!detector.was_isolated_since(&service(), at(600)));
 }
 
 /// A connection that was opened while a check ran shows more than the check.
