--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -66,8 +66,8 @@
     ///
     /// Isolated nodes are left out, unless the others would be too few for all callers.
     fn addresses(&self) -> Vec<SocketAddr> {
-        let own_is_isolated = self.parts.target_client.link_check.links.is_isolated_from_any();
-        let own = self.is_ready().then_some((self.parts.settings.caller_listen, own_is_isolated));
+        let own =
+            self.is_ready().then_some((self.parts.settings.caller_listen, self.is_isolated()));
         let advertised = self.peers.advertised(BootClock.now());
         let advertised =
             advertised.map(|(record, is_isolated)| (record.caller_address, is_isolated));
--- a/crates/gateway/src/http/endpoints.rs
+++ b/crates/gateway/src/http/endpoints.rs
@@ -13,7 +13,7 @@
 /// Header that marks a node as cut off from the store.
 pub(crate) const CUT_OFF_HEADER: HeaderName = HeaderName::from_static("celeryhaven-cut-off");
 
-/// Header that marks a node as having lost its links to targets.
+/// Header that marks a node as having lost its links to the targets that form replicas.
 pub(crate) const ISOLATED_HEADER: HeaderName = HeaderName::from_static("celeryhaven-isolated");
 
 /// Answers a readiness probe of the platform or another node.
@@ -22,6 +22,7 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let path_matches = request.uri().path() == dispatcher.adapter.paths().ready;
+    let is_isolated = dispatcher.is_isolated_from_engines();
     let state = dispatcher.state.borrow();
     let status = match (path_matches, state.ready && state.leaving_since.is_none()) {
         (false, _) => StatusCode::NOT_FOUND,
@@ -32,7 +33,7 @@
     if state.cut_off_until.is_some_and(|until| until > dispatcher.now()) {
         response.headers_mut().insert(CUT_OFF_HEADER, HeaderValue::from_static("1"));
     }
-    if dispatcher.link_check.links.is_isolated_from_any() {
+    if is_isolated {
         response.headers_mut().insert(ISOLATED_HEADER, HeaderValue::from_static("1"));
     }
     response
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// Whether this node has lost its links to all targets that form replicas.
+    pub(crate) fn is_isolated_from_engines(&self) -> bool {
+        let state = self.state.borrow();
+        let services = state.routes.iter().flat_map(|routes| &routes.config().services);
+        let mut engines = services.filter(|service| service.engine.is_some());
+        engines.any(|service| self.link_check.links.is_isolated(&service.name))
+    }
+
     /// Counts the requests that still run in evacuated data centres, and logs when none is left.
     fn report_evacuating(&self) {
         let state = self.state.borrow();
--- a/crates/peers/src/node/probe_result.rs
+++ b/crates/peers/src/node/probe_result.rs
@@ -8,7 +8,8 @@
         Ready,
         /// The node accepts requests but is cut off from the store, so it cannot write a plan.
         CutOff,
-        /// The node accepts requests but has lost its links to targets; other nodes run them.
+        /// The node accepts requests but has lost its links to the targets that form replicas; other
+        /// nodes run them.
         Isolated,
         /// The node answers but accepts no requests: it is starting or stopping.
         NotReady,
