gateway, sources, peers: other sources are polled while the followed one does not answer (CONFIG)

Callers saw: nodes that no fault touches refuse an added key for 2.0 s and more while one relay is silent and the other has lost the store; nodes that the store alone turns away refuse it as long as it does, although all others know it.

Cause: the timeouts on the way were spent one after the other. A follower asked its relays in turn, 1.0 s each, and the store last; a relay without the store vouched for 1.5 s; a root had no source but the store.

Change: crates/sources decides, without I/O, which source a node follows. The configuration's feed leads: its poll waits 0.5 s and is overdue after 0.7 s; then the other relays, the store and some other nodes are polled at once while the open poll goes on, and the first that knows more is followed by all feeds. A node is believed only if its contact with the store is later than one's own, so two that have both lost the store do not confirm each other. A node without a source says so to its followers at once. In fleets with two relays every node keeps what it knows for others, in larger ones six of a data centre. A list that is older than what a node knows is not applied any more. Logs: the source of a configuration, the followed source, whether all are lost.

Ruled out: trying fewer relays or shorter waits in turn (adds calls, still adds up); a second relay polled all the time (doubles control at 1,000 nodes); electing other roots by probes (0.7 s and more until a probe tells).

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -2,7 +2,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
@@ -17,7 +17,7 @@
 use celeryhaven_target_limits::TargetLimits;
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_types::TimeMs;
-use celeryhaven_types::store::ObjectKey;
+use celeryhaven_types::store::{ObjectKey, ObjectVersion};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, warn};
@@ -30,14 +30,15 @@
 use crate::control::counted_store::CountedStore;
 use crate::control::directory::DirectoryState;
 use crate::control::event::{ControlEvent, FeedKind};
-use crate::control::feed::Feed;
+use crate::control::feed::{Feed, Poller, SharedSource};
 use crate::control::feed_conditions::{FeedConditions, FleetScale};
 use crate::control::heartbeats::{NODES_PREFIX, own_record};
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
 use crate::traffic::{
-    Destination, OfferedLoad, TargetLimitMap, TargetNotices, TrafficReport, TrafficUpdate,
+    Destination, OfferedLoad, TargetLimitMap, TargetNotices, TrafficReport,
+    TrafficUpdate,
 };
 
 /// Interval between two [`ControlEvent::Tick`] events.
@@ -93,6 +94,8 @@
     pub(super) nodes_listed: bool,
     pub(super) directory: DirectoryState,
     pub(super) feed_conditions: Rc<FeedConditions>,
+    /// The source that all feeds follow.
+    source: Rc<SharedSource>,
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
     pub(super) quarantine: Quarantine,
@@ -141,6 +144,7 @@
             nodes_listed: false,
             directory: DirectoryState::default(),
             feed_conditions: Rc::default(),
+            source: Rc::default(),
             relay,
             recent_suspicions: RecentSuspicions::default(),
             quarantine: Quarantine::new(),
@@ -206,24 +210,27 @@
     }
 
     fn start_feed(&self, prefix: ObjectKey, kind: FeedKind) {
-        let feed = Feed {
+        let poller = Poller {
             store: self.store.clone(),
+            connections: self.parts.target_client.connections.clone(),
             node: self.parts.settings.node.clone(),
             prefix,
             kind,
-            wait_ms: self.parts.settings.watch_wait_ms,
-            events: self.parts.events.0.clone(),
-            connections: self.parts.target_client.connections.clone(),
             conditions: self.feed_conditions.clone(),
             relay: self.relay.clone(),
+        };
+        let feed = Feed {
+            poller,
+            executor: self.executor.clone(),
+            wait_ms: self.parts.settings.watch_wait_ms,
+            events: self.parts.events.0.clone(),
+            source: self.source.clone(),
+            log: self.parts.log.clone(),
             from: None,
+            newest: ObjectVersion::default(),
             era: None,
-            direct_until: None,
-            store_retry_at: Instant::now(),
-            rng: SmallRng::seed_from_u64(self.parts.boot ^ kind as u64),
             failures: 0,
-            relay_answered_at: Instant::now(),
-            relay_index: 0,
+            rng: SmallRng::seed_from_u64(self.parts.boot ^ kind as u64),
         };
         self.executor.spawn(feed.follow()).detach();
     }
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -4,6 +4,7 @@
 use celeryhaven_demand::FleetSize;
 use celeryhaven_fleet::{EngineProfile, FleetView, RouteTable};
 use celeryhaven_forming::{FormingEvent, FormingSettings, FormingView, ListedDomain};
+use celeryhaven_peers::NodeRecord;
 use celeryhaven_types::{DomainName, NodeName, ServiceName, TimeMs};
 use slog::info;
 
@@ -127,11 +128,17 @@
         let is_large = self.feed_conditions.fleet_scale.get() == FleetScale::Large;
         let has_place = self.nodes_listed || upstream.is_relay;
         self.feed_conditions.may_list.set(is_large && has_place && upstream.relays.is_empty());
-        let relays = upstream.relays.into_iter();
-        let relays =
-            relays.map(|record| PeerAddress { address: record.peer_address, token: record.token });
-        self.feed_conditions.is_relay.set(upstream.is_relay);
-        self.feed_conditions.relays.replace(relays.collect());
+        let all = upstream.relays.iter().chain(&upstream.others);
+        let addresses = all.map(|record| (record.node.clone(), PeerAddress::of(record)));
+        let names = |records: &[NodeRecord]| -> Vec<NodeName> {
+            records.iter().map(|record| record.node.clone()).collect()
+        };
+        let conditions = &self.feed_conditions;
+        conditions.is_relay.set(upstream.is_relay);
+        conditions.is_asked.set(upstream.is_asked);
+        conditions.addresses.replace(addresses.collect());
+        conditions.relays.replace(names(&upstream.relays));
+        conditions.others.replace(names(&upstream.others));
     }
 
     /// Whether the store has recently rejected or not answered a call of this node.
--- a/crates/gateway/src/control/directory.rs
+++ b/crates/gateway/src/control/directory.rs
@@ -13,6 +13,9 @@
 /// Key of the directory of relays in the store.
 const DIRECTORY_KEY: &str = "relays/directory";
 
+/// Nodes of the directory that a relay asks while the roots do not answer.
+const OTHERS_MAX: usize = 6;
+
 /// Shortest interval between two writes of the directory, in milliseconds.
 const WRITE_INTERVAL_MS: u64 = 1_000;
 
@@ -61,10 +64,10 @@
         let own = &self.parts.settings.node;
         // A publisher reads the store itself, also when the relays of the directory are gone.
         if self.directory.is_first_publisher {
-            return Upstream { relays: Vec::new(), is_relay: true };
+            return upstream(Vec::new(), Vec::new(), true);
         }
         let Some((directory, _)) = &self.directory.stored else {
-            return Upstream { relays: Vec::new(), is_relay: false };
+            return upstream(Vec::new(), Vec::new(), false);
         };
         let (is_relay, is_root) = (directory.is_relay(own), directory.is_root(own));
         let relays = match (is_root, is_relay) {
@@ -75,7 +78,10 @@
                 directory.by_preference(own, data_centre).into_iter().cloned().collect()
             }
         };
-        Upstream { relays, is_relay }
+        let is_other = |record: &&NodeRecord| record.node != *own && !relays.contains(*record);
+        let others = directory.roots.iter().chain(&directory.relays).filter(is_other);
+        let others = others.filter(|_| is_relay).take(OTHERS_MAX).cloned().collect();
+        upstream(relays, others, is_relay)
     }
 
     /// Writes the directory if it is this node's task and the relays have changed.
@@ -107,6 +113,10 @@
     }
 }
 
+fn upstream(relays: Vec<NodeRecord>, others: Vec<NodeRecord>, is_relay: bool) -> Upstream {
+    Upstream { relays, others, is_relay, is_asked: is_relay }
+}
+
 /// What the store holds after a write of the directory.
 #[derive(Clone, Debug)]
 pub(crate) enum StoredDirectory {
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -4,9 +4,10 @@
 use celeryhaven_peers::{NodeRecord, ProbeResult, RelayDirectory};
 use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
 use celeryhaven_records::WriteOutcome;
+use celeryhaven_sources::Source;
 use celeryhaven_target_limits::{LimitRecord, LimitWrite};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
-use celeryhaven_types::{DomainName, NodeName};
+use celeryhaven_types::{DomainName, NodeName, TimeMs};
 
 use crate::control::counted_store::StoreCallKind;
 use crate::control::directory::StoredDirectory;
@@ -32,6 +33,14 @@
     pub(crate) const ALL: [Self; 5] =
         [Self::Configuration, Self::Targets, Self::Advisories, Self::Evacuations, Self::Nodes];
 
+    /// Whether the polls of this feed find out which source answers.
+    ///
+    /// The configuration decides which requests are answered for good, so its feed knows best how old
+    /// it is.
+    pub(crate) const fn is_lead(self) -> bool {
+        matches!(self, Self::Configuration)
+    }
+
     /// Returns the kind under which store calls of this feed are counted.
     pub(crate) const fn store_call_kind(self) -> StoreCallKind {
         match self {
@@ -65,13 +74,34 @@
         store: StoreContact,
         /// Whether the store has come back from a copy since the last update.
         is_restored: bool,
+        origin: FeedOrigin,
     },
     /// Changes since the last update, possibly none.
-    Changed { changes: Vec<ObjectChange>, store: StoreContact },
+    Changed { changes: Vec<ObjectChange>, store: StoreContact, origin: FeedOrigin },
     /// The store did not answer or rejected the call.
     Failed,
 }
 
+/// Where an update comes from.
+#[derive(Clone, Debug)]
+pub(crate) struct FeedOrigin {
+    pub(crate) source: Source,
+    /// Whether this node is assumed to reach the store itself.
+    pub(crate) reaches_store: bool,
+    /// Earliest time at which the store can have held what the update leads to.
+    pub(crate) confirmed_at: TimeMs,
+}
+
+impl FeedUpdate {
+    /// Returns where the update comes from, unless a poll has failed.
+    pub(crate) fn origin(&self) -> Option<&FeedOrigin> {
+        match self {
+            Self::Listed { origin, .. } | Self::Changed { origin, .. } => Some(origin),
+            Self::Failed => None,
+        }
+    }
+}
+
 /// Event for the control thread.
 #[derive(Clone, Debug)]
 pub(crate) enum ControlEvent {
--- a/crates/gateway/src/control/feed_conditions.rs
+++ b/crates/gateway/src/control/feed_conditions.rs
@@ -1,4 +1,7 @@
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+use celeryhaven_types::NodeName;
 
 use crate::control::relay::PeerAddress;
 
@@ -9,12 +12,18 @@
     pub(crate) is_forming: Cell<bool>,
     /// Whether other nodes follow this one.
     pub(crate) is_relay: Cell<bool>,
+    /// Whether other nodes may ask this one while their sources do not answer.
+    pub(crate) is_asked: Cell<bool>,
     /// Number of live nodes, including this one.
     pub(crate) nodes: Cell<u64>,
     /// Latest era of the store that a list was read in.
     pub(crate) era: Cell<u64>,
     /// Relays that may be followed, the preferred one first; none to poll the store.
-    pub(crate) relays: RefCell<Vec<PeerAddress>>,
+    pub(crate) relays: RefCell<Vec<NodeName>>,
+    /// Further nodes to ask while none of these answers.
+    pub(crate) others: RefCell<Vec<NodeName>>,
+    /// Addresses of all these nodes.
+    pub(crate) addresses: RefCell<BTreeMap<NodeName, PeerAddress>>,
     /// Whether the records of the other nodes have been read.
     pub(crate) nodes_known: Cell<bool>,
     /// How a starting node gets its first lists.
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -2,6 +2,7 @@
 
 use celeryhaven_fleet::{RouteTable, StoreContact, TargetEntry};
 use celeryhaven_peers::NodeRecord;
+use celeryhaven_sources::Source;
 use celeryhaven_types::store::{Object, ObjectChange, ObjectKey};
 use celeryhaven_types::{NodeName, TimeMs, VmName};
 use slog::{info, warn};
@@ -23,14 +24,14 @@
         kind: FeedKind,
         update: FeedUpdate,
     ) -> Changes {
-        let failed = matches!(update, FeedUpdate::Failed);
+        let failed = !update.origin().is_some_and(|origin| origin.reaches_store);
         if failed != self.store_unavailable {
             self.store_unavailable = failed;
             info!(self.parts.log, "store"; "answers" => !failed);
         }
         match update {
             FeedUpdate::Failed => Changes::NONE,
-            FeedUpdate::Listed { version, objects, store, is_restored } => {
+            FeedUpdate::Listed { version, objects, store, is_restored, origin } => {
                 self.keep_lapsed_entries(now, store);
                 if is_restored {
                     info!(self.parts.log, "store restored from a copy";
@@ -41,9 +42,9 @@
                     FeedKind::Configuration => {
                         let key = self.parts.adapter.configuration_key();
                         let newest = objects.iter().find(|object| object.key == key);
-                        Changes::targets(
-                            newest.is_some_and(|object| self.apply_configuration(&object.value)),
-                        )
+                        Changes::targets(newest.is_some_and(|object| {
+                            self.apply_configuration(&object.value, &origin.source)
+                        }))
                     }
                     FeedKind::Targets => {
                         let read = |object: &Object| self.parse_target(&object.key, &object.value);
@@ -68,7 +69,7 @@
                     }
                 }
             }
-            FeedUpdate::Changed { changes, store } => {
+            FeedUpdate::Changed { changes, store, origin } => {
                 self.keep_lapsed_entries(now, store);
                 if kind == FeedKind::Advisories {
                     return Changes::nodes(self.apply_advisory_changes(now, &changes));
@@ -77,7 +78,7 @@
                     return Changes::nodes(self.apply_node_changes(now, &changes));
                 }
                 let changed = changes.iter().fold(false, |changed, change| {
-                    changed | self.apply_change(now, kind, &change.key, change.value.as_deref())
+                    changed | self.apply_change(now, kind, change, &origin.source)
                 });
                 Changes::targets(changed)
             }
@@ -100,12 +101,14 @@
         &mut self,
         now: TimeMs,
         kind: FeedKind,
-        key: &ObjectKey,
-        value: Option<&str>,
+        change: &ObjectChange,
+        source: &Source,
     ) -> bool {
+        let (key, value) = (&change.key, change.value.as_deref());
         match (kind, value) {
             (FeedKind::Configuration, Some(value)) => {
-                *key == self.parts.adapter.configuration_key() && self.apply_configuration(value)
+                *key == self.parts.adapter.configuration_key()
+                    && self.apply_configuration(value, source)
             }
             (FeedKind::Evacuations, value) => {
                 self.apply_evacuation_change(now, key, value.is_some())
@@ -146,7 +149,7 @@
     ///
     /// Stale reads and repeated watch results may contain an older configuration, which must not
     /// replace a newer one.
-    pub(super) fn apply_configuration(&mut self, value: &str) -> bool {
+    pub(super) fn apply_configuration(&mut self, value: &str, source: &Source) -> bool {
         let config = match self.parts.adapter.configuration(value) {
             Ok(config) => config,
             Err(error) => {
@@ -160,7 +163,8 @@
             return false;
         }
         info!(self.parts.log, "configuration in force";
-            "number" => number.get(), "before" => in_force.map(celeryhaven_types::ConfigNumber::get));
+            "number" => number.get(), "before" => in_force.map(celeryhaven_types::ConfigNumber::get),
+            "source" => source.to_string());
         self.parts.metrics.process.config_number.set(number.get() as i64);
         self.routes = Some(Arc::new(RouteTable::new(config)));
         true
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -14,7 +14,7 @@
 use crate::control::suspicions::Suspicion;
 
 /// How long a relay's answer may take beyond the requested wait, in milliseconds.
-pub(crate) const ANSWER_SLACK_MS: u64 = 300;
+const ANSWER_SLACK_MS: u64 = 300;
 
 /// Path for suspicions.
 pub(super) const SUSPICION_PATH: &str = "/v1/suspicion";
--- a/crates/gateway/src/control/relay/relay_log.rs
+++ b/crates/gateway/src/control/relay/relay_log.rs
@@ -10,8 +10,6 @@
 #[derive(Debug, Default)]
 pub(super) struct RelayLog {
     pub(super) log: RefCell<ChangeLog>,
-    /// Whether the last update came from the store itself.
-    pub(super) is_from_store: Cell<bool>,
     waiters: RefCell<Vec<Sender<()>>>,
 }
 
@@ -27,10 +25,10 @@
         woken
     }
 
-    /// Waits until the request can be answered.
-    pub(super) async fn answer(&self, request: &RelayRequest) -> RelayAnswer {
+    /// Waits until the request can be answered, or this node has lost its sources.
+    pub(super) async fn answer(&self, request: &RelayRequest, is_lost: &Cell<bool>) -> RelayAnswer {
         loop {
-            if request.wait_for == WaitFor::Contact && !self.is_from_store.get() {
+            if is_lost.get() {
                 return RelayAnswer::Stale;
             }
             let new = match self.has_contact() {
@@ -42,7 +40,7 @@
                 return answer;
             }
             self.register_waiter().recv().await.unwrap_or_default();
-            if request.wait_for == WaitFor::Contact && self.is_from_store.get() {
+            if request.wait_for == WaitFor::Contact && !is_lost.get() {
                 return self.unchanged(request);
             }
         }
--- a/crates/gateway/src/control/relay/relay_request.rs
+++ b/crates/gateway/src/control/relay/relay_request.rs
@@ -9,11 +9,8 @@
 pub(crate) enum WaitFor {
     /// The objects have changed.
     Change,
-    /// The relay has polled the store successfully. A relay that follows another one waits for
-    /// this.
-    ///
-    /// Only a relay that polls the store itself answers it. Two relays that follow each other would
-    /// otherwise confirm each other's state after both have lost the store.
+    /// The relay has been in contact with the store, by itself or through its source. A relay that
+    /// follows another one waits for this.
     Contact,
 }
 
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -1,9 +1,11 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use celeryhaven_clock::BootClock;
 use celeryhaven_demand::DemandTree;
+use celeryhaven_fleet::StoreContact;
+use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectVersion;
 use http::header::AUTHORIZATION;
 use http::{Request, Response, StatusCode};
@@ -27,18 +29,12 @@
     advisories: Rc<RelayLog>,
     evacuations: Rc<RelayLog>,
     nodes: Rc<RelayLog>,
+    /// Whether this node has lost its own sources.
+    is_lost: Rc<Cell<bool>>,
     /// Demand of the followers and of the fleet.
     pub(crate) demand: Rc<RefCell<DemandTree>>,
 }
 
-/// Source of a feed update.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Source {
-    Store,
-    /// A relay.
-    Relay,
-}
-
 impl RelayState {
     /// Creates empty logs.
     pub(crate) fn new(token: &str) -> Self {
@@ -49,17 +45,19 @@
             advisories: Rc::default(),
             evacuations: Rc::default(),
             nodes: Rc::default(),
+            is_lost: Rc::default(),
             demand: Rc::default(),
         }
     }
 
-    /// Records a feed update that leads from one version to another.
+    /// Records a feed update that leads from one version to another, and up to when this node is
+    /// known to have everything, if that differs from its contact with the source.
     pub(crate) fn record(
         &self,
         kind: FeedKind,
         (from, version): (Option<ObjectVersion>, ObjectVersion),
         update: &FeedUpdate,
-        source: Source,
+        confirmed_at: Option<TimeMs>,
     ) {
         let log = self.log(kind);
         let mut change_log = log.log.borrow_mut();
@@ -68,18 +66,25 @@
                 change_log.apply_list(version, objects);
                 *store
             }
-            FeedUpdate::Changed { changes, store } => {
+            FeedUpdate::Changed { changes, store, .. } => {
                 change_log.apply_changes(from.unwrap_or_default(), version, changes);
                 *store
             }
             FeedUpdate::Failed => return,
         };
-        change_log.record_contact(BootClock.now(), store);
+        let now = BootClock.now();
+        let contact_age_ms = confirmed_at.map_or(store.contact_age_ms, |at| now.since(at));
+        change_log.record_contact(now, StoreContact { contact_age_ms, ..store });
         drop(change_log);
-        log.is_from_store.set(source == Source::Store);
         log.wake();
     }
 
+    /// Sets whether this node has lost its sources; if so, it answers no more until they are back.
+    pub(crate) fn set_lost(&self, is_lost: bool) {
+        self.is_lost.set(is_lost);
+        FeedKind::ALL.into_iter().for_each(|kind| self.log(kind).wake());
+    }
+
     /// Whether a follower could not be answered because the log has no full list.
     pub(crate) fn lacks_list(&self, kind: FeedKind) -> bool {
         self.log(kind).log.borrow().lacks_list()
@@ -100,7 +105,7 @@
             self.demand.borrow_mut().apply_report(BootClock.now(), node, demand);
         }
         let log = self.log(request.kind);
-        let answer = smol::future::or(log.answer(&request), async {
+        let answer = smol::future::or(log.answer(&request, &self.is_lost), async {
             Timer::after(Duration::from_millis(request.wait_ms)).await;
             log.unchanged(&request)
         });
--- a/crates/gateway/src/control/suspicions.rs
+++ b/crates/gateway/src/control/suspicions.rs
@@ -72,7 +72,7 @@
         let Some(record) = coordinator.and_then(|node| self.peers.record(node)).cloned() else {
             return;
         };
-        let peer = PeerAddress { address: record.peer_address, token: record.token };
+        let peer = PeerAddress::of(&record);
         let connections = self.parts.target_client.connections.clone();
         let send = async move { send_suspicion(&connections, &peer, &suspicion).await };
         self.executor.spawn(send).detach();
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -32,6 +32,12 @@
 /// Relays that a node tries one after the other before it polls the store itself.
 const RELAY_CANDIDATES: usize = 3;
 
+/// Further nodes that a node asks while no relay answers.
+const OTHERS_MAX: usize = 12;
+
+/// Nodes of a data centre that keep what they know for others where not all nodes do.
+const ASKED_NODES_MIN: usize = 6;
+
 /// Rendezvous key for the order of relays.
 const RELAY_KEY: &str = "relay";
 
@@ -316,11 +322,11 @@
     /// other nodes follow a relay. Nodes with a higher capacity class are preferred as relays.
     pub fn upstream(&self) -> Upstream {
         if self.relay_capable_count + 1 < RELAYED_FLEET_NODES_MIN {
-            return Upstream { relays: Vec::new(), is_relay: false };
+            return self.upstream_with(Vec::new(), false);
         }
         let roots = self.roots();
         if roots.contains(&self.own) {
-            return Upstream { relays: Vec::new(), is_relay: true };
+            return self.upstream_with(Vec::new(), true);
         }
         let below = match self.has_lower_relays() {
             true => self.relays_below(&roots),
@@ -332,8 +338,32 @@
             false => below,
         };
         followed.sort_by_key(|node| self.probe_order.weight(node));
-        let relays = followed.into_iter().filter_map(|node| self.record(node)).cloned();
-        Upstream { relays: relays.take(RELAY_CANDIDATES).collect(), is_relay }
+        followed.truncate(RELAY_CANDIDATES);
+        self.upstream_with(followed, is_relay)
+    }
+
+    /// Adds the other nodes that may be asked, and returns all with their records.
+    ///
+    /// In a fleet with more relays than the roots, only some nodes keep what they know for others.
+    fn upstream_with(&self, relays: Vec<&NodeName>, is_relay: bool) -> Upstream {
+        let roots = self.roots();
+        let has_lower_relays = self.has_lower_relays();
+        let mut others: Vec<&NodeName> = match has_lower_relays {
+            true => self.near_candidates(&roots).take(self.asked_count()).collect(),
+            false => self.relays.nodes().filter(|node| self.may_relay(node)).collect(),
+        };
+        let is_asked = is_relay || others.contains(&&self.own);
+        others.extend(roots.iter().filter(|_| has_lower_relays));
+        others.retain(|node| **node != self.own && !relays.contains(node));
+        others.sort_by_cached_key(|node| {
+            let is_cut_off = self.nodes.get(*node).is_some_and(NodeState::is_cut_off);
+            (is_cut_off, !roots.contains(node), self.probe_order.weight(node))
+        });
+        others.truncate(OTHERS_MAX);
+        let records = |nodes: Vec<&NodeName>| -> Vec<NodeRecord> {
+            nodes.into_iter().filter_map(|node| self.record(node)).cloned().collect()
+        };
+        Upstream { relays: records(relays), others: records(others), is_relay, is_asked }
     }
 
     /// Whether the fleet needs more relays than the roots.
@@ -401,9 +431,23 @@
 
     /// Returns the relays of this node's data centre that follow the roots.
     fn relays_below(&self, roots: &[NodeName]) -> Vec<&NodeName> {
-        let relay_count = (self.near_relays.len() / NODES_PER_RELAY).max(1);
+        self.near_candidates(roots).take(self.lower_relay_count()).collect()
+    }
+
+    /// Returns the nodes of this node's data centre that may follow the roots, in relay order.
+    fn near_candidates(&self, roots: &[NodeName]) -> impl Iterator<Item = &NodeName> {
         let candidates = self.near_relays.nodes().filter(|node| !roots.contains(node));
-        candidates.filter(|node| self.may_relay(node)).take(relay_count).collect()
+        candidates.filter(|node| self.may_relay(node))
+    }
+
+    /// Returns the number of relays of this node's data centre that follow the roots.
+    fn lower_relay_count(&self) -> usize {
+        (self.near_relays.len() / NODES_PER_RELAY).max(1)
+    }
+
+    /// Returns the number of nodes of this node's data centre that keep what they know for others.
+    fn asked_count(&self) -> usize {
+        self.lower_relay_count().max(ASKED_NODES_MIN)
     }
 
     fn may_relay(&self, node: &NodeName) -> bool {
