gateway: 401 and 404 only while the configuration is confirmed (CONFIG)

Callers saw: a node that can't know an added key refuses it with 401, which they take for final.

Cause: a rejection by the configuration did not depend on how old it may be.

Change: each update says up to when the store can have held what it leads to, counted from when the poll was sent, so an answer that lay in a buffer does not count as new. A node whose configuration was not confirmed within config_apply_ms less 0.2 s, or that could not read the newest one, or whose traffic has not got it yet, answers 503 with a time to come back; the caller's next try goes to another node. What the known configuration allows is served as before. The log names the configuration and its age at each such answer.

Weighed: refuse all requests while unconfirmed (an outage of the store would stop a fleet that can serve), ask another node before each 401 (a call for each bad key; and it may know no more).

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -37,7 +37,7 @@
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
 use crate::traffic::{
-    Destination, OfferedLoad, TargetLimitMap, TargetNotices, TrafficReport,
+    Destination, OfferedLoad, SharedConfirmation, TargetLimitMap, TargetNotices, TrafficReport,
     TrafficUpdate,
 };
 
@@ -65,6 +65,7 @@
     pub(crate) token: String,
     pub(crate) events: (Sender<ControlEvent>, Receiver<ControlEvent>),
     pub(crate) traffic: Sender<TrafficUpdate>,
+    pub(crate) confirmation: SharedConfirmation,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
 }
@@ -75,6 +76,8 @@
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) store: CountedStore<A>,
     pub(super) routes: Option<Arc<RouteTable>>,
+    /// Whether the newest configuration could not be read.
+    pub(super) is_config_unreadable: bool,
     pub(super) fleet: FleetView,
     pub(super) targets_listed: bool,
     /// All destinations of requests.
@@ -129,6 +132,7 @@
             executor,
             store,
             routes: None,
+            is_config_unreadable: false,
             fleet: FleetView::new(),
             targets_listed: false,
             destinations: Arc::default(),
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -17,13 +17,24 @@
 pub(super) const OUTAGE_GRACE_MS: u64 = 2_300;
 
 impl<A: Adapter> Control<A> {
-    /// Applies a feed update.
+    /// Applies a feed update, and records up to when the configuration is known to be the newest one.
     pub(super) fn apply_feed_update(
         &mut self,
         now: TimeMs,
         kind: FeedKind,
         update: FeedUpdate,
     ) -> Changes {
+        let confirmed_at = update.origin().map(|origin| origin.confirmed_at);
+        let changes = self.apply_objects(now, kind, update);
+        if let (FeedKind::Configuration, Some(at), Some(routes), false) =
+            (kind, confirmed_at, &self.routes, self.is_config_unreadable)
+        {
+            self.parts.confirmation.record(routes.config().number, at);
+        }
+        changes
+    }
+
+    fn apply_objects(&mut self, now: TimeMs, kind: FeedKind, update: FeedUpdate) -> Changes {
         let failed = !update.origin().is_some_and(|origin| origin.reaches_store);
         if failed != self.store_unavailable {
             self.store_unavailable = failed;
@@ -154,9 +165,11 @@
             Ok(config) => config,
             Err(error) => {
                 warn!(self.parts.log, "configuration ignored"; "error" => error.to_string());
+                self.is_config_unreadable = true;
                 return false;
             }
         };
+        self.is_config_unreadable = false;
         let number = config.number;
         let in_force = self.routes.as_ref().map(|routes| routes.config().number);
         if in_force.is_some_and(|in_force| in_force >= number) {
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -12,7 +12,7 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::http::resolve::{Rejection, Resolved, read_delegated, resolve, unavailable};
+use crate::http::resolve::{Rejection, Resolved, confirm, read_delegated, resolve, unavailable};
 use crate::http::{refusal_parts, strip_hop_by_hop};
 use crate::traffic::{
     Admission, AnswerBody, AnswerParts, CallerRequest, DELEGATED_HEADER, Dispatcher, Exchange,
@@ -137,7 +137,8 @@
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let resolved = match delegated {
         Some(delegated) => Resolved::from(delegated),
-        None => resolve(&routes, (host, parts.uri.path()), &caller)?,
+        None => resolve(&routes, (host, parts.uri.path()), &caller)
+            .map_err(|rejection| confirm(dispatcher, &routes, rejection))?,
     };
     if leaving_ms.is_some_and(|ms| ms > DRAIN_ACCEPT_MS) {
         return Err(unavailable());
--- a/crates/gateway/src/http/resolve.rs
+++ b/crates/gateway/src/http/resolve.rs
@@ -5,6 +5,7 @@
 use celeryhaven_fleet::{Route, RouteTable};
 use celeryhaven_types::{ModelName, OrganisationName, Refusal, RefusalCode, ServiceName};
 use http::{HeaderMap, StatusCode};
+use slog::info;
 
 use crate::adapter::{Adapter, CallerHead};
 use crate::traffic::{DELEGATED_HEADER, Delegated, Dispatcher};
@@ -14,6 +15,10 @@
 /// Other nodes accept requests meanwhile.
 const NOT_READY_RETRY_AFTER_MS: u64 = 300;
 
+/// Time that is left for the answer itself when the age of a configuration is judged, in
+/// milliseconds.
+const ANSWER_MARGIN_MS: u64 = 200;
+
 /// An error answer produced by this node.
 pub(super) enum Rejection {
     Refusal(StatusCode, Refusal),
@@ -98,6 +103,28 @@
     }
 }
 
+/// Returns what to answer instead of a rejection that only the newest configuration justifies.
+///
+/// A route or key may have been added that this node can't know yet: another node can tell, and the
+/// caller must not take the answer for final.
+pub(super) fn confirm<A: Adapter>(
+    dispatcher: &Dispatcher<A>,
+    routes: &RouteTable,
+    rejection: Rejection,
+) -> Rejection {
+    let Rejection::Refusal(status, _) = &rejection;
+    if !matches!(*status, StatusCode::NOT_FOUND | StatusCode::UNAUTHORIZED) {
+        return rejection;
+    }
+    let number = routes.config().number;
+    let age_ms = dispatcher.confirmation.age_ms(dispatcher.now(), number);
+    let age_ms_max = dispatcher.config_apply_ms.saturating_sub(ANSWER_MARGIN_MS);
+    let is_confirmed = age_ms.is_some_and(|age_ms| age_ms <= age_ms_max);
+    info!(dispatcher.log, "not allowed by the configuration"; "status" => status.as_u16(),
+        "number" => number.get(), "confirmed_ms_ago" => age_ms, "is_final" => is_confirmed);
+    if is_confirmed { rejection } else { unavailable() }
+}
+
 pub(super) fn unavailable() -> Rejection {
     let refusal = Refusal::not_run(RefusalCode::NodeUnavailable);
     let refusal = refusal.with_retry_after_ms(NOT_READY_RETRY_AFTER_MS);
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -20,7 +20,9 @@
 use crate::process::ProcessError;
 use crate::process::error::{ListenSnafu, RandomSnafu, ThreadSnafu};
 use crate::process::signals::Signals;
-use crate::traffic::{DispatchState, Dispatcher, SharedNotices, TrafficReport, TrafficUpdate};
+use crate::traffic::{
+    DispatchState, Dispatcher, SharedConfirmation, SharedNotices, TrafficReport, TrafficUpdate,
+};
 
 /// Limits for callers until a configuration has been read.
 const INITIAL_LIMITS: ServerLimits =
@@ -55,6 +57,7 @@
     log: Logger,
     events: Sender<ControlEvent>,
     notices: SharedNotices,
+    confirmation: SharedConfirmation,
     links: SharedLinks,
 }
 
@@ -75,7 +78,8 @@
     let (updates, update_receiver) = unbounded();
     let (notices, links) = (SharedNotices::default(), SharedLinks::new(seed));
     let metrics = GatewayMetrics::new();
-    let parts = Parts { settings, adapter, metrics, log, events, notices, links };
+    let confirmation = SharedConfirmation::default();
+    let parts = Parts { settings, adapter, metrics, log, events, notices, confirmation, links };
     let token = format!("{:016x}", getrandom::u64().context(RandomSnafu)?);
     start_control(&parts, token.clone(), event_receiver, updates)?;
     let executor = Rc::new(LocalExecutor::new());
@@ -99,8 +103,9 @@
     event_receiver: Receiver<ControlEvent>,
     traffic: Sender<TrafficUpdate>,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, notices, links } = parts;
+    let Parts { settings, adapter, metrics, log, events, notices, confirmation, links } = parts;
     let (notices, links) = (notices.clone(), links.clone());
+    let confirmation = confirmation.clone();
     let (settings, adapter, metrics) = (settings.clone(), adapter.clone(), metrics.clone());
     let (log, events) = (log.clone(), events.clone());
     let boot = celeryhaven_clock::unix_ms();
@@ -131,6 +136,7 @@
             token,
             events: (events, event_receiver),
             traffic,
+            confirmation,
             metrics,
             log,
         };
@@ -150,7 +156,7 @@
     executor: Rc<LocalExecutor<'static>>,
     signals: Signals,
 ) -> Result<(), ProcessError> {
-    let Parts { settings, adapter, metrics, log, events, notices, links } = parts;
+    let Parts { settings, adapter, metrics, log, events, notices, confirmation, links } = parts;
     let (reports, report_receiver) = unbounded();
     let retry_ratio = settings.retry_ratio * RETRY_SHARE;
     let retry_extra = settings.retry_extra * RETRY_SHARE;
@@ -159,7 +165,11 @@
     let link_check =
         LinkCheck::new(links, executor.clone(), connections, events.clone(), metrics, log.clone());
     let dispatcher = Dispatcher::new(adapter, link_check, state, reports);
-    let dispatcher = Rc::new(dispatcher.with_notices(notices).with_token(token));
+    let dispatcher = dispatcher
+        .with_notices(notices)
+        .with_confirmation(confirmation, settings.config_apply_ms)
+        .with_token(token);
+    let dispatcher = Rc::new(dispatcher);
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(INITIAL_LIMITS));
     let open = listen(&settings, &dispatcher, &stop, &limits)?;
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -15,7 +15,9 @@
 use crate::adapter::{Adapter, ReportedLoad};
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction};
-use crate::traffic::{CallerRequest, DestinationName, SharedNotices, TrafficReport, TrafficUpdate};
+use crate::traffic::{
+    CallerRequest, DestinationName, SharedConfirmation, SharedNotices, TrafficReport, TrafficUpdate,
+};
 
 /// Interval between two checks of queues and stalled replicas.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -31,6 +33,10 @@
     pub(crate) link_check: LinkCheck,
     pub(crate) state: RefCell<DispatchState>,
     pub(crate) notices: SharedNotices,
+    /// Up to when the configuration is known to be the newest one.
+    pub(crate) confirmation: SharedConfirmation,
+    /// Time within which a change of the configuration must be in force, in milliseconds.
+    pub(crate) config_apply_ms: u64,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
     reports: Sender<TrafficReport>,
@@ -62,6 +68,8 @@
             link_check,
             state,
             notices: SharedNotices::default(),
+            confirmation: SharedConfirmation::default(),
+            config_apply_ms: 0,
             metrics,
             log,
             reports,
@@ -78,6 +86,16 @@
         Self { notices, ..self }
     }
 
+    /// Sets up to when the configuration is known to be the newest one, and the time within which a
+    /// change of it must be in force.
+    pub(crate) fn with_confirmation(
+        self,
+        confirmation: SharedConfirmation,
+        config_apply_ms: u64,
+    ) -> Self {
+        Self { confirmation, config_apply_ms, ..self }
+    }
+
     /// Sets the bearer token of this node.
     pub(crate) fn with_token(self, token: String) -> Self {
         Self { token, ..self }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod body;
 mod caller_request;
+mod confirmation;
 mod delegation;
 mod delivery_times;
 mod dispatch_state;
@@ -19,6 +20,7 @@
 
 pub(crate) use body::AnswerBody;
 pub(crate) use caller_request::CallerRequest;
+pub(crate) use confirmation::SharedConfirmation;
 pub(crate) use delegation::{DELEGATED_HEADER, Delegated, add_delegation_refusal};
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -38,6 +38,8 @@
         retry_extra: f64 = Kind::decimal(0.0, 1e6, 100.0);
         /// Span over which the loads that the weights store allows are counted.
         load_window_s: f64 = Kind::decimal(0.1, 600.0, 5.0);
+        /// Time within which a change of the configuration must be in force on every node.
+        config_apply_ms: u64 = Kind::number(500, 600_000, 2_000);
         /// Timeout of a call to the store.
         store_timeout_ms: u64 = Kind::number(50, 60_000, 700);
         /// How long a watch of the store waits for a change.
