--- a/crates/gateway/src/control/feed/feed.rs
+++ b/crates/gateway/src/control/feed/feed.rs
@@ -229,7 +229,8 @@
         let has_changes = !objects.is_empty();
         let origin = FeedOrigin {
             source: request.source.clone(),
-            reaches_store: is_store || self.source.is_preferred(&request.source),
+            // A node that follows others is not known to be cut off from the store.
+            reaches_store: is_store || !self.poller.conditions.relays.borrow().is_empty(),
             confirmed_at,
         };
         let update = match objects {
--- a/crates/gateway/src/control/feed/lead.rs
+++ b/crates/gateway/src/control/feed/lead.rs
@@ -113,7 +113,7 @@
                 Action::Cancel(id) => drop(lead.open.remove(&id)),
                 Action::Follow(source) => {
                     let is_preferred = candidates.preferred.contains(&source);
-                    if self.source.set(source.clone(), is_preferred) {
+                    if self.source.set(source.clone()) {
                         let confirmed_at = lead.follower.confirmed_at();
                         info!(self.log, "source followed"; "source" => source.to_string(),
                             "preferred" => is_preferred,
