--- a/crates/peers/tests/peers.rs
+++ b/crates/peers/tests/peers.rs
@@ -226,6 +226,34 @@
     }
 }
 
+/// A node that others ask while their sources are silent, and that keeps nothing for them, would leave
+/// them behind.
+#[test]
+fn upstream_names_nodes_that_keep() {
+    for nodes in [2, 4, 5, 8, 59, 60, 150, 300] {
+        let records: Vec<_> = (0..nodes)
+            .map(|number| NodeRecord {
+                data_centre: DataCentreName::new(["a", "b", "c"][number % 3]),
+                ..record(number, 1)
+            })
+            .collect();
+        let upstreams: BTreeMap<NodeName, _> = records
+            .iter()
+            .map(|own| {
+                let mut peers = Peers::new(own.node.clone()).with_own_record(own);
+                peers.apply_records(NOW, records.clone());
+                (own.node.clone(), peers.upstream())
+            })
+            .collect();
+        for (node, upstream) in &upstreams {
+            let named: Vec<_> = upstream.relays.iter().chain(&upstream.others).collect();
+            assert!(named.iter().all(|record| upstreams[&record.node].is_asked), "{nodes} nodes");
+            assert!(named.iter().all(|record| record.node != *node), "{nodes} nodes");
+            assert!(named.len() >= (nodes - 1).min(7), "{} named of {nodes}", named.len());
+        }
+    }
+}
+
 /// A node that has left the list must not stay a relay or a coordinator.
 #[test]
 fn replace_records_removes_missing() {
