--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -21,6 +21,8 @@
         for report in crashes {
             let entry = self.fleet.target(&report.target);
             if entry.is_some_and(|entry| entry.phase == TargetPhase::Draining) {
+                info!(self.parts.log, "end not attributed"; "digest" => report.digest.to_string(),
+                    "target" => report.target.as_str(), "why" => "draining");
                 continue;
             }
             self.parts.metrics.crash_reports.inc();
@@ -84,7 +86,9 @@
             return;
         }
         let removes_expired = self.feed_conditions.relays.borrow().is_empty();
-        for write in self.quarantine.due_writes(now, removes_expired) {
+        let writes = self.quarantine.due_writes(now, removes_expired);
+        self.log_lost_records(&writes);
+        for write in writes {
             let (store, events) = (self.store.clone(), self.parts.events.0.clone());
             let execute = async move {
                 let outcome = write_record(
@@ -101,6 +105,20 @@
         }
     }
 
+    /// Logs the records that are removed, and those that find no room.
+    fn log_lost_records(&mut self, writes: &[QuarantineWrite]) {
+        let records = self.quarantine.stored_mut().len();
+        for write in writes.iter().filter(|write| matches!(write, QuarantineWrite::Delete { .. })) {
+            let record = self.quarantine.record(*write.key());
+            info!(self.parts.log, "crash record removed"; "digest" => write.key().to_string(),
+                "crashes" => record.map(|record| record.crashes.len()), "records" => records);
+        }
+        for digest in self.quarantine.take_without_room() {
+            warn!(self.parts.log, "no room for crash record"; "digest" => digest.to_string(),
+                "records" => records);
+        }
+    }
+
     /// Applies the outcome of a write.
     pub(super) fn record_quarantine_write(
         &mut self,
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -16,7 +16,8 @@
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction};
 use crate::traffic::{
-    CallerRequest, DestinationName, SharedConfirmation, SharedNotices, TrafficReport, TrafficUpdate,
+    CallerRequest, CrashReport, DestinationName, SharedConfirmation, SharedNotices, TrafficReport,
+    TrafficUpdate,
 };
 
 /// Interval between two checks of queues and stalled replicas.
@@ -157,7 +158,9 @@
         let mut state = self.state.borrow_mut();
         let before = self.isolated.replace(isolated.clone());
         for service in before.symmetric_difference(&isolated) {
-            state.forget_failures(now, service);
+            for CrashReport { digest, target, .. } in state.forget_failures(now, service) {
+                self.log_unattributed(digest, target.as_str(), "isolated");
+            }
         }
         if !isolated.is_empty() {
             state.cancel_isolated(now, |service| isolated.contains(service));
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -38,6 +38,9 @@
         let is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         let acquits = parts.status.is_success() && is_framed;
+        if !is_framed {
+            self.log_end("answer ends with its connection", parts.status.as_u16());
+        }
         strip_hop_by_hop(&mut headers);
         let parts = AnswerParts { status: parts.status, headers, body: None };
         let outcome =
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -85,9 +85,12 @@
     /// A node that is isolated cannot tell.
     pub(crate) fn record_crash(&self, request: &CallerRequest, destination: &Destination) {
         let is_peer = matches!(destination.name, DestinationName::Peer(_));
-        if is_peer || self.link_check.links.is_isolated(&destination.service) {
+        if is_peer {
             return;
         }
+        if self.link_check.links.is_isolated(&destination.service) {
+            return self.log_unattributed(request.digest, destination.target.as_str(), "isolated");
+        }
         let report = CrashReport {
             digest: request.digest,
             organisation: request.organisation.clone(),
@@ -99,6 +102,12 @@
         self.state.borrow_mut().crashes.record(self.now(), report);
     }
 
+    /// Logs the end of a target that is held against no request.
+    pub(crate) fn log_unattributed(&self, digest: RequestDigest, target: &str, why: &'static str) {
+        info!(self.log, "end not attributed"; "digest" => digest.to_string(), "target" => target,
+            "why" => why);
+    }
+
     /// Reports crashes to the control thread once they have settled.
     pub(crate) fn report_crashes(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -81,12 +81,16 @@
         self.by_request.remove(&digest);
     }
 
-    /// Keeps only the crashes that match.
-    pub fn retain(&mut self, matches: impl Fn(&C) -> bool) {
+    /// Removes and returns the crashes that match.
+    pub fn take_matching(&mut self, matches: impl Fn(&C) -> bool) -> Vec<C> {
+        let mut taken = Vec::new();
         self.by_request.retain(|_, crashes| {
-            crashes.retain(|(_, crash)| matches(crash));
+            taken.extend(
+                crashes.extract_if(.., |(_, crash)| matches(crash)).map(|(_, crash)| crash),
+            );
             !crashes.is_empty()
         });
+        taken
     }
 
     /// Removes and returns the crashes that are due to be reported.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -48,6 +48,8 @@
     unwritten: BTreeMap<RequestDigest, Unwritten>,
     /// Records that this node is removing.
     deleting: BTreeMap<RequestDigest, TimeMs>,
+    /// Reports that found no room in the store.
+    without_room: Vec<RequestDigest>,
 }
 
 impl Quarantine {
@@ -171,6 +173,7 @@
             let is_dropped = missing > 0 && self.stored.get(write.key()).is_none();
             if is_dropped {
                 missing -= 1;
+                self.without_room.push(*write.key());
                 if let Some(unwritten) = self.unwritten.get_mut(write.key()) {
                     unwritten.is_being_written = false;
                     unwritten.retry_at = now.after(SUSPECT_RETENTION_MS);
@@ -180,6 +183,11 @@
         });
     }
 
+    /// Removes and returns the requests whose reports have found no room in the store.
+    pub fn take_without_room(&mut self) -> Vec<RequestDigest> {
+        std::mem::take(&mut self.without_room)
+    }
+
     fn remove_expired(&mut self, now: TimeMs, writes: &mut Vec<QuarantineWrite>) {
         let is_expired = |stored: &StoredRecord<CrashRecord>| {
             let retention_ms = match stored.record.is_quarantined() {
