--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -34,20 +34,20 @@
     ) -> AttemptOutcome {
         let (parts, body) = response.into_parts();
         let mut headers = parts.headers;
-        // An answer that ends with its connection looks complete when its target ends.
         let is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let acquits = parts.status.is_success() && is_framed;
+        let is_stream = parts.status.is_success() && self.exchange.request.route.kind.is_stream();
+        // A plain answer that ends with its connection looks complete when its target ends.
+        let acquits = is_stream || (parts.status.is_success() && is_framed);
         if !is_framed {
             self.log_end("answer ends with its connection", parts.status.as_u16());
         }
         strip_hop_by_hop(&mut headers);
         let parts = AnswerParts { status: parts.status, headers, body: None };
-        let outcome =
-            match parts.status.is_success() && self.exchange.request.route.kind.is_stream() {
-                true => self.forward_events(parts, body).await,
-                false => self.forward_plain(parts, body).await,
-            };
+        let outcome = match is_stream {
+            true => self.forward_events(parts, body, is_framed).await,
+            false => self.forward_plain(parts, body).await,
+        };
         if outcome == AttemptOutcome::Answered && acquits {
             self.exchange.dispatcher.acquit(self.exchange.request.digest);
         }
@@ -58,14 +58,23 @@
     }
 
     /// Forwards complete events as they arrive.
-    async fn forward_events(&mut self, parts: AnswerParts, mut body: Incoming) -> AttemptOutcome {
-        let may_resume = self.exchange.request.may_repeat();
+    async fn forward_events(
+        &mut self,
+        parts: AnswerParts,
+        mut body: Incoming,
+        is_framed: bool,
+    ) -> AttemptOutcome {
         let mut parts = Some(parts);
         let mut has_started = false;
         loop {
             let bytes = match self.read(&mut body).await {
                 ReadResult::Data(bytes) => bytes,
-                ReadResult::Complete => return self.finish_events(parts, may_resume).await,
+                ReadResult::Complete => {
+                    // Without framing, the end of the target before its first event looks the same.
+                    let is_broken_off =
+                        self.exchange.splitter.is_inside_event() || (!is_framed && !has_started);
+                    return self.finish_events(parts, is_broken_off).await;
+                }
                 ReadResult::Ended(outcome) => {
                     self.exchange.splitter.drop_pending();
                     return outcome;
@@ -88,24 +97,19 @@
         }
     }
 
-    /// Completes the answer after the target has ended its stream.
+    /// Completes the answer after the target has ended its stream, unless it was broken off.
     async fn finish_events(
         &mut self,
         mut parts: Option<AnswerParts>,
-        may_resume: bool,
+        is_broken_off: bool,
     ) -> AttemptOutcome {
-        if self.exchange.splitter.is_inside_event() {
+        if is_broken_off {
+            self.log_end("answer broke off", StatusCode::OK.as_u16());
             self.record_crash();
-        }
-        if self.exchange.splitter.is_inside_event() && may_resume {
             self.exchange.splitter.drop_pending();
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
         self.send_head(&mut parts).await;
-        let rest = self.exchange.splitter.take_pending();
-        if !rest.is_empty() {
-            self.exchange.sink.send_chunk(rest).await;
-        }
         self.exchange.sink.finish().await;
         AttemptOutcome::Answered
     }
