--- a/crates/gateway/src/control/advisories.rs
+++ b/crates/gateway/src/control/advisories.rs
@@ -66,7 +66,7 @@
         self.quarantine.stored_mut().replace(now, version, requests);
         self.limits.stored_mut().replace(now, version, targets);
         self.advisories_listed = true;
-        self.update_standings();
+        self.update_standings(now);
         self.update_limits(now);
     }
 
@@ -86,7 +86,7 @@
                 None => {}
             }
         }
-        self.update_standings();
+        self.update_standings(now);
         self.update_limits(now);
         !changes.is_empty()
     }
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -370,7 +370,7 @@
     fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) -> Changes {
         let changes_advisories = matches!(
             report,
-            TrafficReport::Crashed(_) | TrafficReport::Completed(_) | TrafficReport::LimitNamed(_)
+            TrafficReport::Crashed(_) | TrafficReport::Completed(..) | TrafficReport::LimitNamed(_)
         );
         match report {
             TrafficReport::FirstRequest => {
@@ -385,7 +385,9 @@
             }
             TrafficReport::Offered(loads) => self.record_offered_load(now, &loads),
             TrafficReport::Crashed(crashes) => self.report_crashes(now, crashes),
-            TrafficReport::Completed(digest) => self.report_completed(now, digest),
+            TrafficReport::Completed(digest, sent_at) => {
+                self.report_completed(now, digest, sent_at);
+            }
             TrafficReport::LimitNamed(named) => self.observe_limit(now, &named),
             TrafficReport::TrialDue(digest, reply) => self.claim_trial(now, digest, reply),
         }
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -31,7 +31,8 @@
                 "route" => &report.route,
                 "organisation" => report.organisation.as_ref().map(OrganisationName::as_str));
             let node = self.parts.settings.node.clone();
-            let crash = Crash { target: report.target, started_at_ms: report.started_at_ms, node };
+            let (target, started_at_ms) = (report.target, report.started_at_ms);
+            let crash = Crash { target, started_at_ms, node, refuted: false };
             let addition = CrashRecord {
                 organisation: report.organisation,
                 route: report.route,
@@ -42,13 +43,11 @@
         }
     }
 
-    /// Records that a suspected request has completed.
-    pub(super) fn report_completed(&mut self, now: TimeMs, digest: RequestDigest) {
-        if self.quarantine.record(digest).is_none_or(|record| record.completed) {
-            return;
+    /// Records that a run of a suspected request has completed, which had begun at `sent_at`.
+    pub(super) fn report_completed(&mut self, now: TimeMs, digest: RequestDigest, sent_at: TimeMs) {
+        if let Some(addition) = self.quarantine.refutation(digest, sent_at) {
+            self.report(now, digest, &addition);
         }
-        let addition = CrashRecord { completed: true, ..CrashRecord::default() };
-        self.report(now, digest, &addition);
     }
 
     fn report(&mut self, now: TimeMs, digest: RequestDigest, addition: &CrashRecord) {
@@ -56,7 +55,7 @@
             warn!(self.parts.log, "crash report dropped"; "digest" => digest.to_string());
         }
         self.write_quarantine(now);
-        self.update_standings();
+        self.update_standings(now);
     }
 
     /// Claims a trial of a quarantined request for this node; answers whether it succeeded.
@@ -128,11 +127,12 @@
     ) {
         self.quarantine.written(now, write, outcome);
         self.write_quarantine(now);
-        self.update_standings();
+        self.update_standings(now);
     }
 
     /// Updates the standings for traffic, and logs what has changed.
-    pub(super) fn update_standings(&mut self) {
+    pub(super) fn update_standings(&mut self, now: TimeMs) {
+        self.quarantine.note_learned(now);
         let standings = self.quarantine.standings();
         if standings == *self.standings {
             return;
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use celeryhaven_delegation::{DelegationRefusal, Peer};
 use celeryhaven_http::{Connection, ConnectionError};
-use celeryhaven_types::Verdict;
+use celeryhaven_types::{TimeMs, Verdict};
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -44,11 +44,14 @@
     pub(crate) destination: &'a Destination,
     /// The peer that runs the request; `None` if the destination is a target.
     peer: Option<&'a Peer>,
+    /// When the request was sent.
+    pub(crate) sent_at: TimeMs,
 }
 
 impl<'a, A: Adapter> Attempt<'a, A> {
     pub(crate) fn new(exchange: &'a mut Exchange<A>, destination: &'a Destination) -> Self {
-        Self { exchange, destination, peer: None }
+        let sent_at = exchange.dispatcher.now();
+        Self { exchange, destination, peer: None, sent_at }
     }
 
     /// Lets a peer run the request.
@@ -58,7 +61,6 @@
 
     /// Sends the request and forwards the answer.
     pub(crate) async fn run(mut self) -> AttemptOutcome {
-        let sent_at = self.exchange.dispatcher.now();
         let (connection, response) = match self.send().await {
             Ok(sent) => sent,
             Err(outcome) => return outcome,
@@ -73,7 +75,7 @@
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
         }
         let is_served = response.status().is_success();
-        dispatcher.limit_named(self.destination, head.limit, sent_at, is_served);
+        dispatcher.limit_named(self.destination, head.limit, self.sent_at, is_served);
         dispatcher.record_notices(self.destination, &head);
         if head.not_run {
             return self.refused(&response, &head);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -49,7 +49,7 @@
             false => self.forward_plain(parts, body).await,
         };
         if outcome == AttemptOutcome::Answered && acquits {
-            self.exchange.dispatcher.acquit(self.exchange.request.digest);
+            self.exchange.dispatcher.acquit(self.exchange.request.digest, self.sent_at);
         }
         if outcome == AttemptOutcome::Answered && !head.closes_connection {
             self.pool_connection(connection, &head).await;
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use celeryhaven_quarantine::{PendingCrash, RequestDigest, Standing};
-use celeryhaven_types::{Refusal, RefusalCode};
+use celeryhaven_types::{Refusal, RefusalCode, TimeMs};
 use slog::info;
 use smol::Timer;
 
@@ -117,13 +117,13 @@
         }
     }
 
-    /// Records that a target has completed a request.
-    pub(crate) fn acquit(&self, digest: RequestDigest) {
+    /// Records that a target has completed a request that was sent to it at `sent_at`.
+    pub(crate) fn acquit(&self, digest: RequestDigest, sent_at: TimeMs) {
         let mut state = self.state.borrow_mut();
         state.crashes.completed(digest);
         if state.standing(digest).is_some() {
             info!(self.log, "suspected request completed"; "digest" => digest.to_string());
-            self.notify_control(TrafficReport::Completed(digest));
+            self.notify_control(TrafficReport::Completed(digest, sent_at));
         }
     }
 }
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -166,8 +166,8 @@
     Offered(Vec<OfferedLoad>),
     /// Targets that ended while they ran requests.
     Crashed(Vec<CrashReport>),
-    /// A suspected request has completed.
-    Completed(RequestDigest),
+    /// A run of a suspected request has completed, which had begun at this time.
+    Completed(RequestDigest, TimeMs),
     /// An answer has named a limit of its target that was not known, or named none.
     LimitNamed(NamedLimit),
     /// A trial of a quarantined request is due; the answer tells whether this node may make it.
--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -7,6 +7,9 @@
 /// several targets tells.
 pub const CRASHES_MAX: usize = 3;
 
+/// Maximum number of crashes in a record.
+const CRASHES_KEPT: usize = 8;
+
 data! {
     /// A target that ended while it ran a request.
     #[derive(Eq)]
@@ -18,6 +21,9 @@
         pub started_at_ms: Option<u64>,
         /// The node that had sent the request.
         pub node: NodeName,
+        /// Whether a run that began after the crash was known has completed.
+        #[serde(default)]
+        pub refuted: bool,
     }
 
     /// What the fleet knows of one request that was running when targets ended.
@@ -33,25 +39,31 @@
         pub crashes: Vec<Crash>,
         /// Number of trials that nodes have claimed since the quarantine began.
         pub trials: u32,
-        /// Whether a target has completed the request meanwhile.
-        pub completed: bool,
     }
 }
 
 impl Crash {
     /// Whether another node reports the end of the same process.
-    fn is_same_as(&self, other: &Self) -> bool {
+    pub(crate) fn is_same_as(&self, other: &Self) -> bool {
         self.target == other.target && self.started_at_ms == other.started_at_ms
     }
 }
 
 impl CrashRecord {
-    /// Adds a crash, unless the record holds it or has enough.
+    /// Adds a crash, or what is new about it.
+    ///
+    /// A record that is full keeps the crashes that nothing refutes.
     pub fn add_crash(&mut self, crash: Crash) {
-        let is_known = self.crashes.iter().any(|known| known.is_same_as(&crash));
-        if !is_known && self.crashes.len() < CRASHES_MAX {
-            self.crashes.push(crash);
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same_as(&crash)) {
+            known.refuted |= crash.refuted;
+            return;
+        }
+        if self.crashes.len() >= CRASHES_KEPT {
+            let refuted = self.crashes.iter().position(|known| known.refuted);
+            let Some(refuted) = refuted.filter(|_| !crash.refuted) else { return };
+            self.crashes.remove(refuted);
         }
+        self.crashes.push(crash);
     }
 
     /// Adds what another record of the same request holds.
@@ -62,13 +74,18 @@
         }
         other.crashes.iter().for_each(|crash| self.add_crash(crash.clone()));
         self.trials = self.trials.max(other.trials);
-        self.completed |= other.completed;
+    }
+
+    /// Returns the number of crashes that nothing refutes.
+    pub fn unrefuted_crashes(&self) -> usize {
+        self.crashes.iter().filter(|crash| !crash.refuted).count()
     }
 
     /// Whether the request must be kept away from targets.
     ///
-    /// A request that a target has completed does not end every target that runs it.
+    /// A run that has completed refutes only the crashes before it: a request may begin to end
+    /// targets that it did not end before.
     pub fn is_quarantined(&self) -> bool {
-        !self.completed && self.crashes.len() >= CRASHES_MAX
+        self.unrefuted_crashes() >= CRASHES_MAX
     }
 }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_records::{RecordTable, RecordWrite, StoredRecord, WriteOutcome};
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectVersion;
 
-use crate::{CrashRecord, RequestDigest, Standing, Standings};
+use crate::{Crash, CrashRecord, RequestDigest, Standing, Standings};
 
 /// A write of a record.
 pub type QuarantineWrite = RecordWrite<RequestDigest, CrashRecord>;
@@ -50,6 +50,15 @@
     deleting: BTreeMap<RequestDigest, TimeMs>,
     /// Reports that found no room in the store.
     without_room: Vec<RequestDigest>,
+    /// When this node learned of each crash.
+    learned: BTreeMap<RequestDigest, Vec<LearnedCrash>>,
+}
+
+/// When this node learned of a crash.
+#[derive(Clone, Debug)]
+struct LearnedCrash {
+    crash: Crash,
+    at: TimeMs,
 }
 
 impl Quarantine {
@@ -78,9 +87,40 @@
         digests.filter_map(|digest| Some((*digest, self.standing(*digest)?))).collect()
     }
 
+    /// Notes when this node has learned of the crashes that it knows by now.
+    pub fn note_learned(&mut self, now: TimeMs) {
+        let digests = self.stored.iter().map(|(digest, _)| *digest);
+        let digests: BTreeSet<_> = digests.chain(self.unwritten.keys().copied()).collect();
+        self.learned.retain(|digest, _| digests.contains(digest));
+        for digest in digests {
+            let Some(record) = self.record(digest) else { continue };
+            let learned = self.learned.entry(digest).or_default();
+            learned.retain(|known| record.crashes.iter().any(|c| c.is_same_as(&known.crash)));
+            for crash in record.crashes {
+                if !learned.iter().any(|known| known.crash.is_same_as(&crash)) {
+                    learned.push(LearnedCrash { crash, at: now });
+                }
+            }
+        }
+    }
+
+    /// Returns what the completion of a run that began at `sent_at` adds to the record of its request;
+    /// `None` if it refutes nothing.
+    pub fn refutation(&self, digest: RequestDigest, sent_at: TimeMs) -> Option<CrashRecord> {
+        let record = self.record(digest)?;
+        let learned = self.learned.get(&digest)?;
+        let is_known = |crash: &Crash| {
+            let mut known = learned.iter().filter(|known| known.at <= sent_at);
+            known.any(|known| known.crash.is_same_as(crash))
+        };
+        let refuted = record.crashes.into_iter().filter(|crash| !crash.refuted && is_known(crash));
+        let crashes: Vec<_> = refuted.map(|crash| Crash { refuted: true, ..crash }).collect();
+        (!crashes.is_empty()).then(|| CrashRecord { crashes, ..CrashRecord::default() })
+    }
+
     fn standing(&self, digest: RequestDigest) -> Option<Standing> {
         let record = self.record(digest)?;
-        if record.completed || record.crashes.is_empty() {
+        if record.unrefuted_crashes() == 0 {
             return None;
         }
         if !record.is_quarantined() {
@@ -131,7 +171,7 @@
             record.merge(&unwritten.addition);
             let adds_nothing = known.is_some_and(|known| known.record == record);
             // Only a record that exists needs to be told that its request has completed.
-            if adds_nothing || (known.is_none() && record.completed) {
+            if adds_nothing || (known.is_none() && record.unrefuted_crashes() == 0) {
                 return unwritten.is_being_written;
             }
             if !unwritten.is_being_written && unwritten.retry_at <= now {
@@ -158,8 +198,7 @@
         let suspects = self.stored.iter().filter(|(_, stored)| !stored.record.is_quarantined());
         let suspects = suspects.map(|(digest, stored)| {
             let StoredRecord { version, record, seen_at } = stored;
-            let crashes = if record.completed { 0 } else { record.crashes.len() };
-            (crashes, *seen_at, *digest, *version)
+            (record.unrefuted_crashes(), *seen_at, *digest, *version)
         });
         let mut suspects: Vec<_> = suspects.collect();
         suspects.sort();
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -59,6 +59,7 @@
         let records =
             records.map(|(digest, (version, record))| (*digest, *version, record.clone()));
         node.stored_mut().replace(now, ObjectVersion::new(self.version), records);
+        node.note_learned(now);
     }
 }
 
@@ -75,12 +76,16 @@
         target: VmName::new(target),
         started_at_ms: Some(1),
         node: NodeName::new("entry-1"),
+        refuted: false,
     };
     CrashRecord { route: "r".into(), crashes: vec![crash], ..CrashRecord::default() }
 }
 
-fn completed() -> CrashRecord {
-    CrashRecord { completed: true, ..CrashRecord::default() }
+/// Reports that a run of a request that began at a time has completed.
+fn complete(node: &mut Quarantine, sent_at: TimeMs, digest: RequestDigest) {
+    if let Some(addition) = node.refutation(digest, sent_at) {
+        node.report(sent_at, digest, &addition);
+    }
 }
 
 fn is_quarantined(node: &Quarantine, digest: RequestDigest) -> bool {
@@ -147,14 +152,15 @@
     assert_eq!(store.records[&digest(1)].1.crashes.len(), CRASHES_MAX);
 }
 
-/// A completed request does not end every target that runs it, whatever is reported afterwards.
+/// A request that completes after its crashes does not end every target that runs it, and one further
+/// crash must not quarantine it again.
 #[test]
-fn report_completed() {
+fn refutation_of_all_crashes() {
     let mut store = Store::default();
     let (mut node, mut other) = (Quarantine::new(), Quarantine::new());
     quarantine(&mut store, &mut node, digest(1));
     store.list_to(at(100), &mut other);
-    other.report(at(100), digest(1), &completed());
+    complete(&mut other, at(100), digest(1));
     assert!(!is_quarantined(&other, digest(1)));
     store.execute_all(at(100), &mut other);
     node.report(at(150), digest(1), &crash("vm-4"));
@@ -163,12 +169,49 @@
     assert!(!is_quarantined(&node, digest(1)));
 }
 
+/// A run that began before a node knew of the crashes says nothing about them.
+#[test]
+fn refutation_by_earlier_run() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    quarantine(&mut store, &mut node, digest(1));
+    store.list_to(at(100), &mut node);
+    assert_eq!(node.refutation(digest(1), at(99)), None);
+    assert!(is_quarantined(&node, digest(1)));
+}
+
+/// A request that completed once must be quarantined when it ends three targets afterwards.
+#[test]
+fn refutation_before_crashes() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    node.report(at(0), digest(1), &crash("vm-0"));
+    store.execute_all(at(0), &mut node);
+    store.list_to(at(0), &mut node);
+    complete(&mut node, at(100), digest(1));
+    store.execute_all(at(100), &mut node);
+    quarantine(&mut store, &mut node, digest(1));
+    assert!(is_quarantined(&node, digest(1)));
+}
+
+/// Crashes and completions in turn must not grow a record, and the last crashes count.
+#[test]
+fn refutation_many_times() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    for round in 0..100 {
+        node.report(at(round), digest(1), &crash(&format!("vm-{round}")));
+        store.execute_all(at(round), &mut node);
+        store.list_to(at(round), &mut node);
+        complete(&mut node, at(round), digest(1));
+        store.execute_all(at(round), &mut node);
+    }
+    assert!(store.records[&digest(1)].1.crashes.len() <= 8);
+    quarantine(&mut store, &mut node, digest(1));
+    assert!(is_quarantined(&node, digest(1)));
+}
+
 /// A completion alone must not be written: every request completes.
 #[test]
-fn report_completed_without_record() {
-    let mut node = Quarantine::new();
-    node.report(at(0), digest(1), &completed());
-    assert_eq!(node.due_writes(at(0), false), []);
+fn refutation_without_record() {
+    assert_eq!(Quarantine::new().refutation(digest(1), at(0)), None);
 }
 
 /// Nodes that try at the same time must be granted one trial together, and two in all.
