--- a/crates/bench/src/workload/generate.rs
+++ b/crates/bench/src/workload/generate.rs
@@ -86,6 +86,7 @@
             prompt_tokens,
             output_tokens_max: kind.output_tokens.1,
             prefix_hashes: blocks(scenario, place, kind, prompt_tokens, rng),
+            choice_key: None,
         },
     }
 }
--- a/crates/bench/src/world/targets.rs
+++ b/crates/bench/src/world/targets.rs
@@ -118,6 +118,7 @@
                 serves: class_of(group),
                 slots: group.slots,
                 distance_us: group.distance_us,
+                identity: u64::from(target),
             };
             self.tell_all(&PolicyEvent::TargetUp { target: key, profile });
             return;
--- a/crates/capacity/src/fleet/load.rs
+++ b/crates/capacity/src/fleet/load.rs
@@ -26,6 +26,7 @@
         prompt_tokens: 400,
         output_tokens_max: 400,
         prefix_hashes: (0..8).map(|block| ticket * 8 + block).collect(),
+        choice_key: None,
     };
     EntryEvent::Arrived { ticket: Ticket::new(ticket), head, key: KeyUse::None, delegated: false }
 }
--- a/crates/entry/src/http/service.rs
+++ b/crates/entry/src/http/service.rs
@@ -117,6 +117,7 @@
         prompt_tokens: token_estimate(prompt.len()),
         output_tokens_max: completion.output_tokens_max(),
         prefix_hashes: hashes,
+        choice_key: None,
         ..head(context, organisation, options, completion.class(), idempotent)
     };
     let request = ForwardRequest {
@@ -145,6 +146,7 @@
     let head = RequestHead {
         // A plain call has no prompt to estimate its cost from.
         prefix_hashes: vec![hash_of(&content)],
+        choice_key: None,
         ..head(context, organisation, options, class, idempotent)
     };
     let copied = FORWARDED_HEADERS.into_iter().filter_map(|name| {
@@ -187,5 +189,6 @@
         prompt_tokens: 0,
         output_tokens_max: 0,
         prefix_hashes: Vec::new(),
+        choice_key: None,
     }
 }
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -40,7 +40,9 @@
 
 impl CallerRequest {
     /// Returns the request head for the policy, whose unit of output is `tokens_per_event` tokens.
-    pub(crate) fn head(&self, now: TimeMs, tokens_per_event: u32) -> RequestHead {
+    ///
+    /// A request that is not known to be sound gets the same candidates at every node.
+    pub(crate) fn head(&self, now: TimeMs, tokens_per_event: u32, is_sound: bool) -> RequestHead {
         let class = match &self.model {
             Some(model) => RequestClass::Completion { model: model.clone(), adapter: None },
             None => RequestClass::Plain { service: self.service.clone() },
@@ -63,6 +65,7 @@
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens_max: self.events_allowed(tokens_per_event),
             prefix_hashes: Vec::new(),
+            choice_key: (!is_sound).then(|| self.digest.hash64()),
         }
     }
 
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -6,7 +6,7 @@
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
-use celeryhaven_quarantine::{PendingCrashes, RequestDigest, Standing, Standings};
+use celeryhaven_quarantine::{PendingCrashes, RequestDigest, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
@@ -77,6 +77,8 @@
     pub(crate) peers: PeerSet,
     /// Crashes that are not reported yet.
     pub(crate) crashes: PendingCrashes<CrashReport>,
+    /// Requests that targets have run lately without ending.
+    pub(crate) sound_runs: SoundRuns,
     /// Limits of targets, and this node's parts of them.
     pub(crate) limits: Arc<TargetLimitMap>,
     /// What targets have told this node about themselves.
@@ -110,6 +112,7 @@
             peers: PeerSet::new(),
             rng: SmallRng::seed_from_u64(seed.wrapping_add(1)),
             crashes: PendingCrashes::new(),
+            sound_runs: SoundRuns::new(),
             limits: Arc::default(),
             notices: Arc::default(),
             back_off_ends_at: None,
@@ -145,8 +148,9 @@
         };
         self.active_requests.insert(ticket, active);
         let mut out = Vec::new();
+        let is_sound = self.sound_runs.contains(request.digest);
         if let Some(pool) = self.pool_or_insert(now, &key) {
-            let head = request.head(now, pool.tokens_per_event);
+            let head = request.head(now, pool.tokens_per_event, is_sound);
             let is_counted = request.delegated.is_some_and(|delegated| delegated.is_counted);
             pool.arrived(now, ticket, &head, is_counted, &mut out);
         }
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -297,8 +297,12 @@
         {
             self.policy.handle(now, PolicyEvent::BackOff { target, until }, out);
         }
-        let profile =
-            TargetProfile { serves: self.serves.clone(), slots: destination.slots, distance_us: 0 };
+        let profile = TargetProfile {
+            serves: self.serves.clone(),
+            slots: destination.slots,
+            distance_us: 0,
+            identity: TargetProfile::identity_of(destination.name.as_str()),
+        };
         self.policy.handle(now, PolicyEvent::TargetUp { target, profile }, out);
     }
 
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -99,7 +99,16 @@
             target: destination.target.clone(),
             started_at_ms: destination.started_at_ms,
         };
-        self.state.borrow_mut().crashes.record(self.now(), report);
+        let now = self.now();
+        {
+            let mut state = self.state.borrow_mut();
+            let is_sound = state.sound_runs.contains(request.digest);
+            let is_settled = !request.may_repeat() || state.crashes.has_other(&report);
+            let is_urgent = state.standing(request.digest).is_some() || (is_settled && !is_sound);
+            state.sound_runs.forget(request.digest);
+            state.crashes.record(now, report, is_urgent);
+        }
+        self.report_crashes();
     }
 
     /// Logs the end of a target that is held against no request.
@@ -120,6 +129,7 @@
     /// Records that a target has completed a request that was sent to it at `sent_at`.
     pub(crate) fn acquit(&self, digest: RequestDigest, sent_at: TimeMs) {
         let mut state = self.state.borrow_mut();
+        state.sound_runs.record(self.now(), digest);
         state.crashes.completed(digest);
         if state.standing(digest).is_some() {
             info!(self.log, "suspected request completed"; "digest" => digest.to_string());
--- a/crates/node/src/entry/observing/targets.rs
+++ b/crates/node/src/entry/observing/targets.rs
@@ -111,7 +111,12 @@
         let deployment = deployments.find(|known| known.name == replica.deployment)?;
         let serves = RequestClass::Completion { model: replica.model.clone(), adapter: None };
         let distance_us = settings.distance_us(&placement.data_centre);
-        let profile = TargetProfile { serves, slots: deployment.slots_per_replica, distance_us };
+        let profile = TargetProfile {
+            serves,
+            slots: deployment.slots_per_replica,
+            distance_us,
+            identity: TargetProfile::identity_of(replica.name.as_str()),
+        };
         let id = (replica.name.clone(), replica.generation);
         let key = self.replicas.get(&id).copied();
         let serving = || Serving::Replica {
@@ -150,6 +155,7 @@
             serves: RequestClass::Plain { service: service.name.clone() },
             slots: service.slots_per_target,
             distance_us: settings.distance_us(&target.data_centre),
+            identity: TargetProfile::identity_of(target.vm.as_str()),
         };
         let id = (service.name.clone(), target.vm.clone());
         let serving = || Serving::Plain { vm: target.vm.clone(), seen_at: None };
--- a/crates/node/tests/common/callers.rs
+++ b/crates/node/tests/common/callers.rs
@@ -86,6 +86,7 @@
             prompt_tokens: 10,
             output_tokens_max: plan.pieces,
             prefix_hashes: vec![id.get()],
+            choice_key: None,
         };
         let at = TimeMs::new(self.now);
         self.checks.observe(Observation::Asked {
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -143,6 +143,7 @@
             output_tokens_max: head.output_tokens_max,
             adapter,
             blocks: head.prefix_hashes.clone(),
+            choice_key: head.choice_key,
             priority: head.priority,
             worth: head.worth,
             cost: Cost { mean_ms: 0.0, high_ms: 0.0 },
--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -1,13 +1,18 @@
 use celeryhaven_types::TimeMs;
 
 use crate::fair::FairPolicy;
+use crate::fair::fleet::splitmix64;
 use crate::fair::request::{Pick, RequestState};
 use crate::interface::TargetKey;
+use crate::targets::TargetSet;
 
 /// Number of random candidates. The better of two balances load although all entries see the same
 /// outdated reports, at a cost independent of the number of targets.
 const RANDOM_CANDIDATES: usize = 2;
 
+/// Number of candidates of a request with a choice key.
+const RANKED_CANDIDATES: usize = 2;
+
 /// Maximum number of candidates that cache the prefix, and of those that have the adapter.
 const CACHED_CANDIDATES_MAX: usize = 4;
 
@@ -45,8 +50,13 @@
         let pool = if class.available.is_empty() { &class.healthy } else { &class.available };
         // Completions weigh the target to avoid against others that hold their prefix.
         let avoid = request.avoid.filter(|_| class.is_plain);
-        for _ in 0..RANDOM_CANDIDATES {
-            candidates.extend(pool.sample(&mut self.rng, avoid));
+        match request.choice_key {
+            Some(key) => candidates.extend(self.first_ranked(pool, key, request.avoid)),
+            None => {
+                for _ in 0..RANDOM_CANDIDATES {
+                    candidates.extend(pool.sample(&mut self.rng, avoid));
+                }
+            }
         }
         if candidates.iter().any(|&target| Some(target) != request.avoid) {
             candidates.retain(|&target| Some(target) != request.avoid);
@@ -54,6 +64,28 @@
         candidates
     }
 
+    /// Returns the targets that come first in the ranking of a key, which is the same at every node.
+    ///
+    /// Nodes that do not know yet that a request ends its targets send all its copies to these.
+    fn first_ranked(
+        &self,
+        pool: &TargetSet,
+        key: u64,
+        avoid: Option<TargetKey>,
+    ) -> impl Iterator<Item = TargetKey> + use<> {
+        let avoid = avoid.filter(|avoid| pool.iter().any(|target| target != *avoid));
+        let mut first = [None::<(u64, TargetKey)>; RANKED_CANDIDATES];
+        for target in pool.iter().filter(|target| Some(*target) != avoid) {
+            let Some(state) = self.targets.get(&target) else { continue };
+            let ranked = Some((splitmix64(key ^ state.identity), target));
+            if let Some(place) = first.iter().position(|other| *other < ranked) {
+                first[place..].rotate_right(1);
+                first[place] = ranked;
+            }
+        }
+        first.into_iter().flatten().map(|(_, target)| target)
+    }
+
     /// Scores a target by the expected time to the first token and the slowdown by its batch.
     pub(crate) fn score_ms(
         &self,
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -253,7 +253,7 @@
 }
 
 /// Hashes small keys evenly (the finaliser of SplitMix64).
-fn splitmix64(value: u64) -> u64 {
+pub(crate) fn splitmix64(value: u64) -> u64 {
     let value = value.wrapping_add(0x9E37_79B9_7F4A_7C15);
     let value = (value ^ (value >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -63,6 +63,8 @@
         pub(crate) output_tokens_max: u32,
         pub(crate) adapter: Option<AdapterKey>,
         pub(crate) blocks: Vec<u64>,
+        /// Requests with equal keys have the same candidates at every node.
+        pub(crate) choice_key: Option<u64>,
         pub(crate) priority: Priority,
         pub(crate) worth: u32,
         pub(crate) cost: Cost,
--- a/crates/policy/src/interface/target.rs
+++ b/crates/policy/src/interface/target.rs
@@ -1,5 +1,6 @@
 use celeryhaven_derives::state;
 use celeryhaven_types::{AdapterName, RequestClass};
+use xxhash_rust::xxh3::xxh3_64;
 
 state! {
     /// The static properties of a target.
@@ -10,6 +11,8 @@
         pub slots: u32,
         /// One-way network delay from this node, in microseconds.
         pub distance_us: u32,
+        /// Identifies the target at every node.
+        pub identity: u64,
     }
 
     /// A load report of a target.
@@ -30,3 +33,10 @@
         pub adapters_loaded: Vec<AdapterName>,
     }
 }
+
+impl TargetProfile {
+    /// Returns the identity of a target with this name.
+    pub fn identity_of(name: &str) -> u64 {
+        xxh3_64(name.as_bytes())
+    }
+}
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -22,6 +22,7 @@
         /// How often this node may send, while the target is limited or has just been.
         pub(crate) pace: Option<Pace>,
         pub(crate) distance_ms: f64,
+        pub(crate) identity: u64,
         pub(crate) up: bool,
         /// Requests of this node at the target.
         pub(crate) in_flight: InFlight,
@@ -82,6 +83,7 @@
             counted_slots: f64::from(profile.slots),
             pace: None,
             distance_ms: f64::from(profile.distance_us) / 1_000.0,
+            identity: profile.identity,
             up: true,
             in_flight: InFlight::default(),
             tickets: BTreeSet::new(),
--- a/crates/policy/tests/back_off.rs
+++ b/crates/policy/tests/back_off.rs
@@ -91,7 +91,7 @@
     let mut node = Node::new(1);
     let (target, until) = (TargetKey::new(1), TimeMs::new(PAUSE_MS));
     node.handle(0, PolicyEvent::BackOff { target, until });
-    let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
+    let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0, identity: 0 };
     node.handle(0, PolicyEvent::TargetUp { target, profile });
     node.run(0, PAUSE_MS - 1, 5);
     assert_eq!(node.sent_to(1, 0), 0);
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -152,7 +152,8 @@
     }
 
     fn target_up(&mut self, node: usize, replica: u32) {
-        let profile = TargetProfile { serves: class(), slots: SLOTS as u32, distance_us: 0 };
+        let profile =
+            TargetProfile { serves: class(), slots: SLOTS as u32, distance_us: 0, identity: 0 };
         let target = TargetKey::new(replica);
         self.send_event(node, PolicyEvent::TargetUp { target, profile });
     }
@@ -246,6 +247,7 @@
                 prompt_tokens: 1,
                 output_tokens_max: 2,
                 prefix_hashes: Vec::new(),
+                choice_key: None,
             };
             let ticket = Ticket::new(self.next_id);
             self.send_event(node, PolicyEvent::Arrived { ticket, head: &head });
--- a/crates/policy/tests/fair_prefixes.rs
+++ b/crates/policy/tests/fair_prefixes.rs
@@ -10,6 +10,7 @@
     RequestHead {
         prompt_tokens: 4_096,
         prefix_hashes: (0..32).map(|block| prefix * 100 + block).collect(),
+        choice_key: None,
         ..head("a", 50, 60_000)
     }
 }
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -82,7 +82,7 @@
     assert!(node.policy.queued() > 6);
     let target = TargetKey::new(1);
     node.handle(100, PolicyEvent::Limited { target, rate_per_s: Some(2.0) });
-    let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
+    let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0, identity: 0 };
     node.handle(100, PolicyEvent::TargetUp { target, profile });
     node.run(100, 1_500, 1);
     let sent = node.sent_to(1, 0);
--- a/crates/policy/tests/loaded_policy/mod.rs
+++ b/crates/policy/tests/loaded_policy/mod.rs
@@ -49,7 +49,12 @@
         };
         let serves = class();
         for target in 0..targets {
-            let profile = TargetProfile { serves: serves.clone(), slots: SLOTS, distance_us: 500 };
+            let profile = TargetProfile {
+                serves: serves.clone(),
+                slots: SLOTS,
+                distance_us: 500,
+                identity: 0,
+            };
             loaded.send_event(PolicyEvent::TargetUp { target: TargetKey::new(target), profile });
         }
         loaded
@@ -107,5 +112,6 @@
         prompt_tokens: 1_000,
         output_tokens_max: 10_000,
         prefix_hashes: (0..8).map(|block| number * 8 + block).collect(),
+        choice_key: None,
     }
 }
--- a/crates/policy/tests/simulator/mod.rs
+++ b/crates/policy/tests/simulator/mod.rs
@@ -51,6 +51,7 @@
         prompt_tokens: 10,
         output_tokens_max: output_tokens,
         prefix_hashes: Vec::new(),
+        choice_key: None,
     }
 }
 
@@ -79,7 +80,7 @@
     }
 
     pub fn target_up(&mut self, target: u32, slots: u32) {
-        let profile = TargetProfile { serves: class(), slots, distance_us: 500 };
+        let profile = TargetProfile { serves: class(), slots, distance_us: 500, identity: 0 };
         self.slowdown.entry(target).or_insert(1);
         self.send_event(PolicyEvent::TargetUp { target: TargetKey::new(target), profile });
     }
--- a/crates/policy/tests/timed_node/mod.rs
+++ b/crates/policy/tests/timed_node/mod.rs
@@ -43,7 +43,7 @@
         let mut policy = FairPolicy::new(FairSettings::new(3).with_times(40.0, 0.0, 0.0));
         let mut out = Vec::new();
         for target in (0..targets).map(TargetKey::new) {
-            let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0 };
+            let profile = TargetProfile { serves: class(), slots: 6, distance_us: 0, identity: 0 };
             policy.handle(TimeMs::new(0), PolicyEvent::TargetUp { target, profile }, &mut out);
         }
         Self {
@@ -136,5 +136,6 @@
         prompt_tokens: 0,
         output_tokens_max: 1,
         prefix_hashes: Vec::new(),
+        choice_key: None,
     }
 }
--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -7,6 +7,9 @@
 /// several targets tells.
 pub const CRASHES_MAX: usize = 3;
 
+/// Crashes from which on a quarantined request is not tried again.
+const CRASH_BUDGET: usize = 5;
+
 /// Maximum number of crashes in a record.
 const CRASHES_KEPT: usize = 8;
 
@@ -81,6 +84,11 @@
         self.crashes.iter().filter(|crash| !crash.refuted).count()
     }
 
+    /// Whether a trial of the quarantined request may end one more target.
+    pub fn may_be_tried(&self) -> bool {
+        self.unrefuted_crashes() < CRASH_BUDGET
+    }
+
     /// Whether the request must be kept away from targets.
     ///
     /// A run that has completed refutes only the crashes before it: a request may begin to end
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -46,13 +46,20 @@
 ///
 /// let digest = RequestDigest::of(["POST"], b"");
 /// let mut pending = PendingCrashes::new();
-/// pending.record(TimeMs::new(0), Crash(digest, "vm-1"));
+/// pending.record(TimeMs::new(0), Crash(digest, "vm-1"), false);
 /// pending.completed(digest);
 /// assert!(pending.take_due(TimeMs::new(10_000), |_| None).is_empty());
 /// ```
 #[derive(Clone, Debug)]
 pub struct PendingCrashes<C> {
-    by_request: BTreeMap<RequestDigest, Vec<(TimeMs, C)>>,
+    by_request: BTreeMap<RequestDigest, Pending<C>>,
+}
+
+#[derive(Clone, Debug)]
+struct Pending<C> {
+    crashes: Vec<(TimeMs, C)>,
+    /// Whether the crashes are reported without waiting.
+    is_urgent: bool,
 }
 
 impl<C: PendingCrash> PendingCrashes<C> {
@@ -65,15 +72,25 @@
     ///
     /// Several copies of the request on the same target count once. A crash is not recorded if
     /// too many requests have pending ones.
-    pub fn record(&mut self, now: TimeMs, crash: C) {
+    ///
+    /// If `is_urgent`, all crashes of the request are due at once.
+    pub fn record(&mut self, now: TimeMs, crash: C, is_urgent: bool) {
         let digest = crash.digest();
         if self.by_request.len() >= PENDING_MAX && !self.by_request.contains_key(&digest) {
             return;
         }
-        let crashes = self.by_request.entry(digest).or_default();
-        if !crashes.iter().any(|(_, known)| *known == crash) {
-            crashes.push((now, crash));
+        let pending = self.by_request.entry(digest);
+        let pending = pending.or_insert_with(|| Pending { crashes: Vec::new(), is_urgent });
+        if !pending.crashes.iter().any(|(_, known)| *known == crash) {
+            pending.crashes.push((now, crash));
         }
+        pending.is_urgent |= is_urgent;
+    }
+
+    /// Whether another crash of the same request is pending.
+    pub fn has_other(&self, crash: &C) -> bool {
+        let pending = self.by_request.get(&crash.digest());
+        pending.is_some_and(|pending| pending.crashes.iter().any(|(_, known)| known != crash))
     }
 
     /// Records that a target has completed a request, which acquits it of the crashes so far.
@@ -84,7 +101,7 @@
     /// Removes and returns the crashes that match.
     pub fn take_matching(&mut self, matches: impl Fn(&C) -> bool) -> Vec<C> {
         let mut taken = Vec::new();
-        self.by_request.retain(|_, crashes| {
+        self.by_request.retain(|_, Pending { crashes, .. }| {
             taken.extend(
                 crashes.extract_if(.., |(_, crash)| matches(crash)).map(|(_, crash)| crash),
             );
@@ -102,7 +119,11 @@
         mut streaming_ms: impl FnMut(RequestDigest) -> Option<u64>,
     ) -> Vec<C> {
         let mut due = Vec::new();
-        self.by_request.retain(|digest, crashes| {
+        self.by_request.retain(|digest, Pending { crashes, is_urgent }| {
+            if *is_urgent {
+                due.extend(crashes.drain(..).map(|(_, crash)| crash));
+                return false;
+            }
             let is_settled = |at: TimeMs| now.since(at) >= SETTLE_MS;
             if !crashes.iter().any(|(at, _)| is_settled(*at)) {
                 return true;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -127,6 +127,7 @@
             return Some(Standing::Suspected);
         }
         let pause_ms = TRIAL_PAUSES_MS.get(record.trials as usize);
+        let pause_ms = pause_ms.filter(|_| record.may_be_tried());
         let seen_at = self.stored.get(&digest).map(|stored| stored.seen_at);
         let trial_at = seen_at.zip(pause_ms).map(|(at, pause_ms)| at.after(*pause_ms));
         Some(Standing::Quarantined { trial_at })
--- a/crates/quarantine/src/request_digest.rs
+++ b/crates/quarantine/src/request_digest.rs
@@ -43,6 +43,13 @@
         digest.copy_from_slice(&hasher.finalize()[..DIGEST_BYTES]);
         Self(digest)
     }
+
+    /// Returns a hash of the digest, which is the same at every node.
+    pub fn hash64(self) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(bytes)
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- /dev/null
+++ b/crates/quarantine/src/sound_runs.rs
@@ -0,0 +1,61 @@
+use std::collections::BTreeSet;
+
+use celeryhaven_types::TimeMs;
+
+use crate::RequestDigest;
+
+/// Maximum number of requests of one generation.
+const GENERATION_MAX: usize = 2_048;
+
+/// Maximum age of a generation, in milliseconds.
+const GENERATION_AGE_MS: u64 = 15_000;
+
+/// Requests that targets have run lately without ending.
+///
+/// What it remembers is bounded: a request is forgotten after two generations at most.
+///
+/// ```
+/// use celeryhaven_quarantine::{RequestDigest, SoundRuns};
+/// use celeryhaven_types::TimeMs;
+///
+/// let digest = RequestDigest::of(["POST"], b"");
+/// let mut sound = SoundRuns::new();
+/// sound.record(TimeMs::new(0), digest);
+/// assert!(sound.contains(digest));
+/// sound.forget(digest);
+/// assert!(!sound.contains(digest));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SoundRuns {
+    current: BTreeSet<RequestDigest>,
+    previous: BTreeSet<RequestDigest>,
+    current_since: TimeMs,
+}
+
+impl SoundRuns {
+    /// Creates an empty memory.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a target has run a request and goes on.
+    pub fn record(&mut self, now: TimeMs, digest: RequestDigest) {
+        let is_old = now.since(self.current_since) >= GENERATION_AGE_MS;
+        if is_old || self.current.len() >= GENERATION_MAX {
+            self.previous = std::mem::take(&mut self.current);
+            self.current_since = now;
+        }
+        self.current.insert(digest);
+    }
+
+    /// Whether a target has run the request lately.
+    pub fn contains(&self, digest: RequestDigest) -> bool {
+        self.current.contains(&digest) || self.previous.contains(&digest)
+    }
+
+    /// Forgets a request that was running when a target ended.
+    pub fn forget(&mut self, digest: RequestDigest) {
+        self.current.remove(&digest);
+        self.previous.remove(&digest);
+    }
+}
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -23,8 +23,8 @@
 #[test]
 fn take_due_after_settling() {
     let mut pending = PendingCrashes::new();
-    pending.record(at(0), Crash(digest(1), "vm-1"));
-    pending.record(at(500), Crash(digest(1), "vm-2"));
+    pending.record(at(0), Crash(digest(1), "vm-1"), false);
+    pending.record(at(500), Crash(digest(1), "vm-2"), false);
     assert_eq!(pending.take_due(at(799), |_| None), []);
     assert_eq!(pending.take_due(at(800), |_| None), [Crash(digest(1), "vm-1")]);
     assert_eq!(pending.take_due(at(1_300), |_| None), [Crash(digest(1), "vm-2")]);
@@ -36,7 +36,7 @@
 fn take_due_completed() {
     let mut pending = PendingCrashes::new();
     for target in ["vm-1", "vm-2", "vm-3", "vm-4"] {
-        pending.record(at(0), Crash(digest(1), target));
+        pending.record(at(0), Crash(digest(1), target), false);
     }
     pending.completed(digest(1));
     assert_eq!(pending.take_due(at(10_000), |_| None), []);
@@ -47,7 +47,7 @@
 #[test]
 fn take_due_streaming() {
     let mut pending = PendingCrashes::new();
-    pending.record(at(0), Crash(digest(1), "vm-1"));
+    pending.record(at(0), Crash(digest(1), "vm-1"), false);
     assert_eq!(pending.take_due(at(1_499), |_| Some(500)), []);
     assert_eq!(pending.take_due(at(1_500), |_| Some(500)), [Crash(digest(1), "vm-1")]);
 }
@@ -58,7 +58,7 @@
 fn take_due_streaming_long() {
     let mut pending = PendingCrashes::new();
     for target in ["vm-1", "vm-2", "vm-3"] {
-        pending.record(at(0), Crash(digest(1), target));
+        pending.record(at(0), Crash(digest(1), target), false);
     }
     assert_eq!(pending.take_due(at(5_000), |_| Some(6_000)), []);
     assert_eq!(pending.take_due(at(8_000), |_| Some(9_000)).len(), 3);
@@ -69,7 +69,7 @@
 fn record_same_target() {
     let mut pending = PendingCrashes::new();
     for _ in 0..5 {
-        pending.record(at(0), Crash(digest(1), "vm-1"));
+        pending.record(at(0), Crash(digest(1), "vm-1"), false);
     }
     assert_eq!(pending.take_due(at(800), |_| None).len(), 1);
 }
@@ -79,7 +79,20 @@
 fn record_many_requests() {
     let mut pending = PendingCrashes::new();
     for number in 0..100_000 {
-        pending.record(at(0), Crash(digest(number), "vm-1"));
+        pending.record(at(0), Crash(digest(number), "vm-1"), false);
     }
     assert_eq!(pending.take_due(at(800), |_| None).len(), 1_024);
 }
+
+/// A request that is suspected already must be known everywhere before it ends further targets.
+#[test]
+fn take_due_urgent() {
+    let mut pending = PendingCrashes::new();
+    pending.record(at(0), Crash(digest(1), "vm-1"), false);
+    pending.record(at(0), Crash(digest(2), "vm-1"), false);
+    pending.record(at(10), Crash(digest(1), "vm-2"), true);
+    assert_eq!(pending.take_due(at(10), |_| None).len(), 2);
+    assert!(!pending.has_other(&Crash(digest(1), "vm-3")));
+    assert!(pending.has_other(&Crash(digest(2), "vm-2")));
+    assert!(!pending.has_other(&Crash(digest(2), "vm-1")));
+}
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -236,6 +236,19 @@
     assert_eq!(granted, [5_000, 35_000]);
 }
 
+/// A request that has ended more targets than one cause may must not end another for a trial.
+#[test]
+fn claim_trial_after_many_crashes() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    for target in ["vm-4", "vm-5"] {
+        node.report(at(0), digest(1), &crash(target));
+    }
+    quarantine(&mut store, &mut node, digest(1));
+    let claims = (0..1_800_000).step_by(1_000).filter_map(|ms| node.claim_trial(at(ms), digest(1)));
+    assert_eq!(claims.count(), 0);
+    assert_eq!(node.standings()[&digest(1)], Standing::Quarantined { trial_at: None });
+}
+
 /// A flood of distinct suspected requests must not make the fleet forget a quarantined one, and the
 /// number of records stays bounded.
 #[test]
--- a/crates/types/src/request/head.rs
+++ b/crates/types/src/request/head.rs
@@ -62,5 +62,9 @@
         pub output_tokens_max: u32,
         /// Hashes of the prompt's prefixes at block boundaries, shortest first.
         pub prefix_hashes: Vec<u64>,
+        /// Requests with equal keys are sent to the same few targets by all nodes; `None` spreads
+        /// them over all targets.
+        #[serde(default)]
+        pub choice_key: Option<u64>,
     }
 }
