--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -154,12 +154,14 @@
         let request = self.build_request();
         if self.is_at_target() {
             self.exchange.reached += 1;
+            self.exchange.unanswered_at = Some(self.destination.clone());
             let (ticket, may_delegate) = (self.exchange.ticket, self.exchange.may_delegate());
             self.exchange.dispatcher.sent(ticket, &self.destination.service, may_delegate);
         }
         let answer = self.exchange.unless_interrupted(connection.send(request)).await;
         if self.is_at_target() && matches!(answer, Ok(Err(ConnectionError::Closed))) {
             self.exchange.reached -= 1;
+            self.exchange.unanswered_at = None;
         }
         match answer {
             Ok(Ok(response)) => Ok((connection, response)),
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -43,6 +43,8 @@
     reports: Sender<TrafficReport>,
     first_request_seen: Cell<bool>,
     ticks: Cell<u32>,
+    /// Number of abandoned attempts whose targets are still to be checked.
+    pub(super) abandoned_checks: Cell<usize>,
     /// Whether no request runs in an evacuated data centre.
     is_clear: Cell<bool>,
     /// Services from which this node was isolated at the last look.
@@ -76,6 +78,7 @@
             reports,
             first_request_seen,
             ticks,
+            abandoned_checks: Cell::new(0),
             is_clear: Cell::new(true),
             isolated: RefCell::default(),
             token: String::new(),
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -18,7 +18,9 @@
 use crate::traffic::delegation::Delegation;
 use crate::traffic::delivery_times::DeliveryTimes;
 use crate::traffic::dispatch_state::Instruction;
-use crate::traffic::{AnswerParts, AnswerSink, CallerRequest, Dispatcher, add_delegation_refusal};
+use crate::traffic::{
+    AnswerParts, AnswerSink, CallerRequest, Destination, Dispatcher, add_delegation_refusal,
+};
 
 /// Retry delay suggested for a request that failed without having run, in milliseconds.
 ///
@@ -57,6 +59,8 @@
     pub(crate) is_registered: bool,
     /// Number of targets that the request may have reached.
     pub(crate) reached: u32,
+    /// The target that the request was sent to and that has sent no whole event yet.
+    pub(crate) unanswered_at: Option<Destination>,
     completed: bool,
 }
 
@@ -64,6 +68,7 @@
 impl<A: Adapter> Drop for Exchange<A> {
     fn drop(&mut self) {
         if !self.completed {
+            self.check_abandoned();
             self.dispatcher.abandoned(self.ticket);
             self.log_completed("caller gone", 0);
         }
@@ -96,6 +101,7 @@
             is_trial: false,
             is_registered: false,
             reached: 0,
+            unanswered_at: None,
             completed: false,
         }
     }
@@ -190,6 +196,13 @@
         smol::future::or(async { self.instructions.recv().await.ok() }, deadline).await
     }
 
+    /// Lets the target be checked that may run on the last attempt.
+    fn check_abandoned(&mut self) {
+        if let Some(destination) = self.unanswered_at.take() {
+            self.dispatcher.check_abandoned(&self.request, &destination);
+        }
+    }
+
     /// Applies the outcome of an attempt; returns true if the exchange is complete.
     async fn resolve_attempt(&mut self, outcome: AttemptOutcome) -> bool {
         self.last_attempt_outcome = match outcome {
@@ -200,6 +213,10 @@
             AttemptOutcome::Withheld => Some("withheld"),
             AttemptOutcome::Isolated(_) => Some("node isolated"),
         };
+        match outcome {
+            AttemptOutcome::Interrupted(_) => self.check_abandoned(),
+            _ => self.unanswered_at = None,
+        }
         match outcome {
             AttemptOutcome::Answered => {
                 self.answered();
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -91,6 +91,7 @@
                 }
                 continue;
             };
+            self.exchange.unanswered_at = None;
             self.send_head(&mut parts).await;
             self.exchange.delivery.record_chunk(self.exchange.dispatcher.now());
             self.exchange.sink.send_chunk(events).await;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Request traffic: admission, attempts, streams and cancellation.
 
+mod abandoned;
 mod attempt;
 mod body;
 mod caller_request;
--- a/crates/policy/tests/choice_keys.rs
+++ b/crates/policy/tests/choice_keys.rs
@@ -83,7 +83,7 @@
 fn dispatch_of_distinct_keys() {
     let mut policy = node(1, 0);
     let mut sent = vec![0; TARGETS as usize];
-    for ticket in 0..100 {
+    for ticket in 0..100_u64 {
         let key = ticket.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let target = send(&mut policy, ticket, Some(key)).unwrap();
         sent[target as usize] += 1;
