--- a/crates/gateway/src/adapter/messages.rs
+++ b/crates/gateway/src/adapter/messages.rs
@@ -28,6 +28,8 @@
         pub model: Option<ModelName>,
         /// Number of prompt tokens.
         pub prompt_tokens: u32,
+        /// Ids of the parts of the prompt that other requests may share, in order.
+        pub shared_parts: Vec<String>,
         /// Expected number of output tokens.
         pub output_tokens: Option<u32>,
         /// Maximum number of output tokens.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -286,6 +286,7 @@
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
             "digest" => self.exchange.request.digest.to_string(),
+            "shared_parts" => self.exchange.request.caller.shared_parts.join(","),
             "target" => self.destination.target.as_str(),
             "attempt" => self.exchange.attempts,
             "verdict" => error.verdict().as_str(),
@@ -303,6 +304,7 @@
         info!(self.exchange.dispatcher.log, "attempt ended";
             "request_id" => self.exchange.request.id(),
             "digest" => self.exchange.request.digest.to_string(),
+            "shared_parts" => self.exchange.request.caller.shared_parts.join(","),
             "target" => self.destination.target.as_str(),
             "attempt" => self.exchange.attempts,
             "status" => status,
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -366,6 +366,7 @@
             "target" => self.target.as_ref().map(VmName::as_str),
             "attempt_end" => self.last_attempt_outcome,
             "prompt_tokens" => self.request.caller.prompt_tokens,
+            "shared_parts" => self.request.caller.shared_parts.join(","),
             "output_tokens" => self.request.caller.output_tokens_max,
             "events" => events,
             "waited_ms" => self.delivery.sent_at.map(|at| at.since(self.request.arrived_at)),
