--- a/crates/gateway/src/control/advisories.rs
+++ b/crates/gateway/src/control/advisories.rs
@@ -1,4 +1,4 @@
-use celeryhaven_quarantine::RequestDigest;
+use celeryhaven_quarantine::CauseDigest;
 use celeryhaven_types::store::{Object, ObjectChange, ObjectKey, ObjectVersion};
 use celeryhaven_types::{TimeMs, VmName};
 
@@ -6,34 +6,34 @@
 use crate::control::Control;
 use crate::control::shared_records::parse;
 
-/// Prefix of the advisories in the store: what nodes have seen of requests and of targets.
+/// Prefix of the advisories in the store: what nodes have seen of causes of crashes and of targets.
 pub(super) const ADVISORIES_PREFIX: &str = "advisories/";
 
 /// Starts of the names of advisories, by what they are about.
-const REQUEST_NAME: &str = "request-";
+const CAUSE_NAME: &str = "cause-";
 const TARGET_NAME: &str = "target-";
 
 /// What an advisory is about.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Subject {
-    Request(RequestDigest),
+    Cause(CauseDigest),
     Target(VmName),
 }
 
 impl Subject {
     fn parse(key: &ObjectKey) -> Option<Self> {
         let name = key.as_str().strip_prefix(ADVISORIES_PREFIX)?;
-        match (name.strip_prefix(REQUEST_NAME), name.strip_prefix(TARGET_NAME)) {
-            (Some(digest), _) => digest.parse().ok().map(Self::Request),
+        match (name.strip_prefix(CAUSE_NAME), name.strip_prefix(TARGET_NAME)) {
+            (Some(digest), _) => digest.parse().ok().map(Self::Cause),
             (None, Some(target)) => Some(Self::Target(VmName::new(target))),
             (None, None) => None,
         }
     }
 }
 
-/// Returns the key of the advisory on a request.
-pub(super) fn request_key(digest: RequestDigest) -> ObjectKey {
-    ObjectKey::new(format!("{ADVISORIES_PREFIX}{REQUEST_NAME}{digest}"))
+/// Returns the key of the advisory on a cause of crashes.
+pub(super) fn cause_key(digest: CauseDigest) -> ObjectKey {
+    ObjectKey::new(format!("{ADVISORIES_PREFIX}{CAUSE_NAME}{digest}"))
 }
 
 /// Returns the key of the advisory on a target.
@@ -49,12 +49,12 @@
         version: ObjectVersion,
         objects: &[Object],
     ) {
-        let (mut requests, mut targets) = (Vec::new(), Vec::new());
+        let (mut causes, mut targets) = (Vec::new(), Vec::new());
         for object in objects {
             match Subject::parse(&object.key) {
-                Some(Subject::Request(digest)) => {
+                Some(Subject::Cause(digest)) => {
                     let record = parse(&object.value);
-                    requests.extend(record.map(|record| (digest, object.version, record)));
+                    causes.extend(record.map(|record| (digest, object.version, record)));
                 }
                 Some(Subject::Target(target)) => {
                     let record = parse(&object.value);
@@ -63,7 +63,7 @@
                 None => {}
             }
         }
-        self.quarantine.stored_mut().replace(now, version, requests);
+        self.quarantine.stored_mut().replace(now, version, causes);
         self.limits.stored_mut().replace(now, version, targets);
         self.advisories_listed = true;
         self.update_standings(now);
@@ -75,7 +75,7 @@
         for ObjectChange { key, version, value } in changes {
             let (version, value) = (*version, value.as_deref());
             match Subject::parse(key) {
-                Some(Subject::Request(digest)) => match value.and_then(parse) {
+                Some(Subject::Cause(digest)) => match value.and_then(parse) {
                     Some(record) => self.quarantine.stored_mut().put(now, digest, version, record),
                     None => self.quarantine.stored_mut().remove(&digest, version),
                 },
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -2,64 +2,87 @@
 
 use async_channel::Sender;
 use celeryhaven_fleet::TargetPhase;
-use celeryhaven_quarantine::{Crash, CrashRecord, QuarantineWrite, RequestDigest, Standing};
+use celeryhaven_quarantine::{CauseDigest, Crash, CrashRecord, QuarantineWrite, Standing};
 use celeryhaven_records::WriteOutcome;
 use celeryhaven_types::{OrganisationName, TimeMs};
 use slog::{info, warn};
 
 use crate::adapter::Adapter;
 use crate::control::Control;
-use crate::control::advisories::request_key;
+use crate::control::advisories::cause_key;
 use crate::control::counted_store::StoreCallKind;
 use crate::control::event::ControlEvent;
 use crate::control::shared_records::write_record;
 use crate::traffic::CrashReport;
 
 impl<A: Adapter> Control<A> {
-    /// Records crashes that this node's traffic has seen, unless the target had announced its end.
+    /// Records crashes that this node's traffic has seen, unless the target had announced its end or a
+    /// quarantined cause explains it.
     pub(super) fn report_crashes(&mut self, now: TimeMs, crashes: Vec<CrashReport>) {
+        let mut additions = Vec::new();
         for report in crashes {
-            let entry = self.fleet.target(&report.target);
-            if entry.is_some_and(|entry| entry.phase == TargetPhase::Draining) {
+            let crash = Crash {
+                target: report.target.clone(),
+                started_at_ms: report.started_at_ms,
+                node: self.parts.settings.node.clone(),
+                refuted: false,
+                excused: report.excused,
+            };
+            if let Some(why) = self.excuse(&report, &crash) {
                 info!(self.parts.log, "end not attributed"; "digest" => report.digest.to_string(),
-                    "target" => report.target.as_str(), "why" => "draining");
+                    "target" => report.target.as_str(), "why" => why);
                 continue;
             }
-            self.parts.metrics.crash_reports.inc();
-            info!(self.parts.log, "crash reported"; "digest" => report.digest.to_string(),
-                "target" => report.target.as_str(), "started_at_ms" => report.started_at_ms,
-                "route" => &report.route,
-                "organisation" => report.organisation.as_ref().map(OrganisationName::as_str));
-            let node = self.parts.settings.node.clone();
-            let (target, started_at_ms) = (report.target, report.started_at_ms);
-            let crash = Crash { target, started_at_ms, node, refuted: false };
+            self.log_crash(&report);
             let addition = CrashRecord {
+                kind: report.kind,
                 organisation: report.organisation,
                 route: report.route,
                 crashes: vec![crash],
                 ..CrashRecord::default()
             };
-            self.report(now, report.digest, &addition);
+            additions.push((report.digest, addition));
+        }
+        self.report(now, &additions);
+    }
+
+    /// Returns why the end of a target is not held against what it was running, if so.
+    fn excuse(&self, report: &CrashReport, crash: &Crash) -> Option<&'static str> {
+        let entry = self.fleet.target(&report.target);
+        if entry.is_some_and(|entry| entry.phase == TargetPhase::Draining) {
+            return Some("draining");
         }
+        self.quarantine.is_explained(report.digest, crash).then_some("explained")
     }
 
-    /// Records that a run of a suspected request has completed, which had begun at `sent_at`.
-    pub(super) fn report_completed(&mut self, now: TimeMs, digest: RequestDigest, sent_at: TimeMs) {
+    fn log_crash(&self, report: &CrashReport) {
+        self.parts.metrics.crash_reports.inc();
+        info!(self.parts.log, "crash reported"; "digest" => report.digest.to_string(),
+            "kind" => format!("{:?}", report.kind), "excused" => report.excused,
+            "target" => report.target.as_str(), "started_at_ms" => report.started_at_ms,
+            "route" => &report.route,
+            "organisation" => report.organisation.as_ref().map(OrganisationName::as_str));
+    }
+
+    /// Records that a run of a suspected cause has completed, which had begun at `sent_at`.
+    pub(super) fn report_completed(&mut self, now: TimeMs, digest: CauseDigest, sent_at: TimeMs) {
         if let Some(addition) = self.quarantine.refutation(digest, sent_at) {
-            self.report(now, digest, &addition);
+            self.report(now, &[(digest, addition)]);
         }
     }
 
-    fn report(&mut self, now: TimeMs, digest: RequestDigest, addition: &CrashRecord) {
-        if !self.quarantine.report(now, digest, addition) {
-            warn!(self.parts.log, "crash report dropped"; "digest" => digest.to_string());
+    fn report(&mut self, now: TimeMs, additions: &[(CauseDigest, CrashRecord)]) {
+        for (digest, addition) in additions {
+            if !self.quarantine.report(now, *digest, addition) {
+                warn!(self.parts.log, "crash report dropped"; "digest" => digest.to_string());
+            }
         }
         self.write_quarantine(now);
         self.update_standings(now);
     }
 
     /// Claims a trial of a quarantined request for this node; answers whether it succeeded.
-    pub(super) fn claim_trial(&mut self, now: TimeMs, digest: RequestDigest, reply: Sender<bool>) {
+    pub(super) fn claim_trial(&mut self, now: TimeMs, digest: CauseDigest, reply: Sender<bool>) {
         let Some(write) = self.quarantine.claim_trial(now, digest) else {
             return reply.try_send(false).unwrap_or_default();
         };
@@ -67,7 +90,7 @@
         let log = self.parts.log.clone();
         let claim = async move {
             let outcome =
-                write_record(&store, StoreCallKind::Advisories, request_key(*write.key()), &write)
+                write_record(&store, StoreCallKind::Advisories, cause_key(*write.key()), &write)
                     .await;
             let is_granted = matches!(outcome, WriteOutcome::Written(_));
             info!(log, "quarantine trial"; "digest" => digest.to_string(), "granted" => is_granted);
@@ -93,7 +116,7 @@
                 let outcome = write_record(
                     &store,
                     StoreCallKind::Advisories,
-                    request_key(*write.key()),
+                    cause_key(*write.key()),
                     &write,
                 )
                 .await;
@@ -160,12 +183,13 @@
         self.standings = Arc::new(standings);
     }
 
-    fn log_quarantined(&self, digest: RequestDigest) {
+    fn log_quarantined(&self, digest: CauseDigest) {
         let Some(record) = self.quarantine.record(digest) else { return };
         let crashes = record.crashes.iter();
         let crashes: Vec<_> =
             crashes.map(|crash| format!("{} by {}", crash.target, crash.node)).collect();
         warn!(self.parts.log, "request quarantined"; "digest" => digest.to_string(),
+            "kind" => format!("{:?}", record.kind),
             "organisation" => record.organisation.as_ref().map(OrganisationName::as_str),
             "route" => &record.route, "crashes" => crashes.join(", "));
     }
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use celeryhaven_delegation::DelegationRefusal;
-use celeryhaven_quarantine::RequestDigest;
+use celeryhaven_quarantine::CauseDigest;
 use celeryhaven_types::{OrganisationName, Refusal, RefusalCode};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -24,6 +24,9 @@
 /// A stream that starts later may not finish before the process exits.
 const DRAIN_ACCEPT_MS: u64 = 3_000;
 
+/// Number of shared parts of a prompt, from its beginning, that can be suspected.
+const SHARED_PARTS_MAX: usize = 8;
+
 /// Time limit for receiving a request body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -95,7 +98,9 @@
     };
     dispatcher.metrics.record_request(outcome, took_ms);
     info!(dispatcher.log, "request ended"; "request_id" => request.id(),
-        "digest" => request.digest.to_string(), "route" => &request.route.name,
+        "digest" => request.digest.to_string(),
+        "cause" => dispatcher.quarantined_cause(request).map(|cause| cause.to_string()),
+        "shared_parts" => request.caller.shared_parts.join(","), "route" => &request.route.name,
         "organisation" => request.organisation.as_ref().map(OrganisationName::as_str),
         "outcome" => outcome, "took_ms" => took_ms);
     let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -147,8 +152,10 @@
     let digest = {
         let organisation = organisation.as_ref().map_or("", OrganisationName::as_str);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-        RequestDigest::of([parts.method.as_str(), host, path, organisation], &body)
+        CauseDigest::of_request([parts.method.as_str(), host, path, organisation], &body)
     };
+    let shared_parts = caller.shared_parts.iter().take(SHARED_PARTS_MAX);
+    let shared_parts = shared_parts.map(|id| CauseDigest::of_part(service.as_str(), id)).collect();
     let budget_ms = caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
@@ -164,6 +171,7 @@
         headers,
         body,
         digest,
+        parts: shared_parts,
         arrived_at,
         deadline: arrived_at.after(budget_ms),
         route,
--- a/crates/gateway/src/traffic/abandoned.rs
+++ b/crates/gateway/src/traffic/abandoned.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use celeryhaven_http::ConnectionError;
+use celeryhaven_policy::Ticket;
 use smol::Timer;
 
 use crate::adapter::Adapter;
@@ -18,7 +19,12 @@
     ///
     /// Some targets do not notice that the caller of a request has left, and no connection is left
     /// that would break.
-    pub(crate) fn check_abandoned(self: &Rc<Self>, request: &CallerRequest, at: &Destination) {
+    pub(crate) fn check_abandoned(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        request: &CallerRequest,
+        at: &Destination,
+    ) {
         if self.abandoned_checks.get() >= CHECKS_MAX {
             return;
         }
@@ -31,7 +37,7 @@
             match connections.connect(destination.address).await {
                 Ok(connection) => connections.put(destination.address, connection, None),
                 Err(ConnectionError::Connect { .. }) => {
-                    dispatcher.record_crash(&request, &destination);
+                    dispatcher.record_crash(ticket, &request, &destination);
                 }
                 // A target that is out of reach need not have ended.
                 Err(_) => {}
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -46,12 +46,14 @@
     peer: Option<&'a Peer>,
     /// When the request was sent.
     pub(crate) sent_at: TimeMs,
+    /// Whether the target has been found to go on with the stream that it has begun.
+    pub(crate) is_sound: bool,
 }
 
 impl<'a, A: Adapter> Attempt<'a, A> {
     pub(crate) fn new(exchange: &'a mut Exchange<A>, destination: &'a Destination) -> Self {
         let sent_at = exchange.dispatcher.now();
-        Self { exchange, destination, peer: None, sent_at }
+        Self { exchange, destination, peer: None, sent_at, is_sound: false }
     }
 
     /// Lets a peer run the request.
@@ -267,7 +269,8 @@
 
     /// Records that the connection broke while the target may have been running the request.
     pub(crate) fn record_crash(&self) {
-        self.exchange.dispatcher.record_crash(&self.exchange.request, self.destination);
+        let Exchange { dispatcher, ticket, request, .. } = &*self.exchange;
+        dispatcher.record_crash(*ticket, request, self.destination);
     }
 
     /// Whether a connection has failed because this node reaches no target of the service.
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 use celeryhaven_fleet::Route;
-use celeryhaven_quarantine::RequestDigest;
+use celeryhaven_quarantine::{CauseDigest, CauseKind};
 use celeryhaven_types::{
     Idempotency, ModelName, OrganisationName, Priority, RequestClass, RequestHead, RequestId,
     ServiceName, TimeMs,
@@ -31,7 +31,9 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// Identifies the request across its attempts and nodes.
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: CauseDigest,
+    /// The parts of the prompt that other requests may share, in order.
+    pub(crate) parts: Vec<CauseDigest>,
     pub(crate) arrived_at: TimeMs,
     pub(crate) deadline: TimeMs,
     /// What another node has said of it, if this node runs it for that one.
@@ -39,10 +41,22 @@
 }
 
 impl CallerRequest {
+    /// Returns what may end the targets that run the request: its content and the parts of its prompt.
+    pub(crate) fn causes(&self) -> impl Iterator<Item = (CauseDigest, CauseKind)> {
+        let parts = self.parts.iter().zip(0..);
+        let parts = parts.map(|(part, depth)| (*part, CauseKind::Part { depth }));
+        std::iter::once((self.digest, CauseKind::Content)).chain(parts)
+    }
+
     /// Returns the request head for the policy, whose unit of output is `tokens_per_event` tokens.
     ///
-    /// A request that is not known to be sound gets the same candidates at every node.
-    pub(crate) fn head(&self, now: TimeMs, tokens_per_event: u32, is_sound: bool) -> RequestHead {
+    /// Requests with an equal `choice_key` get the same candidates at every node.
+    pub(crate) fn head(
+        &self,
+        now: TimeMs,
+        tokens_per_event: u32,
+        choice_key: Option<u64>,
+    ) -> RequestHead {
         let class = match &self.model {
             Some(model) => RequestClass::Completion { model: model.clone(), adapter: None },
             None => RequestClass::Plain { service: self.service.clone() },
@@ -65,7 +79,7 @@
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens_max: self.events_allowed(tokens_per_event),
             prefix_hashes: Vec::new(),
-            choice_key: (!is_sound).then(|| self.digest.hash64()),
+            choice_key,
         }
     }
 
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -6,7 +6,7 @@
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
-use celeryhaven_quarantine::{PendingCrashes, RequestDigest, SoundRuns, Standing, Standings};
+use celeryhaven_quarantine::{CauseDigest, PendingCrashes, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
@@ -55,7 +55,7 @@
     pub(crate) may_delegate: bool,
     /// Whether a retry by a peer has been charged to the retry budget.
     pub(crate) is_retry_paid: bool,
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: CauseDigest,
 }
 
 /// The state on which dispatch decisions are based.
@@ -148,9 +148,9 @@
         };
         self.active_requests.insert(ticket, active);
         let mut out = Vec::new();
-        let is_sound = self.sound_runs.contains(request.digest);
+        let choice_key = self.choice_key(request);
         if let Some(pool) = self.pool_or_insert(now, &key) {
-            let head = request.head(now, pool.tokens_per_event, is_sound);
+            let head = request.head(now, pool.tokens_per_event, choice_key);
             let is_counted = request.delegated.is_some_and(|delegated| delegated.is_counted);
             pool.arrived(now, ticket, &head, is_counted, &mut out);
         }
@@ -312,11 +312,35 @@
         })
     }
 
-    /// Returns the standing of a request; `None` if it has none.
-    pub(crate) fn standing(&self, digest: RequestDigest) -> Option<Standing> {
+    /// Returns the standing of a cause; `None` if it has none.
+    pub(crate) fn standing(&self, digest: CauseDigest) -> Option<Standing> {
         self.standings.as_ref()?.get(&digest).copied()
     }
 
+    /// Returns the choice key of a request: of the last part that is suspected, or else of its content;
+    /// `None` if targets have run that lately without ending.
+    ///
+    /// Nodes that do not know yet what ends their targets then end the same ones.
+    pub(crate) fn choice_key(&self, request: &CallerRequest) -> Option<u64> {
+        let is_sound = |digest: &CauseDigest| self.sound_runs.contains(*digest);
+        let suspected = request.parts.iter().rev().find(|part| {
+            (self.standing(**part).is_some() || self.crashes.contains(**part)) && !is_sound(part)
+        });
+        let content = Some(&request.digest).filter(|digest| !is_sound(digest));
+        suspected.or(content).map(|digest| digest.hash64())
+    }
+
+    /// Whether a part of the prompt of a request is not known to be sound.
+    pub(crate) fn has_unproven_part(&self, request: &CallerRequest) -> bool {
+        request.parts.iter().any(|part| !self.sound_runs.contains(*part))
+    }
+
+    /// Returns how long a request has been streaming from its target, if it has.
+    pub(crate) fn streaming_ms(&self, now: TimeMs, ticket: Ticket) -> Option<u64> {
+        let since = self.active_requests.get(&ticket)?.streaming_since?;
+        Some(now.since(since))
+    }
+
     /// Returns the number of requests that run in evacuated data centres.
     pub(crate) fn evacuating(&self) -> usize {
         let running = self.active_requests.values().filter(|active| active.destination.is_some());
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -293,7 +293,7 @@
     }
 
     /// Records an attempt without a complete answer; an instruction follows.
-    pub(crate) fn attempt_failed(&self, ticket: Ticket, verdict: Verdict) {
+    pub(crate) fn attempt_failed(&self, ticket: Ticket, request: &CallerRequest, verdict: Verdict) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -306,7 +306,8 @@
             active.streaming_since = None;
             active.destination = None;
         }
-        state.notify_pool(ticket, |pool, out| pool.attempt_failed(now, ticket, verdict, out));
+        let failure = (verdict, state.choice_key(request));
+        state.notify_pool(ticket, |pool, out| pool.attempt_failed(now, ticket, failure, out));
     }
 
     /// Records a request that ends without an answer from a target.
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -27,6 +27,9 @@
 /// At once, the caller would meet the same full target again.
 const REFUSED_RETRY_AFTER_MS: u64 = 200;
 
+/// Time after a crash within which the other nodes learn what it implicates.
+const REPORT_TIME: Duration = Duration::from_millis(200);
+
 /// Why an attempt was stopped before its target answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Interrupt {
@@ -179,7 +182,7 @@
     fn quarantine_refusal(&self) -> Option<Refusal> {
         match self.is_trial {
             true => None,
-            false => self.dispatcher.quarantine_refusal(self.request.digest),
+            false => self.dispatcher.quarantine_refusal(&self.request),
         }
     }
 
@@ -199,7 +202,7 @@
     /// Lets the target be checked that may run on the last attempt.
     fn check_abandoned(&mut self) {
         if let Some(destination) = self.unanswered_at.take() {
-            self.dispatcher.check_abandoned(&self.request, &destination);
+            self.dispatcher.check_abandoned(self.ticket, &self.request, &destination);
         }
     }
 
@@ -254,13 +257,23 @@
     async fn retry_or_fail(&mut self, verdict: Verdict) -> bool {
         let may_retry = self.request.may_repeat() || !self.may_have_run;
         if may_retry && self.attempts < self.request.route.attempts_max {
-            self.dispatcher.attempt_failed(self.ticket, verdict);
+            self.wait_for_reports(verdict).await;
+            self.dispatcher.attempt_failed(self.ticket, &self.request, verdict);
             return false;
         }
         self.fail(RefusalCode::AnswerLost).await;
         true
     }
 
+    /// Waits until what other nodes have seen of the parts of the prompt must be known here, if they may
+    /// have ended the target.
+    async fn wait_for_reports(&self, verdict: Verdict) {
+        let has_unproven_part = self.dispatcher.state.borrow().has_unproven_part(&self.request);
+        if verdict == Verdict::MayHaveRun && has_unproven_part {
+            Timer::after(REPORT_TIME.min(self.time_left())).await;
+        }
+    }
+
     /// Lets a peer run a request that this node cannot send to any target; returns true.
     async fn delegate_or_fail(&mut self) -> bool {
         let may_retry = self.request.may_repeat() || !self.may_have_run;
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -9,6 +9,7 @@
 use crate::adapter::{Adapter, AnswerHead};
 use crate::http::strip_hop_by_hop;
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
+use crate::traffic::quarantine_gate::SOUND_STREAMING_MS;
 use crate::traffic::{AnswerParts, Exchange};
 
 /// Longest plain answer that is buffered until it is complete, in bytes.
@@ -49,7 +50,7 @@
             false => self.forward_plain(parts, body).await,
         };
         if outcome == AttemptOutcome::Answered && acquits {
-            self.exchange.dispatcher.acquit(self.exchange.request.digest, self.sent_at);
+            self.exchange.dispatcher.acquit(&self.exchange.request, self.sent_at);
         }
         if outcome == AttemptOutcome::Answered && !head.closes_connection {
             self.pool_connection(connection, &head).await;
@@ -85,6 +86,7 @@
                 self.exchange.dispatcher.started(self.exchange.ticket, true);
             }
             self.exchange.dispatcher.progressed(&self.destination.name);
+            self.record_sound();
             let Some(events) = self.exchange.splitter.push(&bytes) else {
                 if self.exchange.splitter.is_too_long() {
                     return AttemptOutcome::Failed(Verdict::MayHaveRun);
@@ -98,6 +100,16 @@
         }
     }
 
+    /// Records once that the target goes on with the stream.
+    fn record_sound(&mut self) {
+        let Exchange { dispatcher, ticket, request, .. } = &*self.exchange;
+        let streaming_ms = dispatcher.state.borrow().streaming_ms(dispatcher.now(), *ticket);
+        if !self.is_sound && streaming_ms.is_some_and(|ms| ms >= SOUND_STREAMING_MS) {
+            dispatcher.record_sound(request);
+            self.is_sound = true;
+        }
+    }
+
     /// Completes the answer after the target has ended its stream, unless it was broken off.
     async fn finish_events(
         &mut self,
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -360,13 +360,15 @@
         self.policy.handle(now, PolicyEvent::Stalled { ticket }, out);
     }
 
+    /// Handles a failed attempt; a further one follows the choice key.
     pub(crate) fn attempt_failed(
         &mut self,
         now: TimeMs,
         ticket: Ticket,
-        verdict: Verdict,
+        (verdict, choice_key): (Verdict, Option<u64>),
         out: &mut Vec<Decision>,
     ) {
+        self.policy.handle(now, PolicyEvent::ChoiceKey { ticket, key: choice_key }, out);
         self.policy.handle(now, PolicyEvent::AttemptFailed { ticket, verdict }, out);
     }
 
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use celeryhaven_quarantine::{PendingCrash, RequestDigest, Standing};
+use celeryhaven_policy::Ticket;
+use celeryhaven_quarantine::{CauseDigest, CauseKind, PendingCrash, Standing};
 use celeryhaven_types::{Refusal, RefusalCode, TimeMs};
 use slog::info;
 use smol::Timer;
@@ -22,6 +23,10 @@
 /// Retry delay while this node has not read the quarantine yet, in milliseconds.
 const UNREAD_RETRY_AFTER_MS: u64 = 300;
 
+/// Time for which a target must have streamed an answer so that the parts of its prompt are sound, in
+/// milliseconds.
+pub(crate) const SOUND_STREAMING_MS: u64 = 500;
+
 /// Whether a request may be sent to targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -42,35 +47,48 @@
             let refusal = Refusal::not_run(RefusalCode::NodeUnavailable);
             return Admission::Refused(refusal.with_retry_after_ms(UNREAD_RETRY_AFTER_MS));
         }
-        let Some(refusal) = self.quarantine_refusal(request.digest) else {
-            return Admission::Admitted;
-        };
-        match self.is_trial_due(request.digest) && self.claim_trial(request.digest).await {
+        let Some(refusal) = self.quarantine_refusal(request) else { return Admission::Admitted };
+        let Some(due) = self.due_trial(request) else { return Admission::Refused(refusal) };
+        match self.claim_trial(due).await {
             true => Admission::Trial,
             false => Admission::Refused(refusal),
         }
     }
 
     /// Returns the refusal of a request that must not be sent to targets.
-    pub(crate) fn quarantine_refusal(&self, digest: RequestDigest) -> Option<Refusal> {
-        let Some(Standing::Quarantined { trial_at }) = self.state.borrow().standing(digest) else {
-            return None;
-        };
+    pub(crate) fn quarantine_refusal(&self, request: &CallerRequest) -> Option<Refusal> {
+        let (_, trial_at) = self.quarantined(request).into_iter().next()?;
         let retry_after_ms = trial_at.map_or(QUARANTINED_RETRY_AFTER_MS, |at| at.since(self.now()));
         let refusal = Refusal::not_run(RefusalCode::Quarantined);
         Some(refusal.with_retry_after_ms(retry_after_ms.max(QUARANTINED_RETRY_AFTER_MS_MIN)))
     }
 
-    fn is_trial_due(&self, digest: RequestDigest) -> bool {
-        let standing = self.state.borrow().standing(digest);
-        let trial_at = match standing {
-            Some(Standing::Quarantined { trial_at }) => trial_at,
+    /// Returns a quarantined cause that a request holds.
+    pub(crate) fn quarantined_cause(&self, request: &CallerRequest) -> Option<CauseDigest> {
+        self.quarantined(request).first().map(|(digest, _)| *digest)
+    }
+
+    /// Returns the quarantined causes that a request holds, with the times of their trials.
+    fn quarantined(&self, request: &CallerRequest) -> Vec<(CauseDigest, Option<TimeMs>)> {
+        let state = self.state.borrow();
+        let quarantined =
+            request.causes().filter_map(|(digest, _)| match state.standing(digest)? {
+                Standing::Quarantined { trial_at } => Some((digest, trial_at)),
+                Standing::Suspected => None,
+            });
+        quarantined.collect()
+    }
+
+    /// Returns the cause whose trial a request can be, if one is due and nothing else that the request
+    /// holds is quarantined.
+    fn due_trial(&self, request: &CallerRequest) -> Option<CauseDigest> {
+        match self.quarantined(request)[..] {
+            [(digest, Some(trial_at))] if trial_at <= self.now() => Some(digest),
             _ => None,
-        };
-        trial_at.is_some_and(|at| at <= self.now())
+        }
     }
 
-    async fn claim_trial(&self, digest: RequestDigest) -> bool {
+    async fn claim_trial(&self, digest: CauseDigest) -> bool {
         let (reply, is_granted) = async_channel::bounded(1);
         self.notify_control(TrafficReport::TrialDue(digest, reply));
         let late = async {
@@ -83,7 +101,12 @@
     /// Records that a connection broke while its target may have been running a request.
     ///
     /// A node that is isolated cannot tell.
-    pub(crate) fn record_crash(&self, request: &CallerRequest, destination: &Destination) {
+    pub(crate) fn record_crash(
+        &self,
+        ticket: Ticket,
+        request: &CallerRequest,
+        destination: &Destination,
+    ) {
         let is_peer = matches!(destination.name, DestinationName::Peer(_));
         if is_peer {
             return;
@@ -91,55 +114,81 @@
         if self.link_check.links.is_isolated(&destination.service) {
             return self.log_unattributed(request.digest, destination.target.as_str(), "isolated");
         }
-        let report = CrashReport {
-            digest: request.digest,
-            organisation: request.organisation.clone(),
-            route: request.route.name.clone(),
-            service: destination.service.clone(),
-            target: destination.target.clone(),
-            started_at_ms: destination.started_at_ms,
-        };
         let now = self.now();
-        {
-            let mut state = self.state.borrow_mut();
-            let is_sound = state.sound_runs.contains(request.digest);
-            let is_settled = !request.may_repeat() || state.crashes.has_other(&report);
-            let is_urgent = state.standing(request.digest).is_some() || (is_settled && !is_sound);
-            state.sound_runs.forget(request.digest);
-            state.crashes.record(now, report, is_urgent);
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let has_run_ms = state.streaming_ms(now, ticket);
+        for (digest, kind) in request.causes() {
+            // A part ends targets as soon as they begin to answer.
+            let is_part = kind != CauseKind::Content;
+            if is_part && has_run_ms.is_some_and(|ms| ms >= SOUND_STREAMING_MS) {
+                continue;
+            }
+            let excused = state.sound_runs.contains(digest);
+            let report = CrashReport {
+                digest,
+                kind,
+                organisation: request.organisation.clone().filter(|_| !is_part),
+                route: request.route.name.clone(),
+                service: destination.service.clone(),
+                target: destination.target.clone(),
+                started_at_ms: destination.started_at_ms,
+                excused,
+            };
+            // A part that no target has run is rare, the content of a request always new.
+            let is_settled = is_part || !request.may_repeat() || state.crashes.has_other(&report);
+            let is_suspected = state.standing(digest).is_some() && !(is_part && excused);
+            if !is_part {
+                state.sound_runs.forget(digest);
+            }
+            state.crashes.record(now, report, is_suspected || (is_settled && !excused));
         }
-        self.report_crashes();
+        self.report_due(state.take_due_crashes(now));
     }
 
     /// Logs the end of a target that is held against no request.
-    pub(crate) fn log_unattributed(&self, digest: RequestDigest, target: &str, why: &'static str) {
+    pub(crate) fn log_unattributed(&self, digest: CauseDigest, target: &str, why: &'static str) {
         info!(self.log, "end not attributed"; "digest" => digest.to_string(), "target" => target,
             "why" => why);
     }
 
     /// Reports crashes to the control thread once they have settled.
     pub(crate) fn report_crashes(&self) {
-        let mut state = self.state.borrow_mut();
-        let due = state.take_due_crashes(self.now());
+        let due = self.state.borrow_mut().take_due_crashes(self.now());
+        self.report_due(due);
+    }
+
+    fn report_due(&self, due: Vec<CrashReport>) {
         if !due.is_empty() {
             self.notify_control(TrafficReport::Crashed(due));
         }
     }
 
     /// Records that a target has completed a request that was sent to it at `sent_at`.
-    pub(crate) fn acquit(&self, digest: RequestDigest, sent_at: TimeMs) {
+    pub(crate) fn acquit(&self, request: &CallerRequest, sent_at: TimeMs) {
+        let mut state = self.state.borrow_mut();
+        for (digest, _) in request.causes() {
+            state.sound_runs.record(self.now(), digest);
+            state.crashes.completed(digest);
+            if state.standing(digest).is_some() {
+                info!(self.log, "suspected request completed"; "digest" => digest.to_string());
+                self.notify_control(TrafficReport::Completed(digest, sent_at));
+            }
+        }
+    }
+
+    /// Records that a target goes on with a stream whose answer it has begun.
+    pub(crate) fn record_sound(&self, request: &CallerRequest) {
         let mut state = self.state.borrow_mut();
-        state.sound_runs.record(self.now(), digest);
-        state.crashes.completed(digest);
-        if state.standing(digest).is_some() {
-            info!(self.log, "suspected request completed"; "digest" => digest.to_string());
-            self.notify_control(TrafficReport::Completed(digest, sent_at));
+        for part in &request.parts {
+            state.sound_runs.record(self.now(), *part);
+            state.crashes.completed(*part);
         }
     }
 }
 
 impl PendingCrash for CrashReport {
-    fn digest(&self) -> RequestDigest {
+    fn digest(&self) -> CauseDigest {
         self.digest
     }
 }
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -5,7 +5,7 @@
 use celeryhaven_delegation::Peer;
 use celeryhaven_derives::state;
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
-use celeryhaven_quarantine::{RequestDigest, Standings};
+use celeryhaven_quarantine::{CauseDigest, CauseKind, Standings};
 use celeryhaven_types::{
     DataCentreName, ModelName, NodeName, OrganisationName, ServiceName, TimeMs, VmName,
 };
@@ -67,9 +67,11 @@
     /// A target that ended while it ran a request of this node.
     #[derive(Eq)]
     pub(crate) struct CrashReport {
-        /// The request.
-        pub(crate) digest: RequestDigest,
-        /// Organisation of the caller.
+        /// What was running.
+        pub(crate) digest: CauseDigest,
+        /// What kind of cause it is.
+        pub(crate) kind: CauseKind,
+        /// Organisation of the caller; `None` of a part, which callers share.
         pub(crate) organisation: Option<OrganisationName>,
         /// Name of the route.
         pub(crate) route: String,
@@ -79,6 +81,8 @@
         pub(crate) target: VmName,
         /// Start time of the target's process, in Unix milliseconds.
         pub(crate) started_at_ms: Option<u64>,
+        /// Whether targets have run the cause lately without ending.
+        pub(crate) excused: bool,
     }
 }
 
@@ -166,10 +170,10 @@
     Offered(Vec<OfferedLoad>),
     /// Targets that ended while they ran requests.
     Crashed(Vec<CrashReport>),
-    /// A run of a suspected request has completed, which had begun at this time.
-    Completed(RequestDigest, TimeMs),
+    /// A run of a suspected cause has completed, which had begun at this time.
+    Completed(CauseDigest, TimeMs),
     /// An answer has named a limit of its target that was not known, or named none.
     LimitNamed(NamedLimit),
-    /// A trial of a quarantined request is due; the answer tells whether this node may make it.
-    TrialDue(RequestDigest, Sender<bool>),
+    /// A trial of a quarantined cause is due; the answer tells whether this node may make it.
+    TrialDue(CauseDigest, Sender<bool>),
 }
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -181,6 +181,7 @@
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Limited { .. }
             | PolicyEvent::BackOff { .. }
+            | PolicyEvent::ChoiceKey { .. }
             | PolicyEvent::Organisations { .. } => {}
         }
         self.dispatch_queued(now, out);
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -85,7 +85,8 @@
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Organisations { .. }
             | PolicyEvent::Limited { .. }
-            | PolicyEvent::BackOff { .. } => return,
+            | PolicyEvent::BackOff { .. }
+            | PolicyEvent::ChoiceKey { .. } => return,
         }
         self.dispatch_queued(out);
     }
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -208,6 +208,11 @@
             PolicyEvent::Finished { ticket, output_tokens } => {
                 self.request_finished(now, ticket, output_tokens, out);
             }
+            PolicyEvent::ChoiceKey { ticket, key } => {
+                if let Some(request) = self.requests.get_mut(&ticket) {
+                    request.choice_key = key;
+                }
+            }
             PolicyEvent::AttemptFailed { ticket, verdict } => {
                 self.attempt_failed(now, ticket, verdict, out);
             }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -33,6 +33,13 @@
         /// Number of tokens in the answer.
         output_tokens: u32,
     },
+    /// The choice key of a request has changed, for its later attempts.
+    ChoiceKey {
+        /// The request.
+        ticket: Ticket,
+        /// The new key; `None` spreads the request over all targets.
+        key: Option<u64>,
+    },
     /// An attempt ended without a whole answer; the policy sends it elsewhere or refuses it.
     ///
     /// After [`Verdict::MayHaveRun`], the request is retried only if it is idempotent.
--- a/crates/quarantine/src/request_digest.rs
+++ b/crates/quarantine/src/cause_digest.rs
@@ -7,19 +7,21 @@
 /// Length of a digest, in bytes.
 const DIGEST_BYTES: usize = 16;
 
-/// Identifies a request by its content: the same request has the same digest at every node.
+/// Identifies what may end targets: the content of a request, or a part of prompts.
 ///
-/// A request id does not identify it, because each attempt of a caller has an id of its own.
+/// The same cause has the same digest at every node. A request id does not identify a request,
+/// because each attempt of a caller has an id of its own.
 ///
 /// ```
-/// use celeryhaven_quarantine::RequestDigest;
+/// use celeryhaven_quarantine::CauseDigest;
 ///
-/// let digest = RequestDigest::of(["POST", "h.example", "/a/", "joiners"], b"body");
+/// let digest = CauseDigest::of_request(["POST", "h.example", "/a/", "joiners"], b"body");
 /// assert_eq!(digest.to_string().parse(), Ok(digest));
+/// assert_ne!(digest, CauseDigest::of_part("models", "5c1e07a2"));
 /// ```
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
-pub struct RequestDigest([u8; DIGEST_BYTES]);
+pub struct CauseDigest([u8; DIGEST_BYTES]);
 
 /// Text that is not a digest.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,12 +30,22 @@
     pub found: String,
 }
 
-impl RequestDigest {
+impl CauseDigest {
     /// Computes the digest of a request from the parts of its head and its body.
     ///
     /// The parts are separated, so that moving text from one to the next changes the digest.
-    pub fn of<'a>(head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+    pub fn of_request<'a>(head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+        Self::of("request", head, body)
+    }
+
+    /// Computes the digest of a part of the prompts that a service gets.
+    pub fn of_part(service: &str, id: &str) -> Self {
+        Self::of("part", [service, id], &[])
+    }
+
+    fn of<'a>(kind: &str, head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
         let mut hasher = Sha256::new();
+        hasher.update(kind);
         for part in head {
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
@@ -52,19 +64,19 @@
     }
 }
 
-impl fmt::Display for RequestDigest {
+impl fmt::Display for CauseDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
     }
 }
 
-impl fmt::Debug for RequestDigest {
+impl fmt::Debug for CauseDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "RequestDigest({self})")
+        write!(f, "CauseDigest({self})")
     }
 }
 
-impl FromStr for RequestDigest {
+impl FromStr for CauseDigest {
     type Err = InvalidDigest;
 
     fn from_str(text: &str) -> Result<Self, InvalidDigest> {
@@ -80,13 +92,13 @@
     }
 }
 
-impl From<RequestDigest> for String {
-    fn from(digest: RequestDigest) -> Self {
+impl From<CauseDigest> for String {
+    fn from(digest: CauseDigest) -> Self {
         digest.to_string()
     }
 }
 
-impl TryFrom<String> for RequestDigest {
+impl TryFrom<String> for CauseDigest {
     type Error = InvalidDigest;
 
     fn try_from(text: String) -> Result<Self, InvalidDigest> {
--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -1,18 +1,26 @@
-use celeryhaven_derives::data;
+use std::collections::BTreeSet;
+
+use celeryhaven_derives::{data, state};
 use celeryhaven_types::{NodeName, OrganisationName, VmName};
 
-/// Crashes after which a request is quarantined.
+/// Crashes after which a cause is quarantined.
 ///
 /// A target runs many requests at once, so its end implicates all of them; only coincidence over
 /// several targets tells.
 pub const CRASHES_MAX: usize = 3;
 
-/// Crashes from which on a quarantined request is not tried again.
+/// The same for a part of prompts that targets have run lately without ending.
+const SOUND_CRASHES_MAX: usize = 5;
+
+/// Crashes from which on a quarantined cause is not tried again.
 const CRASH_BUDGET: usize = 5;
 
 /// Maximum number of crashes in a record.
 const CRASHES_KEPT: usize = 8;
 
+/// Processes whose ends are explained.
+pub(crate) type Explained<'a> = BTreeSet<(&'a VmName, Option<u64>)>;
+
 data! {
     /// A target that ended while it ran a request.
     #[derive(Eq)]
@@ -27,13 +35,34 @@
         /// Whether a run that began after the crash was known has completed.
         #[serde(default)]
         pub refuted: bool,
+        /// Whether targets have run the cause lately without ending, as every node that reported the
+        /// crash knows.
+        #[serde(default)]
+        pub excused: bool,
     }
 
-    /// What the fleet knows of one request that was running when targets ended.
+    /// What is suspected.
+    #[derive(Copy, Eq, PartialOrd, Ord, Default)]
+    #[serde(rename_all = "snake_case")]
+    pub enum CauseKind {
+        /// A part of prompts, which is the `depth`th of its prompt.
+        Part {
+            /// Position in the prompt; the first part has depth 0.
+            depth: u32,
+        },
+        /// The whole content of a request.
+        #[default]
+        Content,
+    }
+
+    /// What the fleet knows of one cause that targets were running when they ended.
     ///
     /// Merging is idempotent, so a write whose answer was lost can be repeated.
     #[derive(Eq, Default)]
     pub struct CrashRecord {
+        /// What is suspected.
+        #[serde(default)]
+        pub kind: CauseKind,
         /// Organisation of the caller, for operators.
         pub organisation: Option<OrganisationName>,
         /// Name of the route, for operators.
@@ -48,7 +77,12 @@
 impl Crash {
     /// Whether another node reports the end of the same process.
     pub(crate) fn is_same_as(&self, other: &Self) -> bool {
-        self.target == other.target && self.started_at_ms == other.started_at_ms
+        self.process() == other.process()
+    }
+
+    /// Returns what identifies the process that ended.
+    pub(crate) fn process(&self) -> (&VmName, Option<u64>) {
+        (&self.target, self.started_at_ms)
     }
 }
 
@@ -59,6 +93,7 @@
     pub fn add_crash(&mut self, crash: Crash) {
         if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same_as(&crash)) {
             known.refuted |= crash.refuted;
+            known.excused &= crash.excused;
             return;
         }
         if self.crashes.len() >= CRASHES_KEPT {
@@ -69,9 +104,10 @@
         self.crashes.push(crash);
     }
 
-    /// Adds what another record of the same request holds.
+    /// Adds what another record of the same cause holds.
     pub fn merge(&mut self, other: &Self) {
         if self.route.is_empty() {
+            self.kind = other.kind;
             self.organisation = other.organisation.clone();
             self.route = other.route.clone();
         }
@@ -84,16 +120,41 @@
         self.crashes.iter().filter(|crash| !crash.refuted).count()
     }
 
-    /// Whether a trial of the quarantined request may end one more target.
+    /// Whether a trial of the quarantined cause may end one more target.
     pub fn may_be_tried(&self) -> bool {
         self.unrefuted_crashes() < CRASH_BUDGET
     }
 
-    /// Whether the request must be kept away from targets.
+    /// Whether the crashes are enough to quarantine the cause.
+    ///
+    /// A run that has completed refutes only the crashes before it: a cause may begin to end targets
+    /// that it did not end before.
+    pub fn is_implicated(&self) -> bool {
+        self.weight(&Explained::default()).is_some()
+    }
+
+    /// Returns how strongly the crashes speak against the cause, other than those that are explained by
+    /// another one; `None` if they do not suffice.
     ///
-    /// A run that has completed refutes only the crashes before it: a request may begin to end
-    /// targets that it did not end before.
-    pub fn is_quarantined(&self) -> bool {
-        self.unrefuted_crashes() >= CRASHES_MAX
+    /// Of two causes that the same requests hold, the one with more crashes is the likelier, and of
+    /// equal ones the one that fewer requests hold.
+    pub(crate) fn weight(&self, explained: &Explained<'_>) -> Option<CauseWeight> {
+        let is_open = |crash: &&Crash| !crash.refuted && !explained.contains(&crash.process());
+        let open = self.crashes.iter().filter(is_open);
+        let (excused, unexcused): (Vec<_>, Vec<_>) = open.partition(|crash| crash.excused);
+        let total = excused.len() + unexcused.len();
+        let counted = if self.kind == CauseKind::Content { total } else { unexcused.len() };
+        let is_enough = counted >= CRASHES_MAX || total >= SOUND_CRASHES_MAX;
+        is_enough.then_some(CauseWeight { counted, total, kind: self.kind })
+    }
+}
+
+state! {
+    /// How strongly crashes speak against a cause; the greatest is the likeliest.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub(crate) struct CauseWeight {
+        counted: usize,
+        total: usize,
+        kind: CauseKind,
     }
 }
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -2,7 +2,7 @@
 
 use celeryhaven_types::TimeMs;
 
-use crate::RequestDigest;
+use crate::CauseDigest;
 
 /// Time from a crash until it is reported, in milliseconds.
 ///
@@ -17,13 +17,13 @@
 const SETTLE_LONG_STREAMING_MS: u64 = 8_000;
 const LONG_STREAMING_MS: u64 = 1_000;
 
-/// Maximum number of requests with crashes that are not reported yet.
+/// Maximum number of causes with crashes that are not reported yet.
 const PENDING_MAX: usize = 1_024;
 
 /// A crash that a node has seen, with what it reports of it.
 pub trait PendingCrash: PartialEq {
-    /// Returns the request that was running.
-    fn digest(&self) -> RequestDigest;
+    /// Returns what was running.
+    fn digest(&self) -> CauseDigest;
 }
 
 /// Crashes that one node has seen and not reported yet.
@@ -32,19 +32,19 @@
 /// completes on the targets that remain before its crashes are reported.
 ///
 /// ```
-/// use celeryhaven_quarantine::{PendingCrash, PendingCrashes, RequestDigest};
+/// use celeryhaven_quarantine::{PendingCrash, PendingCrashes, CauseDigest};
 /// use celeryhaven_types::TimeMs;
 ///
 /// #[derive(PartialEq)]
-/// struct Crash(RequestDigest, &'static str);
+/// struct Crash(CauseDigest, &'static str);
 ///
 /// impl PendingCrash for Crash {
-///     fn digest(&self) -> RequestDigest {
+///     fn digest(&self) -> CauseDigest {
 ///         self.0
 ///     }
 /// }
 ///
-/// let digest = RequestDigest::of(["POST"], b"");
+/// let digest = CauseDigest::of_request(["POST"], b"");
 /// let mut pending = PendingCrashes::new();
 /// pending.record(TimeMs::new(0), Crash(digest, "vm-1"), false);
 /// pending.completed(digest);
@@ -52,7 +52,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct PendingCrashes<C> {
-    by_request: BTreeMap<RequestDigest, Pending<C>>,
+    by_cause: BTreeMap<CauseDigest, Pending<C>>,
 }
 
 #[derive(Clone, Debug)]
@@ -65,21 +65,21 @@
 impl<C: PendingCrash> PendingCrashes<C> {
     /// Creates an empty set.
     pub fn new() -> Self {
-        Self { by_request: BTreeMap::new() }
+        Self { by_cause: BTreeMap::new() }
     }
 
-    /// Records that a target ended while it ran a request.
+    /// Records that a target ended while it ran a cause.
     ///
-    /// Several copies of the request on the same target count once. A crash is not recorded if
-    /// too many requests have pending ones.
+    /// Several requests that hold it on the same target count once. A crash is not recorded if
+    /// too many causes have pending ones.
     ///
-    /// If `is_urgent`, all crashes of the request are due at once.
+    /// If `is_urgent`, all crashes of the cause are due at once.
     pub fn record(&mut self, now: TimeMs, crash: C, is_urgent: bool) {
         let digest = crash.digest();
-        if self.by_request.len() >= PENDING_MAX && !self.by_request.contains_key(&digest) {
+        if self.by_cause.len() >= PENDING_MAX && !self.by_cause.contains_key(&digest) {
             return;
         }
-        let pending = self.by_request.entry(digest);
+        let pending = self.by_cause.entry(digest);
         let pending = pending.or_insert_with(|| Pending { crashes: Vec::new(), is_urgent });
         if !pending.crashes.iter().any(|(_, known)| *known == crash) {
             pending.crashes.push((now, crash));
@@ -87,21 +87,26 @@
         pending.is_urgent |= is_urgent;
     }
 
-    /// Whether another crash of the same request is pending.
+    /// Whether crashes of a cause are pending.
+    pub fn contains(&self, digest: CauseDigest) -> bool {
+        self.by_cause.contains_key(&digest)
+    }
+
+    /// Whether another crash of the same cause is pending.
     pub fn has_other(&self, crash: &C) -> bool {
-        let pending = self.by_request.get(&crash.digest());
+        let pending = self.by_cause.get(&crash.digest());
         pending.is_some_and(|pending| pending.crashes.iter().any(|(_, known)| known != crash))
     }
 
-    /// Records that a target has completed a request, which acquits it of the crashes so far.
-    pub fn completed(&mut self, digest: RequestDigest) {
-        self.by_request.remove(&digest);
+    /// Records that a target has completed a request that holds a cause, which acquits it of the crashes so far.
+    pub fn completed(&mut self, digest: CauseDigest) {
+        self.by_cause.remove(&digest);
     }
 
     /// Removes and returns the crashes that match.
     pub fn take_matching(&mut self, matches: impl Fn(&C) -> bool) -> Vec<C> {
         let mut taken = Vec::new();
-        self.by_request.retain(|_, Pending { crashes, .. }| {
+        self.by_cause.retain(|_, Pending { crashes, .. }| {
             taken.extend(
                 crashes.extract_if(.., |(_, crash)| matches(crash)).map(|(_, crash)| crash),
             );
@@ -116,10 +121,10 @@
     pub fn take_due(
         &mut self,
         now: TimeMs,
-        mut streaming_ms: impl FnMut(RequestDigest) -> Option<u64>,
+        mut streaming_ms: impl FnMut(CauseDigest) -> Option<u64>,
     ) -> Vec<C> {
         let mut due = Vec::new();
-        self.by_request.retain(|digest, Pending { crashes, is_urgent }| {
+        self.by_cause.retain(|digest, Pending { crashes, is_urgent }| {
             if *is_urgent {
                 due.extend(crashes.drain(..).map(|(_, crash)| crash));
                 return false;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,24 +1,26 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use celeryhaven_records::{RecordTable, RecordWrite, StoredRecord, WriteOutcome};
 use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectVersion;
 
-use crate::{Crash, CrashRecord, RequestDigest, Standing, Standings};
+use crate::crash_record::Explained;
+use crate::{CauseDigest, Crash, CrashRecord, Standing, Standings};
 
 /// A write of a record.
-pub type QuarantineWrite = RecordWrite<RequestDigest, CrashRecord>;
+pub type QuarantineWrite = RecordWrite<CauseDigest, CrashRecord>;
 
-/// Pauses before the trials of a quarantined request, in milliseconds.
+/// Pauses before the trials of a quarantined cause, in milliseconds.
 ///
-/// A trial shows whether a request was quarantined by coincidence. There are few, because each may
+/// A trial shows whether a cause was quarantined by coincidence. There are few, because each may
 /// end a target.
 const TRIAL_PAUSES_MS: [u64; 2] = [5_000, 30_000];
 
-/// How long the record of a request that is not quarantined is kept, in milliseconds.
+/// How long the record of a cause that is not quarantined is kept, in milliseconds.
 const SUSPECT_RETENTION_MS: u64 = 2 * 60 * 1_000;
 
-/// How long the record of a quarantined request is kept, in milliseconds.
+/// How long the record of a quarantined cause is kept, in milliseconds.
 const QUARANTINE_RETENTION_MS: u64 = 30 * 60 * 1_000;
 
 /// Maximum number of records in the store, and of unwritten reports of one node.
@@ -38,20 +40,20 @@
     retry_at: TimeMs,
 }
 
-/// The requests that were running when targets ended, as one node knows them.
+/// What was running when targets ended, as one node knows it.
 ///
 /// The records are in the store, where they outlive every node. A node follows them, adds its own
 /// reports by conditional writes, and acts on its reports before they are written.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    stored: RecordTable<RequestDigest, CrashRecord>,
-    unwritten: BTreeMap<RequestDigest, Unwritten>,
+    stored: RecordTable<CauseDigest, CrashRecord>,
+    unwritten: BTreeMap<CauseDigest, Unwritten>,
     /// Records that this node is removing.
-    deleting: BTreeMap<RequestDigest, TimeMs>,
+    deleting: BTreeMap<CauseDigest, TimeMs>,
     /// Reports that found no room in the store.
-    without_room: Vec<RequestDigest>,
+    without_room: Vec<CauseDigest>,
     /// When this node learned of each crash.
-    learned: BTreeMap<RequestDigest, Vec<LearnedCrash>>,
+    learned: BTreeMap<CauseDigest, Vec<LearnedCrash>>,
 }
 
 /// When this node learned of a crash.
@@ -68,12 +70,12 @@
     }
 
     /// Returns the records of the store, to be updated from what the store holds.
-    pub fn stored_mut(&mut self) -> &mut RecordTable<RequestDigest, CrashRecord> {
+    pub fn stored_mut(&mut self) -> &mut RecordTable<CauseDigest, CrashRecord> {
         &mut self.stored
     }
 
-    /// Returns the record of a request, with this node's own reports.
-    pub fn record(&self, digest: RequestDigest) -> Option<CrashRecord> {
+    /// Returns the record of a cause, with this node's own reports.
+    pub fn record(&self, digest: CauseDigest) -> Option<CrashRecord> {
         let stored = self.stored.get(&digest).map(|stored| stored.record.clone());
         let Some(unwritten) = self.unwritten.get(&digest) else { return stored };
         let mut record = stored.unwrap_or_default();
@@ -81,19 +83,47 @@
         Some(record)
     }
 
-    /// Returns the standing of every request that has one.
+    /// Returns the standing of every cause that has one.
     pub fn standings(&self) -> Standings {
-        let digests = self.stored.iter().map(|(digest, _)| digest).chain(self.unwritten.keys());
-        digests.filter_map(|digest| Some((*digest, self.standing(*digest)?))).collect()
+        let records = self.records();
+        let quarantined = quarantined(&records);
+        let standing = |(digest, record): &(CauseDigest, CrashRecord)| {
+            let standing = match quarantined.contains(digest) {
+                true => Standing::Quarantined { trial_at: self.trial_at(*digest, record) },
+                false => Standing::Suspected,
+            };
+            (record.unrefuted_crashes() > 0).then_some((*digest, standing))
+        };
+        records.iter().filter_map(standing).collect()
+    }
+
+    /// Whether the end of a target is explained by a quarantined cause other than this one.
+    pub fn is_explained(&self, digest: CauseDigest, crash: &Crash) -> bool {
+        let records = self.records();
+        let quarantined = quarantined(&records);
+        let mut others = records.iter().filter(|(other, _)| *other != digest);
+        others.any(|(other, record)| {
+            quarantined.contains(other) && record.crashes.iter().any(|c| c.is_same_as(crash))
+        })
+    }
+
+    fn records(&self) -> Vec<(CauseDigest, CrashRecord)> {
+        let stored = self.stored.iter().map(|(digest, _)| *digest);
+        let digests: BTreeSet<_> = stored.chain(self.unwritten.keys().copied()).collect();
+        digests.into_iter().filter_map(|digest| Some((digest, self.record(digest)?))).collect()
+    }
+
+    fn trial_at(&self, digest: CauseDigest, record: &CrashRecord) -> Option<TimeMs> {
+        let pause_ms = TRIAL_PAUSES_MS.get(record.trials as usize);
+        let pause_ms = pause_ms.filter(|_| record.may_be_tried())?;
+        Some(self.stored.get(&digest)?.seen_at.after(*pause_ms))
     }
 
     /// Notes when this node has learned of the crashes that it knows by now.
     pub fn note_learned(&mut self, now: TimeMs) {
-        let digests = self.stored.iter().map(|(digest, _)| *digest);
-        let digests: BTreeSet<_> = digests.chain(self.unwritten.keys().copied()).collect();
-        self.learned.retain(|digest, _| digests.contains(digest));
-        for digest in digests {
-            let Some(record) = self.record(digest) else { continue };
+        let records: BTreeMap<_, _> = self.records().into_iter().collect();
+        self.learned.retain(|digest, _| records.contains_key(digest));
+        for (digest, record) in records {
             let learned = self.learned.entry(digest).or_default();
             learned.retain(|known| record.crashes.iter().any(|c| c.is_same_as(&known.crash)));
             for crash in record.crashes {
@@ -104,9 +134,9 @@
         }
     }
 
-    /// Returns what the completion of a run that began at `sent_at` adds to the record of its request;
+    /// Returns what the completion of a run that began at `sent_at` adds to the record of a cause that it held;
     /// `None` if it refutes nothing.
-    pub fn refutation(&self, digest: RequestDigest, sent_at: TimeMs) -> Option<CrashRecord> {
+    pub fn refutation(&self, digest: CauseDigest, sent_at: TimeMs) -> Option<CrashRecord> {
         let record = self.record(digest)?;
         let learned = self.learned.get(&digest)?;
         let is_known = |crash: &Crash| {
@@ -118,25 +148,10 @@
         (!crashes.is_empty()).then(|| CrashRecord { crashes, ..CrashRecord::default() })
     }
 
-    fn standing(&self, digest: RequestDigest) -> Option<Standing> {
-        let record = self.record(digest)?;
-        if record.unrefuted_crashes() == 0 {
-            return None;
-        }
-        if !record.is_quarantined() {
-            return Some(Standing::Suspected);
-        }
-        let pause_ms = TRIAL_PAUSES_MS.get(record.trials as usize);
-        let pause_ms = pause_ms.filter(|_| record.may_be_tried());
-        let seen_at = self.stored.get(&digest).map(|stored| stored.seen_at);
-        let trial_at = seen_at.zip(pause_ms).map(|(at, pause_ms)| at.after(*pause_ms));
-        Some(Standing::Quarantined { trial_at })
-    }
-
-    /// Adds what this node has seen of a request; returns whether it is remembered.
+    /// Adds what this node has seen of a cause; returns whether it is remembered.
     ///
     /// While too many reports are unwritten, further ones are dropped.
-    pub fn report(&mut self, now: TimeMs, digest: RequestDigest, addition: &CrashRecord) -> bool {
+    pub fn report(&mut self, now: TimeMs, digest: CauseDigest, addition: &CrashRecord) -> bool {
         if self.unwritten.len() >= RECORDS_MAX && !self.unwritten.contains_key(&digest) {
             return false;
         }
@@ -150,13 +165,12 @@
         true
     }
 
-    /// Returns the write that claims a trial of a quarantined request, if one is due.
+    /// Returns the write that claims a trial of a quarantined cause, if one is due.
     ///
     /// The write succeeds at one node only, however many nodes claim the same trial.
-    pub fn claim_trial(&self, now: TimeMs, digest: RequestDigest) -> Option<QuarantineWrite> {
-        let Standing::Quarantined { trial_at: Some(trial_at) } = self.standing(digest)? else {
-            return None;
-        };
+    pub fn claim_trial(&self, now: TimeMs, digest: CauseDigest) -> Option<QuarantineWrite> {
+        let standing = self.standings().remove(&digest)?;
+        let Standing::Quarantined { trial_at: Some(trial_at) } = standing else { return None };
         let stored = self.stored.get(&digest).filter(|_| trial_at <= now)?;
         let record = CrashRecord { trials: stored.record.trials + 1, ..stored.record.clone() };
         Some(RecordWrite::Put { key: digest, version: Some(stored.version), record })
@@ -190,13 +204,13 @@
         writes
     }
 
-    /// Removes the records of requests that are not quarantined, if there are too many: those with
+    /// Removes the records of causes that are not quarantined, if there are too many: those with
     /// the fewest crashes and of these the oldest.
     ///
-    /// A flood of distinct requests must not make the fleet forget a guilty one.
+    /// A flood of distinct causes must not make the fleet forget a guilty one.
     fn make_room(&mut self, now: TimeMs, created: usize, writes: &mut Vec<QuarantineWrite>) {
         let excess = (self.stored.len() + created).saturating_sub(RECORDS_MAX).min(created);
-        let suspects = self.stored.iter().filter(|(_, stored)| !stored.record.is_quarantined());
+        let suspects = self.stored.iter().filter(|(_, stored)| !stored.record.is_implicated());
         let suspects = suspects.map(|(digest, stored)| {
             let StoredRecord { version, record, seen_at } = stored;
             (record.unrefuted_crashes(), *seen_at, *digest, *version)
@@ -223,14 +237,14 @@
         });
     }
 
-    /// Removes and returns the requests whose reports have found no room in the store.
-    pub fn take_without_room(&mut self) -> Vec<RequestDigest> {
+    /// Removes and returns the causes whose reports have found no room in the store.
+    pub fn take_without_room(&mut self) -> Vec<CauseDigest> {
         std::mem::take(&mut self.without_room)
     }
 
     fn remove_expired(&mut self, now: TimeMs, writes: &mut Vec<QuarantineWrite>) {
         let is_expired = |stored: &StoredRecord<CrashRecord>| {
-            let retention_ms = match stored.record.is_quarantined() {
+            let retention_ms = match stored.record.is_implicated() {
                 true => QUARANTINE_RETENTION_MS,
                 false => SUSPECT_RETENTION_MS,
             };
@@ -246,7 +260,7 @@
     fn delete(
         &mut self,
         now: TimeMs,
-        digest: RequestDigest,
+        digest: CauseDigest,
         version: ObjectVersion,
         writes: &mut Vec<QuarantineWrite>,
     ) {
@@ -276,3 +290,27 @@
         self.stored.apply_write(now, write, outcome);
     }
 }
+
+/// Returns the causes to be quarantined: the likeliest one first, and then those with enough crashes
+/// that the ones before do not explain.
+fn quarantined(records: &[(CauseDigest, CrashRecord)]) -> BTreeSet<CauseDigest> {
+    let (mut quarantined, mut explained) = (BTreeSet::new(), Explained::default());
+    let weighed = |index: usize, explained: &Explained| {
+        let (digest, record) = &records[index];
+        Some((record.weight(explained)?, Reverse(*digest), index))
+    };
+    let mut heap: BinaryHeap<_> =
+        (0..records.len()).filter_map(|index| weighed(index, &explained)).collect();
+    while let Some(candidate) = heap.pop() {
+        let index = candidate.2;
+        // What others explain only takes weight away.
+        match weighed(index, &explained) {
+            Some(current) if current == candidate => {
+                quarantined.insert(records[index].0);
+                explained.extend(records[index].1.crashes.iter().map(Crash::process));
+            }
+            lighter => heap.extend(lighter),
+        }
+    }
+    quarantined
+}
--- a/crates/quarantine/src/sound_runs.rs
+++ b/crates/quarantine/src/sound_runs.rs
@@ -2,7 +2,7 @@
 
 use celeryhaven_types::TimeMs;
 
-use crate::RequestDigest;
+use crate::CauseDigest;
 
 /// Maximum number of requests of one generation.
 const GENERATION_MAX: usize = 2_048;
@@ -15,10 +15,10 @@
 /// What it remembers is bounded: a request is forgotten after two generations at most.
 ///
 /// ```
-/// use celeryhaven_quarantine::{RequestDigest, SoundRuns};
+/// use celeryhaven_quarantine::{CauseDigest, SoundRuns};
 /// use celeryhaven_types::TimeMs;
 ///
-/// let digest = RequestDigest::of(["POST"], b"");
+/// let digest = CauseDigest::of_request(["POST"], b"");
 /// let mut sound = SoundRuns::new();
 /// sound.record(TimeMs::new(0), digest);
 /// assert!(sound.contains(digest));
@@ -27,8 +27,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SoundRuns {
-    current: BTreeSet<RequestDigest>,
-    previous: BTreeSet<RequestDigest>,
+    current: BTreeSet<CauseDigest>,
+    previous: BTreeSet<CauseDigest>,
     current_since: TimeMs,
 }
 
@@ -39,7 +39,7 @@
     }
 
     /// Records that a target has run a request and goes on.
-    pub fn record(&mut self, now: TimeMs, digest: RequestDigest) {
+    pub fn record(&mut self, now: TimeMs, digest: CauseDigest) {
         let is_old = now.since(self.current_since) >= GENERATION_AGE_MS;
         if is_old || self.current.len() >= GENERATION_MAX {
             self.previous = std::mem::take(&mut self.current);
@@ -49,12 +49,12 @@
     }
 
     /// Whether a target has run the request lately.
-    pub fn contains(&self, digest: RequestDigest) -> bool {
+    pub fn contains(&self, digest: CauseDigest) -> bool {
         self.current.contains(&digest) || self.previous.contains(&digest)
     }
 
     /// Forgets a request that was running when a target ended.
-    pub fn forget(&mut self, digest: RequestDigest) {
+    pub fn forget(&mut self, digest: CauseDigest) {
         self.current.remove(&digest);
         self.previous.remove(&digest);
     }
--- a/crates/quarantine/src/standing.rs
+++ b/crates/quarantine/src/standing.rs
@@ -3,18 +3,18 @@
 use celeryhaven_derives::state;
 use celeryhaven_types::TimeMs;
 
-use crate::RequestDigest;
+use crate::CauseDigest;
 
-/// Standings of all requests that are suspected or quarantined.
-pub type Standings = BTreeMap<RequestDigest, Standing>;
+/// Standings of all causes that are suspected or quarantined.
+pub type Standings = BTreeMap<CauseDigest, Standing>;
 
 state! {
-    /// How a request that was running when targets ended is treated.
+    /// How the requests are treated that hold what was running when targets ended.
     #[derive(Copy, Eq)]
     pub enum Standing {
-        /// It is sent to targets; its completion must be reported.
+        /// They are sent to targets; their completion must be reported.
         Suspected,
-        /// It is refused.
+        /// They are refused.
         Quarantined {
             /// When one node may claim a trial; `None` if there are no more trials.
             trial_at: Option<TimeMs>,
@@ -23,7 +23,7 @@
 }
 
 impl Standing {
-    /// Whether the request is refused.
+    /// Whether the requests are refused.
     pub const fn is_quarantined(self) -> bool {
         matches!(self, Self::Quarantined { .. })
     }
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -1,13 +1,13 @@
 //! Crashes that wait to be reported.
 
-use celeryhaven_quarantine::{PendingCrash, PendingCrashes, RequestDigest};
+use celeryhaven_quarantine::{CauseDigest, PendingCrash, PendingCrashes};
 use celeryhaven_types::TimeMs;
 
 #[derive(Clone, Debug, PartialEq)]
-struct Crash(RequestDigest, &'static str);
+struct Crash(CauseDigest, &'static str);
 
 impl PendingCrash for Crash {
-    fn digest(&self) -> RequestDigest {
+    fn digest(&self) -> CauseDigest {
         self.0
     }
 }
@@ -16,8 +16,8 @@
     TimeMs::new(ms)
 }
 
-fn digest(number: u64) -> RequestDigest {
-    RequestDigest::of(["POST"], &number.to_le_bytes())
+fn digest(number: u64) -> CauseDigest {
+    CauseDigest::of_request(["POST"], &number.to_le_bytes())
 }
 
 #[test]
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use celeryhaven_quarantine::{
-    CRASHES_MAX, Crash, CrashRecord, Quarantine, QuarantineWrite, RequestDigest, Standing,
+    CRASHES_MAX, CauseDigest, Crash, CrashRecord, Quarantine, QuarantineWrite, Standing,
 };
 use celeryhaven_records::{RecordWrite, WriteOutcome};
 use celeryhaven_types::store::ObjectVersion;
@@ -15,7 +15,7 @@
 #[derive(Default)]
 struct Store {
     version: u64,
-    records: BTreeMap<RequestDigest, (ObjectVersion, CrashRecord)>,
+    records: BTreeMap<CauseDigest, (ObjectVersion, CrashRecord)>,
 }
 
 impl Store {
@@ -67,8 +67,8 @@
     TimeMs::new(1_000_000 + ms)
 }
 
-fn digest(number: usize) -> RequestDigest {
-    RequestDigest::of(["POST"], &number.to_le_bytes())
+fn digest(number: usize) -> CauseDigest {
+    CauseDigest::of_request(["POST"], &number.to_le_bytes())
 }
 
 fn crash(target: &str) -> CrashRecord {
@@ -77,25 +77,26 @@
         started_at_ms: Some(1),
         node: NodeName::new("entry-1"),
         refuted: false,
+        excused: false,
     };
     CrashRecord { route: "r".into(), crashes: vec![crash], ..CrashRecord::default() }
 }
 
 /// Reports that a run of a request that began at a time has completed.
-fn complete(node: &mut Quarantine, sent_at: TimeMs, digest: RequestDigest) {
+fn complete(node: &mut Quarantine, sent_at: TimeMs, digest: CauseDigest) {
     if let Some(addition) = node.refutation(digest, sent_at) {
         node.report(sent_at, digest, &addition);
     }
 }
 
-fn is_quarantined(node: &Quarantine, digest: RequestDigest) -> bool {
+fn is_quarantined(node: &Quarantine, digest: CauseDigest) -> bool {
     node.standings().get(&digest).is_some_and(|standing| standing.is_quarantined())
 }
 
 /// Reports crashes of distinct targets and writes them.
-fn quarantine(store: &mut Store, node: &mut Quarantine, digest: RequestDigest) {
+fn quarantine(store: &mut Store, node: &mut Quarantine, digest: CauseDigest) {
     for target in ["vm-1", "vm-2", "vm-3"] {
-        node.report(at(0), digest, &crash(target));
+        node.report(at(0), digest, &crash(&format!("{target}-{digest}")));
     }
     store.execute_all(at(0), node);
 }
--- a/crates/quarantine/tests/sound_runs.rs
+++ b/crates/quarantine/tests/sound_runs.rs
@@ -1,10 +1,10 @@
 //! Requests that targets have run without ending.
 
-use celeryhaven_quarantine::{RequestDigest, SoundRuns};
+use celeryhaven_quarantine::{CauseDigest, SoundRuns};
 use celeryhaven_types::TimeMs;
 
-fn digest(number: u64) -> RequestDigest {
-    RequestDigest::of(["POST"], &number.to_le_bytes())
+fn digest(number: u64) -> CauseDigest {
+    CauseDigest::of_request(["POST"], &number.to_le_bytes())
 }
 
 #[test]
