--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -175,7 +175,7 @@
                     return Err(SendError::Ended(AttemptOutcome::Isolated(error.verdict())));
                 }
                 if error.verdict() == Verdict::MayHaveRun {
-                    self.record_crash();
+                    self.check_broken();
                 }
                 Err(SendError::Ended(AttemptOutcome::Failed(error.verdict())))
             }
@@ -267,10 +267,12 @@
         AttemptOutcome::Failed(Verdict::NotRun)
     }
 
-    /// Records that the connection broke while the target may have been running the request.
-    pub(crate) fn record_crash(&self) {
-        let Exchange { dispatcher, ticket, request, .. } = &*self.exchange;
-        dispatcher.record_crash(*ticket, request, self.destination);
+    /// Lets the target be checked whose connection broke while it may have been running the request.
+    pub(crate) fn check_broken(&self) {
+        if self.is_at_target() {
+            let Exchange { dispatcher, ticket, request, .. } = &*self.exchange;
+            dispatcher.check_broken(*ticket, request, self.destination);
+        }
     }
 
     /// Whether a connection has failed because this node reaches no target of the service.
--- /dev/null
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -0,0 +1,75 @@
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celeryhaven_http::ConnectionError;
+use celeryhaven_policy::Ticket;
+use smol::Timer;
+
+use crate::adapter::Adapter;
+use crate::traffic::quarantine_gate::EndedRun;
+use crate::traffic::{CallerRequest, Destination, Dispatcher};
+
+/// Time from the break of a connection until its target is checked, within which a process that ends
+/// closes its listening socket.
+const BROKEN_DELAY: Duration = Duration::from_millis(20);
+
+/// The same for an attempt that this node has given up.
+///
+/// Some targets do not notice that the caller of a request has left and run on.
+const ABANDONED_DELAY: Duration = Duration::from_millis(500);
+
+/// Maximum number of checks of abandoned attempts that wait.
+const ABANDONED_MAX: usize = 64;
+
+/// Finds out whether targets have ended: a process that has ended refuses connections, while one that
+/// lost or spoilt an answer accepts them.
+impl<A: Adapter> Dispatcher<A> {
+    /// Records a crash if the target of an attempt has ended whose connection broke.
+    pub(crate) fn check_broken(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        request: &CallerRequest,
+        at: &Destination,
+    ) {
+        let run = self.ended_run(ticket, request, at);
+        self.executor.spawn(self.clone().check_after(BROKEN_DELAY, run)).detach();
+    }
+
+    /// Records a crash if the target ends soon of an attempt that this node has given up before a whole
+    /// event.
+    pub(crate) fn check_abandoned(
+        self: &Rc<Self>,
+        ticket: Ticket,
+        request: &CallerRequest,
+        at: &Destination,
+    ) {
+        if self.abandoned_checks.get() >= ABANDONED_MAX {
+            return;
+        }
+        self.abandoned_checks.set(self.abandoned_checks.get() + 1);
+        let (dispatcher, run) = (self.clone(), self.ended_run(ticket, request, at));
+        let check = async move {
+            dispatcher.clone().check_after(ABANDONED_DELAY, run).await;
+            dispatcher.abandoned_checks.set(dispatcher.abandoned_checks.get() - 1);
+        };
+        self.executor.spawn(check).detach();
+    }
+
+    async fn check_after(self: Rc<Self>, delay: Duration, run: EndedRun) {
+        Timer::after(delay).await;
+        let address = run.destination.address;
+        match self.connections.connect(address).await {
+            Ok(connection) => self.connections.put(address, connection, None),
+            Err(ConnectionError::Connect { source })
+                if source.kind() == ErrorKind::ConnectionRefused =>
+            {
+                return self.record_crash(&run);
+            }
+            // A target that is out of reach need not have ended.
+            Err(_) => {}
+        }
+        let (digest, target) = (run.request.digest, run.destination.target.as_str());
+        self.log_unattributed(digest, target, "not ended");
+    }
+}
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -118,7 +118,7 @@
     ) -> AttemptOutcome {
         if is_broken_off {
             self.log_end("answer broke off", StatusCode::OK.as_u16());
-            self.record_crash();
+            self.check_broken();
             self.exchange.splitter.drop_pending();
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
@@ -204,7 +204,7 @@
                         let outcome = AttemptOutcome::Isolated(Verdict::MayHaveRun);
                         return ReadResult::Ended(outcome);
                     }
-                    self.record_crash();
+                    self.check_broken();
                     return ReadResult::Ended(AttemptOutcome::Failed(Verdict::MayHaveRun));
                 }
                 Ok(Some(Ok(frame))) => {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,6 +1,5 @@
 //! Request traffic: admission, attempts, streams and cancellation.
 
-mod abandoned;
 mod attempt;
 mod body;
 mod caller_request;
@@ -9,6 +8,7 @@
 mod delivery_times;
 mod dispatch_state;
 mod dispatcher;
+mod end_check;
 mod exchange;
 mod forward;
 mod isolated;
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -7,9 +7,7 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::traffic::{
-    CallerRequest, CrashReport, Destination, DestinationName, Dispatcher, TrafficReport,
-};
+use crate::traffic::{CallerRequest, CrashReport, Destination, Dispatcher, TrafficReport};
 
 /// Longest wait for the claim of a trial, which is one write to the store.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,6 +25,15 @@
 /// milliseconds.
 pub(crate) const SOUND_STREAMING_MS: u64 = 500;
 
+/// A request that a target was running when its connection broke, or when this node gave it up.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedRun {
+    pub(crate) request: CallerRequest,
+    pub(crate) destination: Destination,
+    /// How long the target had been streaming the answer, if it had begun.
+    pub(crate) streamed_ms: Option<u64>,
+}
+
 /// Whether a request may be sent to targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -98,30 +105,32 @@
         smol::future::or(async { is_granted.recv().await.unwrap_or(false) }, late).await
     }
 
-    /// Records that a connection broke while its target may have been running a request.
-    ///
-    /// A node that is isolated cannot tell.
-    pub(crate) fn record_crash(
+    /// Returns what a target is running, to be held responsible if it has ended.
+    pub(crate) fn ended_run(
         &self,
         ticket: Ticket,
         request: &CallerRequest,
-        destination: &Destination,
-    ) {
-        let is_peer = matches!(destination.name, DestinationName::Peer(_));
-        if is_peer {
-            return;
-        }
+        at: &Destination,
+    ) -> EndedRun {
+        let streamed_ms = self.state.borrow().streaming_ms(self.now(), ticket);
+        EndedRun { request: request.clone(), destination: at.clone(), streamed_ms }
+    }
+
+    /// Records that a target ended while it was running a request.
+    ///
+    /// A node that is isolated cannot tell.
+    pub(crate) fn record_crash(&self, run: &EndedRun) {
+        let EndedRun { request, destination, streamed_ms } = run;
         if self.link_check.links.is_isolated(&destination.service) {
             return self.log_unattributed(request.digest, destination.target.as_str(), "isolated");
         }
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let has_run_ms = state.streaming_ms(now, ticket);
         for (digest, kind) in request.causes() {
             // A part ends targets as soon as they begin to answer.
             let is_part = kind != CauseKind::Content;
-            if is_part && has_run_ms.is_some_and(|ms| ms >= SOUND_STREAMING_MS) {
+            if is_part && streamed_ms.is_some_and(|ms| ms >= SOUND_STREAMING_MS) {
                 continue;
             }
             let excused = state.sound_runs.contains(digest);
@@ -135,8 +144,9 @@
                 started_at_ms: destination.started_at_ms,
                 excused,
             };
-            // A part that no target has run is rare, the content of a request always new.
-            let is_settled = is_part || !request.may_repeat() || state.crashes.has_other(&report);
+            // What has begun to answer is less likely to have ended its target.
+            let has_begun = streamed_ms.is_some() && request.may_repeat();
+            let is_settled = is_part || !has_begun || state.crashes.has_other(&report);
             let is_suspected = state.standing(digest).is_some() && !(is_part && excused);
             if !is_part {
                 state.sound_runs.forget(digest);
