--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -162,7 +162,8 @@
         let before = self.isolated.replace(isolated.clone());
         for service in before.symmetric_difference(&isolated) {
             for CrashReport { digest, target, .. } in state.forget_failures(now, service) {
-                self.log_unattributed(digest, target.as_str(), "isolated");
+                info!(self.log, "end not attributed"; "digest" => digest.to_string(),
+                    "target" => target.as_str(), "why" => "isolated");
             }
         }
         if !isolated.is_empty() {
--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -64,12 +64,20 @@
             Err(ConnectionError::Connect { source })
                 if source.kind() == ErrorKind::ConnectionRefused =>
             {
-                return self.record_crash(&run);
+                return self.record_refused(&run).await;
             }
             // A target that is out of reach need not have ended.
             Err(_) => {}
         }
-        let (digest, target) = (run.request.digest, run.destination.target.as_str());
-        self.log_unattributed(digest, target, "not ended");
+        self.log_unattributed(&run, "not ended");
+    }
+
+    /// Records a crash, unless this node can open no connection to any target since.
+    async fn record_refused(&self, run: &EndedRun) {
+        let Destination { service, address, .. } = &run.destination;
+        match self.link_check.is_isolated(service, *address, run.broken_at).await {
+            true => self.log_unattributed(run, "isolated"),
+            false => self.record_crash(run),
+        }
     }
 }
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -30,6 +30,7 @@
 pub(crate) struct EndedRun {
     pub(crate) request: CallerRequest,
     pub(crate) destination: Destination,
+    pub(crate) broken_at: TimeMs,
     /// How long the target had been streaming the answer, if it had begun.
     pub(crate) streamed_ms: Option<u64>,
 }
@@ -112,18 +113,14 @@
         request: &CallerRequest,
         at: &Destination,
     ) -> EndedRun {
-        let streamed_ms = self.state.borrow().streaming_ms(self.now(), ticket);
-        EndedRun { request: request.clone(), destination: at.clone(), streamed_ms }
+        let broken_at = self.now();
+        let streamed_ms = self.state.borrow().streaming_ms(broken_at, ticket);
+        EndedRun { request: request.clone(), destination: at.clone(), broken_at, streamed_ms }
     }
 
     /// Records that a target ended while it was running a request.
-    ///
-    /// A node that is isolated cannot tell.
     pub(crate) fn record_crash(&self, run: &EndedRun) {
-        let EndedRun { request, destination, streamed_ms } = run;
-        if self.link_check.links.is_isolated(&destination.service) {
-            return self.log_unattributed(request.digest, destination.target.as_str(), "isolated");
-        }
+        let EndedRun { request, destination, streamed_ms, .. } = run;
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -157,9 +154,9 @@
     }
 
     /// Logs the end of a target that is held against no request.
-    pub(crate) fn log_unattributed(&self, digest: CauseDigest, target: &str, why: &'static str) {
-        info!(self.log, "end not attributed"; "digest" => digest.to_string(), "target" => target,
-            "why" => why);
+    pub(crate) fn log_unattributed(&self, run: &EndedRun, why: &'static str) {
+        info!(self.log, "end not attributed"; "digest" => run.request.digest.to_string(),
+            "target" => run.destination.target.as_str(), "why" => why);
     }
 
     /// Reports crashes to the control thread once they have settled.
