quarantine, gateway: a crash is known to its node from the break of the connection on

A retry began 20 ms before its node had made sure of the crash, so that its completion refuted nothing and the record of an innocent content stayed. The report names when the connection broke; refutation_by_retry fails without it.

--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -34,6 +34,7 @@
                 continue;
             }
             self.log_crash(&report);
+            self.quarantine.note_seen(report.broken_at, report.digest, &crash);
             let addition = CrashRecord {
                 kind: report.kind,
                 organisation: report.organisation,
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -120,7 +120,7 @@
 
     /// Records that a target ended while it was running a request.
     pub(crate) fn record_crash(&self, run: &EndedRun) {
-        let EndedRun { request, destination, streamed_ms, .. } = run;
+        let EndedRun { request, destination, broken_at, streamed_ms } = run;
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -139,6 +139,7 @@
                 service: destination.service.clone(),
                 target: destination.target.clone(),
                 started_at_ms: destination.started_at_ms,
+                broken_at: *broken_at,
                 excused,
             };
             // What has begun to answer is less likely to have ended its target.
@@ -198,4 +199,8 @@
     fn digest(&self) -> CauseDigest {
         self.digest
     }
+
+    fn is_same_as(&self, other: &Self) -> bool {
+        (&self.target, self.started_at_ms) == (&other.target, other.started_at_ms)
+    }
 }
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -81,6 +81,8 @@
         pub(crate) target: VmName,
         /// Start time of the target's process, in Unix milliseconds.
         pub(crate) started_at_ms: Option<u64>,
+        /// When the connection broke, or the attempt was given up.
+        pub(crate) broken_at: TimeMs,
         /// Whether targets have run the cause lately without ending.
         pub(crate) excused: bool,
     }
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -21,9 +21,12 @@
 const PENDING_MAX: usize = 1_024;
 
 /// A crash that a node has seen, with what it reports of it.
-pub trait PendingCrash: PartialEq {
+pub trait PendingCrash {
     /// Returns what was running.
     fn digest(&self) -> CauseDigest;
+
+    /// Whether another crash of the same cause is the end of the same process.
+    fn is_same_as(&self, other: &Self) -> bool;
 }
 
 /// Crashes that one node has seen and not reported yet.
@@ -35,13 +38,16 @@
 /// use celeryhaven_quarantine::{PendingCrash, PendingCrashes, CauseDigest};
 /// use celeryhaven_types::TimeMs;
 ///
-/// #[derive(PartialEq)]
 /// struct Crash(CauseDigest, &'static str);
 ///
 /// impl PendingCrash for Crash {
 ///     fn digest(&self) -> CauseDigest {
 ///         self.0
 ///     }
+///
+///     fn is_same_as(&self, other: &Self) -> bool {
+///         self.1 == other.1
+///     }
 /// }
 ///
 /// let digest = CauseDigest::of_request(["POST"], b"");
@@ -81,7 +87,7 @@
         }
         let pending = self.by_cause.entry(digest);
         let pending = pending.or_insert_with(|| Pending { crashes: Vec::new(), is_urgent });
-        if !pending.crashes.iter().any(|(_, known)| *known == crash) {
+        if !pending.crashes.iter().any(|(_, known)| known.is_same_as(&crash)) {
             pending.crashes.push((now, crash));
         }
         pending.is_urgent |= is_urgent;
@@ -95,7 +101,9 @@
     /// Whether another crash of the same cause is pending.
     pub fn has_other(&self, crash: &C) -> bool {
         let pending = self.by_cause.get(&crash.digest());
-        pending.is_some_and(|pending| pending.crashes.iter().any(|(_, known)| known != crash))
+        pending.is_some_and(|pending| {
+            pending.crashes.iter().any(|(_, known)| !known.is_same_as(crash))
+        })
     }
 
     /// Records that a target has completed a request that holds a cause, which acquits it of the crashes so far.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -119,6 +119,14 @@
         Some(self.stored.get(&digest)?.seen_at.after(*pause_ms))
     }
 
+    /// Notes that this node has seen a crash itself.
+    pub fn note_seen(&mut self, at: TimeMs, digest: CauseDigest, crash: &Crash) {
+        let learned = self.learned.entry(digest).or_default();
+        if !learned.iter().any(|known| known.crash.is_same_as(crash)) {
+            learned.push(LearnedCrash { crash: crash.clone(), at });
+        }
+    }
+
     /// Notes when this node has learned of the crashes that it knows by now.
     pub fn note_learned(&mut self, now: TimeMs) {
         let records: BTreeMap<_, _> = self.records().into_iter().collect();
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -10,6 +10,10 @@
     fn digest(&self) -> CauseDigest {
         self.0
     }
+
+    fn is_same_as(&self, other: &Self) -> bool {
+        self.1 == other.1
+    }
 }
 
 fn at(ms: u64) -> TimeMs {
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -180,6 +180,17 @@
     assert!(is_quarantined(&node, digest(1)));
 }
 
+/// A retry that began before its node had made sure of the crash refutes it.
+#[test]
+fn refutation_by_retry() {
+    let mut node = Quarantine::new();
+    let record = crash("vm-1");
+    node.note_seen(at(0), digest(1), &record.crashes[0]);
+    node.report(at(30), digest(1), &record);
+    node.note_learned(at(30));
+    assert!(node.refutation(digest(1), at(3)).is_some());
+}
+
 /// A request that completed once must be quarantined when it ends three targets afterwards.
 #[test]
 fn refutation_before_crashes() {
