--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -69,8 +69,11 @@
         pub route: String,
         /// The targets that ended, each once.
         pub crashes: Vec<Crash>,
-        /// Number of trials that nodes have claimed since the quarantine began.
+        /// Number of trials that nodes have claimed.
         pub trials: u32,
+        /// How many of them had been claimed when a run last completed.
+        #[serde(default)]
+        pub trials_passed: u32,
     }
 }
 
@@ -113,6 +116,7 @@
         }
         other.crashes.iter().for_each(|crash| self.add_crash(crash.clone()));
         self.trials = self.trials.max(other.trials);
+        self.trials_passed = self.trials_passed.max(other.trials_passed);
     }
 
     /// Returns the number of crashes that nothing refutes.
@@ -120,9 +124,11 @@
         self.crashes.iter().filter(|crash| !crash.refuted).count()
     }
 
-    /// Whether a trial of the quarantined cause may end one more target.
-    pub fn may_be_tried(&self) -> bool {
-        self.unrefuted_crashes() < CRASH_BUDGET
+    /// Returns the number of trials since a run last completed; `None` if no more targets may end for
+    /// one.
+    pub fn trials_spent(&self) -> Option<u32> {
+        let may_end_one = self.unrefuted_crashes() < CRASH_BUDGET;
+        may_end_one.then(|| self.trials.saturating_sub(self.trials_passed))
     }
 
     /// Whether the crashes are enough to quarantine the cause.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -114,8 +114,7 @@
     }
 
     fn trial_at(&self, digest: CauseDigest, record: &CrashRecord) -> Option<TimeMs> {
-        let pause_ms = TRIAL_PAUSES_MS.get(record.trials as usize);
-        let pause_ms = pause_ms.filter(|_| record.may_be_tried())?;
+        let pause_ms = TRIAL_PAUSES_MS.get(record.trials_spent()? as usize)?;
         Some(self.stored.get(&digest)?.seen_at.after(*pause_ms))
     }
 
@@ -142,8 +141,8 @@
         }
     }
 
-    /// Returns what the completion of a run that began at `sent_at` adds to the record of a cause that it held;
-    /// `None` if it refutes nothing.
+    /// Returns what the completion of a run that began at `sent_at` adds to the record of a cause that
+    /// it held; `None` if it refutes nothing.
     pub fn refutation(&self, digest: CauseDigest, sent_at: TimeMs) -> Option<CrashRecord> {
         let record = self.record(digest)?;
         let learned = self.learned.get(&digest)?;
@@ -153,7 +152,9 @@
         };
         let refuted = record.crashes.into_iter().filter(|crash| !crash.refuted && is_known(crash));
         let crashes: Vec<_> = refuted.map(|crash| Crash { refuted: true, ..crash }).collect();
-        (!crashes.is_empty()).then(|| CrashRecord { crashes, ..CrashRecord::default() })
+        let trials_passed = record.trials;
+        let addition = CrashRecord { crashes, trials_passed, ..CrashRecord::default() };
+        (!addition.crashes.is_empty()).then_some(addition)
     }
 
     /// Adds what this node has seen of a cause; returns whether it is remembered.
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -248,6 +248,28 @@
     assert_eq!(granted, [5_000, 35_000]);
 }
 
+/// A request that was quarantined by coincidence time and again must be tried each time.
+#[test]
+fn claim_trial_after_completions() {
+    let (mut store, mut node) = (Store::default(), Quarantine::new());
+    for round in 0..4 {
+        let now = at(round * 100_000);
+        for target in 0..3 {
+            node.report(now, digest(1), &crash(&format!("vm-{round}-{target}")));
+        }
+        store.execute_all(now, &mut node);
+        store.list_to(now, &mut node);
+        assert!(is_quarantined(&node, digest(1)));
+        let tried_at = now.after(5_000);
+        let claim = node.claim_trial(tried_at, digest(1)).expect("a trial is due");
+        let outcome = store.execute(&claim);
+        node.written(tried_at, &claim, outcome);
+        complete(&mut node, tried_at, digest(1));
+        store.execute_all(tried_at, &mut node);
+        assert!(!is_quarantined(&node, digest(1)));
+    }
+}
+
 /// A request that has ended more targets than one cause may must not end another for a trial.
 #[test]
 fn claim_trial_after_many_crashes() {
