quarantine, gateway: a run that outlives a crash excuses its cause, and popular contents are excused like parts (LOST, BUDGET)

Contents and a first part that most requests share were on each ended target, had more crashes than what ended them, were quarantined in its place and so let it out again; a trial that reached no target counted as one, which left them out for 30 s.

A crash of a content is excused like that of a part if targets have run it lately, unless the run began after an earlier crash that its node still holds back; then earlier runs excuse neither. A run that was under way when the crash became known and completes outlives it: the crash counts as excused from then on. Causes are ordered by the crashes that nothing excuses. A trial may go on to another target while it has not run.

The sound requests of the tests of crashes, parts and isolated nodes pass as before.

--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -27,6 +27,7 @@
                 node: self.parts.settings.node.clone(),
                 refuted: false,
                 excused: report.excused,
+                outlived: false,
             };
             if let Some(why) = self.excuse(&report, &crash) {
                 info!(self.parts.log, "end not attributed"; "digest" => report.digest.to_string(),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -156,7 +156,7 @@
         let request = self.build_request();
         if self.is_at_target() {
             self.exchange.reached += 1;
-            self.exchange.unanswered_at = Some(self.destination.clone());
+            self.exchange.unanswered_at = Some((self.destination.clone(), self.sent_at));
             let (ticket, may_delegate) = (self.exchange.ticket, self.exchange.may_delegate());
             self.exchange.dispatcher.sent(ticket, &self.destination.service, may_delegate);
         }
@@ -271,7 +271,7 @@
     pub(crate) fn check_broken(&self) {
         if self.is_at_target() {
             let Exchange { dispatcher, ticket, request, .. } = &*self.exchange;
-            dispatcher.check_broken(*ticket, request, self.destination);
+            dispatcher.check_broken(*ticket, request, (self.destination, self.sent_at));
         }
     }
 
--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -4,6 +4,7 @@
 
 use celeryhaven_http::ConnectionError;
 use celeryhaven_policy::Ticket;
+use celeryhaven_types::TimeMs;
 use smol::Timer;
 
 use crate::adapter::Adapter;
@@ -25,12 +26,13 @@
 /// Finds out whether targets have ended: a process that has ended refuses connections, while one that
 /// lost or spoilt an answer accepts them.
 impl<A: Adapter> Dispatcher<A> {
-    /// Records a crash if the target of an attempt has ended whose connection broke.
+    /// Records a crash if the target of an attempt has ended whose connection broke; `at` names the
+    /// target and when the attempt was sent.
     pub(crate) fn check_broken(
         self: &Rc<Self>,
         ticket: Ticket,
         request: &CallerRequest,
-        at: &Destination,
+        at: (&Destination, TimeMs),
     ) {
         let run = self.ended_run(ticket, request, at);
         self.executor.spawn(self.clone().check_after(BROKEN_DELAY, run)).detach();
@@ -42,7 +44,7 @@
         self: &Rc<Self>,
         ticket: Ticket,
         request: &CallerRequest,
-        at: &Destination,
+        at: (&Destination, TimeMs),
     ) {
         if self.abandoned_checks.get() >= ABANDONED_MAX {
             return;
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -7,7 +7,7 @@
 use celeryhaven_delegation::DelegationRefusal;
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
-use celeryhaven_types::{Refusal, RefusalCode, Verdict, VmName};
+use celeryhaven_types::{Refusal, RefusalCode, TimeMs, Verdict, VmName};
 use http::StatusCode;
 use slog::info;
 use smol::Timer;
@@ -62,8 +62,8 @@
     pub(crate) is_registered: bool,
     /// Number of targets that the request may have reached.
     pub(crate) reached: u32,
-    /// The target that the request was sent to and that has sent no whole event yet.
-    pub(crate) unanswered_at: Option<Destination>,
+    /// The target that has sent no whole event yet, and when the request was sent to it.
+    pub(crate) unanswered_at: Option<(Destination, TimeMs)>,
     completed: bool,
 }
 
@@ -109,10 +109,9 @@
         }
     }
 
-    /// Makes this the trial of a quarantined request, which is sent only once.
+    /// Makes this the trial of a quarantined request, which may run only once.
     pub(crate) fn with_trial(mut self) -> Self {
         self.is_trial = true;
-        self.request.route.attempts_max = 1;
         self
     }
 
@@ -201,8 +200,8 @@
 
     /// Lets the target be checked that may run on the last attempt.
     fn check_abandoned(&mut self) {
-        if let Some(destination) = self.unanswered_at.take() {
-            self.dispatcher.check_abandoned(self.ticket, &self.request, &destination);
+        if let Some((target, sent_at)) = self.unanswered_at.take() {
+            self.dispatcher.check_abandoned(self.ticket, &self.request, (&target, sent_at));
         }
     }
 
@@ -255,7 +254,8 @@
     }
 
     async fn retry_or_fail(&mut self, verdict: Verdict) -> bool {
-        let may_retry = self.request.may_repeat() || !self.may_have_run;
+        let may_repeat = self.request.may_repeat() && !self.is_trial;
+        let may_retry = may_repeat || !self.may_have_run;
         if may_retry && self.attempts < self.request.route.attempts_max {
             self.wait_for_reports(verdict).await;
             self.dispatcher.attempt_failed(self.ticket, &self.request, verdict);
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -30,6 +30,7 @@
 pub(crate) struct EndedRun {
     pub(crate) request: CallerRequest,
     pub(crate) destination: Destination,
+    pub(crate) sent_at: TimeMs,
     pub(crate) broken_at: TimeMs,
     /// How long the target had been streaming the answer, if it had begun.
     pub(crate) streamed_ms: Option<u64>,
@@ -111,16 +112,17 @@
         &self,
         ticket: Ticket,
         request: &CallerRequest,
-        at: &Destination,
+        (at, sent_at): (&Destination, TimeMs),
     ) -> EndedRun {
         let broken_at = self.now();
         let streamed_ms = self.state.borrow().streaming_ms(broken_at, ticket);
-        EndedRun { request: request.clone(), destination: at.clone(), broken_at, streamed_ms }
+        let (request, destination) = (request.clone(), at.clone());
+        EndedRun { request, destination, sent_at, broken_at, streamed_ms }
     }
 
     /// Records that a target ended while it was running a request.
     pub(crate) fn record_crash(&self, run: &EndedRun) {
-        let EndedRun { request, destination, broken_at, streamed_ms } = run;
+        let EndedRun { request, destination, sent_at, broken_at, streamed_ms } = run;
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
@@ -130,7 +132,13 @@
             if is_part && streamed_ms.is_some_and(|ms| ms >= SOUND_STREAMING_MS) {
                 continue;
             }
-            let excused = state.sound_runs.contains(digest);
+            // A content that ends its target again is guilty whatever it did before; a part may be
+            // there beside what is guilty.
+            let ends_again = !is_part && state.crashes.precede(digest, *sent_at);
+            if ends_again {
+                state.crashes.clear_excuses(digest);
+            }
+            let excused = state.sound_runs.contains(digest) && !ends_again;
             let report = CrashReport {
                 digest,
                 kind,
@@ -144,12 +152,9 @@
             };
             // What has begun to answer is less likely to have ended its target.
             let has_begun = streamed_ms.is_some() && request.may_repeat();
-            let is_settled = is_part || !has_begun || state.crashes.has_other(&report);
-            let is_suspected = state.standing(digest).is_some() && !(is_part && excused);
-            if !is_part {
-                state.sound_runs.forget(digest);
-            }
-            state.crashes.record(now, report, is_suspected || (is_settled && !excused));
+            let is_likely = is_part || !has_begun || state.crashes.has_other(&report);
+            let is_suspected = state.standing(digest).is_some();
+            state.crashes.record(now, report, !excused && (is_suspected || is_likely));
         }
         self.report_due(state.take_due_crashes(now));
     }
@@ -203,4 +208,12 @@
     fn is_same_as(&self, other: &Self) -> bool {
         (&self.target, self.started_at_ms) == (&other.target, other.started_at_ms)
     }
+
+    fn ended_at(&self) -> TimeMs {
+        self.broken_at
+    }
+
+    fn clear_excuse(&mut self) {
+        self.excused = false;
+    }
 }
--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -9,7 +9,7 @@
 /// several targets tells.
 pub const CRASHES_MAX: usize = 3;
 
-/// The same for a part of prompts that targets have run lately without ending.
+/// The same for a cause that targets have run lately without ending.
 const SOUND_CRASHES_MAX: usize = 5;
 
 /// Crashes from which on a quarantined cause is not tried again.
@@ -39,6 +39,9 @@
         /// crash knows.
         #[serde(default)]
         pub excused: bool,
+        /// Whether a run that was under way when the crash became known has completed.
+        #[serde(default)]
+        pub outlived: bool,
     }
 
     /// What is suspected.
@@ -97,6 +100,7 @@
         if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same_as(&crash)) {
             known.refuted |= crash.refuted;
             known.excused &= crash.excused;
+            known.outlived |= crash.outlived;
             return;
         }
         if self.crashes.len() >= CRASHES_KEPT {
@@ -147,11 +151,12 @@
     pub(crate) fn weight(&self, explained: &Explained<'_>) -> Option<CauseWeight> {
         let is_open = |crash: &&Crash| !crash.refuted && !explained.contains(&crash.process());
         let open = self.crashes.iter().filter(is_open);
-        let (excused, unexcused): (Vec<_>, Vec<_>) = open.partition(|crash| crash.excused);
+        let is_excused = |crash: &&Crash| crash.excused || crash.outlived;
+        let (excused, unexcused): (Vec<_>, Vec<_>) = open.partition(is_excused);
         let total = excused.len() + unexcused.len();
-        let counted = if self.kind == CauseKind::Content { total } else { unexcused.len() };
-        let is_enough = counted >= CRASHES_MAX || total >= SOUND_CRASHES_MAX;
-        is_enough.then_some(CauseWeight { counted, total, kind: self.kind })
+        let is_enough = unexcused.len() >= CRASHES_MAX || total >= SOUND_CRASHES_MAX;
+        let weight = CauseWeight { unexcused: unexcused.len(), total, kind: self.kind };
+        is_enough.then_some(weight)
     }
 }
 
@@ -159,7 +164,7 @@
     /// How strongly crashes speak against a cause; the greatest is the likeliest.
     #[derive(Copy, Eq, PartialOrd, Ord)]
     pub(crate) struct CauseWeight {
-        counted: usize,
+        unexcused: usize,
         total: usize,
         kind: CauseKind,
     }
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -27,6 +27,12 @@
 
     /// Whether another crash of the same cause is the end of the same process.
     fn is_same_as(&self, other: &Self) -> bool;
+
+    /// Returns when the target ended.
+    fn ended_at(&self) -> TimeMs;
+
+    /// Records that earlier runs of the cause do not excuse it.
+    fn clear_excuse(&mut self);
 }
 
 /// Crashes that one node has seen and not reported yet.
@@ -48,6 +54,12 @@
 ///     fn is_same_as(&self, other: &Self) -> bool {
 ///         self.1 == other.1
 ///     }
+///
+///     fn ended_at(&self) -> TimeMs {
+///         TimeMs::new(0)
+///     }
+///
+///     fn clear_excuse(&mut self) {}
 /// }
 ///
 /// let digest = CauseDigest::of_request(["POST"], b"");
@@ -106,6 +118,22 @@
         })
     }
 
+    /// Whether a run of a cause that began at `sent_at` began after a pending crash of it.
+    pub fn precede(&self, digest: CauseDigest, sent_at: TimeMs) -> bool {
+        let pending = self.by_cause.get(&digest);
+        pending.is_some_and(|pending| {
+            pending.crashes.iter().any(|(_, crash)| crash.ended_at() <= sent_at)
+        })
+    }
+
+    /// Records that earlier runs do not excuse the pending crashes of a cause.
+    pub fn clear_excuses(&mut self, digest: CauseDigest) {
+        let pending = self.by_cause.get_mut(&digest).into_iter();
+        pending
+            .flat_map(|pending| &mut pending.crashes)
+            .for_each(|(_, crash)| crash.clear_excuse());
+    }
+
     /// Records that a target has completed a request that holds a cause, which acquits it of the crashes so far.
     pub fn completed(&mut self, digest: CauseDigest) {
         self.by_cause.remove(&digest);
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -142,7 +142,9 @@
     }
 
     /// Returns what the completion of a run that began at `sent_at` adds to the record of a cause that
-    /// it held; `None` if it refutes nothing.
+    /// it held; `None` if it adds nothing.
+    ///
+    /// It refutes the crashes that were known when it began, and outlives the others.
     pub fn refutation(&self, digest: CauseDigest, sent_at: TimeMs) -> Option<CrashRecord> {
         let record = self.record(digest)?;
         let learned = self.learned.get(&digest)?;
@@ -150,9 +152,15 @@
             let mut known = learned.iter().filter(|known| known.at <= sent_at);
             known.any(|known| known.crash.is_same_as(crash))
         };
-        let refuted = record.crashes.into_iter().filter(|crash| !crash.refuted && is_known(crash));
-        let crashes: Vec<_> = refuted.map(|crash| Crash { refuted: true, ..crash }).collect();
-        let trials_passed = record.trials;
+        let open = record.crashes.into_iter().filter(|crash| !crash.refuted);
+        let judged = open.filter_map(|crash| match (is_known(&crash), crash.outlived) {
+            (true, _) => Some(Crash { refuted: true, ..crash }),
+            (false, false) => Some(Crash { outlived: true, ..crash }),
+            (false, true) => None,
+        });
+        let crashes: Vec<_> = judged.collect();
+        let trials_passed =
+            if crashes.iter().any(|crash| crash.refuted) { record.trials } else { 0 };
         let addition = CrashRecord { crashes, trials_passed, ..CrashRecord::default() };
         (!addition.crashes.is_empty()).then_some(addition)
     }
--- a/crates/quarantine/src/sound_runs.rs
+++ b/crates/quarantine/src/sound_runs.rs
@@ -4,15 +4,15 @@
 
 use crate::CauseDigest;
 
-/// Maximum number of requests of one generation.
+/// Maximum number of causes of one generation.
 const GENERATION_MAX: usize = 2_048;
 
 /// Maximum age of a generation, in milliseconds.
 const GENERATION_AGE_MS: u64 = 15_000;
 
-/// Requests that targets have run lately without ending.
+/// Causes that targets have run lately without ending.
 ///
-/// What it remembers is bounded: a request is forgotten after two generations at most.
+/// What it remembers is bounded: a cause is forgotten after two generations at most.
 ///
 /// ```
 /// use celeryhaven_quarantine::{CauseDigest, SoundRuns};
@@ -22,8 +22,6 @@
 /// let mut sound = SoundRuns::new();
 /// sound.record(TimeMs::new(0), digest);
 /// assert!(sound.contains(digest));
-/// sound.forget(digest);
-/// assert!(!sound.contains(digest));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SoundRuns {
@@ -38,7 +36,7 @@
         Self::default()
     }
 
-    /// Records that a target has run a request and goes on.
+    /// Records that a target has run a cause and goes on.
     pub fn record(&mut self, now: TimeMs, digest: CauseDigest) {
         let is_old = now.since(self.current_since) >= GENERATION_AGE_MS;
         if is_old || self.current.len() >= GENERATION_MAX {
@@ -48,14 +46,8 @@
         self.current.insert(digest);
     }
 
-    /// Whether a target has run the request lately.
+    /// Whether a target has run the cause lately.
     pub fn contains(&self, digest: CauseDigest) -> bool {
         self.current.contains(&digest) || self.previous.contains(&digest)
     }
-
-    /// Forgets a request that was running when a target ended.
-    pub fn forget(&mut self, digest: CauseDigest) {
-        self.current.remove(&digest);
-        self.previous.remove(&digest);
-    }
 }
--- a/crates/quarantine/tests/pending_crashes.rs
+++ b/crates/quarantine/tests/pending_crashes.rs
@@ -14,6 +14,12 @@
     fn is_same_as(&self, other: &Self) -> bool {
         self.1 == other.1
     }
+
+    fn ended_at(&self) -> TimeMs {
+        at(100)
+    }
+
+    fn clear_excuse(&mut self) {}
 }
 
 fn at(ms: u64) -> TimeMs {
@@ -100,3 +106,14 @@
     assert!(pending.has_other(&Crash(digest(2), "vm-2")));
     assert!(!pending.has_other(&Crash(digest(2), "vm-1")));
 }
+
+/// Only a run that began after a crash adds to what the crash says: copies that were under way end with
+/// the targets of one rack.
+#[test]
+fn precede_by_start() {
+    let mut pending = PendingCrashes::new();
+    pending.record(at(120), Crash(digest(1), "vm-1"), false);
+    assert!(!pending.precede(digest(1), at(99)));
+    assert!(pending.precede(digest(1), at(100)));
+    assert!(!pending.precede(digest(2), at(100)));
+}
