--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -2,7 +2,9 @@
 
 use async_channel::Sender;
 use celeryhaven_fleet::TargetPhase;
-use celeryhaven_quarantine::{CauseDigest, Crash, CrashRecord, QuarantineWrite, Standing};
+use celeryhaven_quarantine::{
+    CauseDigest, CauseKind, Crash, CrashRecord, QuarantineWrite, Standing,
+};
 use celeryhaven_records::WriteOutcome;
 use celeryhaven_types::{OrganisationName, TimeMs};
 use slog::{info, warn};
@@ -54,7 +56,13 @@
         if entry.is_some_and(|entry| entry.phase == TargetPhase::Draining) {
             return Some("draining");
         }
-        self.quarantine.is_explained(report.digest, crash).then_some("explained")
+        // What is suspected already, and a part that no target has run, may be what explains the end
+        // after all.
+        let is_new_content =
+            report.kind == CauseKind::Content && self.quarantine.record(report.digest).is_none();
+        let is_unlikely = report.excused || is_new_content;
+        let is_explained = is_unlikely && self.quarantine.is_explained(report.digest, crash);
+        is_explained.then_some("explained")
     }
 
     fn log_crash(&self, report: &CrashReport) {
