gateway: a refused connection ends a target only if another one is reached now (BUDGET, LOST)

A connection of the same millisecond as the break counted as made since the break (inferred from the code). The check now asks for one that is opened after the refusal.

--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -74,10 +74,10 @@
         self.log_unattributed(&run, "not ended");
     }
 
-    /// Records a crash, unless this node can open no connection to any target since.
+    /// Records a crash, unless this node can open no connection to any target now.
     async fn record_refused(&self, run: &EndedRun) {
         let Destination { service, address, .. } = &run.destination;
-        match self.link_check.is_isolated(service, *address, run.broken_at).await {
+        match self.link_check.is_isolated(service, *address, self.now()).await {
             true => self.log_unattributed(run, "isolated"),
             false => self.record_crash(run),
         }
