gateway, forming: a probe tells a silent target from one that no connection reaches

Cause: the log of a probe said Silent both for a process that has stopped for a while and for a host that is gone, so the hypotheses of LOST (60) could not be told apart.

Change: a probe opens a connection of its own. Silent now means that the target's host has accepted it and its process has not answered; NoConnection means that none could be opened. Both are judged as before.

--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -36,7 +36,7 @@
                     *answered = true;
                 }
             }
-            Reachability::Gone | Reachability::Silent => {
+            Reachability::Gone | Reachability::Silent | Reachability::NoConnection => {
                 self.departing.remove(&target);
                 let next_probe_at = now.after(self.settings.probe_interval_ms);
                 self.unreachable.insert(target, next_probe_at);
--- a/crates/forming/src/interface/event.rs
+++ b/crates/forming/src/interface/event.rs
@@ -60,7 +60,10 @@
         Answers,
         /// Nothing listens at the target's address.
         Gone,
-        /// The target did not answer in time. It may have failed or be cut off.
+        /// The target's host accepted a connection, but its process did not answer in time. It may have
+        /// stopped for a while and go on.
         Silent,
+        /// No connection could be opened. The target's host may have failed or be cut off.
+        NoConnection,
     }
 }
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -5,7 +6,7 @@
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{OrderOutcome, TargetEntry, TargetOrder};
 use celeryhaven_forming::Reachability;
-use celeryhaven_http::{ConnectionError, ConnectionPool};
+use celeryhaven_http::{Connection, ConnectionError, ConnectionPool};
 use celeryhaven_peers::ProbeResult;
 use celeryhaven_types::{ServiceName, VmName};
 use http::header::{CONTENT_TYPE, HOST};
@@ -99,7 +100,15 @@
         }
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
-        let answer = self.call_target(target, request, PROBE_TIMEOUT).await;
+        let has_connected = Cell::new(false);
+        // Only a new connection shows whether the target's host is reachable now.
+        let open = async {
+            let connection = self.connections.connect(target.address).await;
+            has_connected.set(connection.is_ok());
+            Ok((connection?, true))
+        };
+        let answer = self.exchange(target.address, open, request, PROBE_TIMEOUT).await;
+        self.record_notices(target, answer.as_ref());
         if !matches!(answer, Some(Ok(_))) && self.is_isolated(target).await {
             return None;
         }
@@ -108,7 +117,8 @@
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 Reachability::Gone
             }
-            Some(Err(_)) | None => Reachability::Silent,
+            Some(Err(_)) | None if has_connected.get() => Reachability::Silent,
+            Some(Err(_)) | None => Reachability::NoConnection,
         })
     }
 
@@ -123,7 +133,8 @@
     pub(crate) async fn probe_node(&self, address: SocketAddr) -> ProbeResult {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
-        match self.exchange(address, request, PROBE_TIMEOUT).await {
+        let open = self.connections.take(address);
+        match self.exchange(address, open, request, PROBE_TIMEOUT).await {
             Some(Ok(answer)) if answer.status != StatusCode::OK => ProbeResult::NotReady,
             Some(Ok(answer)) if answer.headers.contains_key(ISOLATED_HEADER) => {
                 ProbeResult::Isolated
@@ -141,19 +152,29 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Option<Result<Parts, ConnectionError>> {
-        let answer = self.exchange(target.address, request, timeout).await;
-        if let Some(Ok(parts)) = &answer {
+        let open = self.connections.take(target.address);
+        let answer = self.exchange(target.address, open, request, timeout).await;
+        self.record_notices(target, answer.as_ref());
+        answer
+    }
+
+    fn record_notices(
+        &self,
+        target: &CalledTarget,
+        answer: Option<&Result<Parts, ConnectionError>>,
+    ) {
+        if let Some(Ok(parts)) = answer {
             let head = self.adapter.answer_head(parts.status, &parts.headers);
             let target = (&target.name, target.started_at_ms);
             self.notices.observe(BootClock.now(), target, &head);
         }
-        answer
     }
 
-    /// Sends a request; returns `None` on a timeout.
+    /// Sends a request on the connection that `open` gives; returns `None` on a timeout.
     async fn exchange(
         &self,
         address: SocketAddr,
+        open: impl Future<Output = Result<(Connection, bool), ConnectionError>>,
         mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Option<Result<Parts, ConnectionError>> {
@@ -166,7 +187,7 @@
         };
         let exchange = async {
             let answer = async {
-                let (mut connection, is_new) = self.connections.take(address).await?;
+                let (mut connection, is_new) = open.await?;
                 match connection.send(request.clone()).await {
                     Err(ConnectionError::Closed) if !is_new => {
                         connection = self.connections.connect(address).await?;
@@ -194,7 +215,7 @@
     async fn finish(
         &self,
         address: SocketAddr,
-        mut connection: celeryhaven_http::Connection,
+        mut connection: Connection,
         head: &Parts,
         body: hyper::body::Incoming,
     ) {
