policy, gateway: a request that ends says why no other attempt followed

Change: the policy names its reason (Decision::DenyRetry), the gateway logs it as no_retry in the line "request ended". No decision changes.

--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -5,7 +5,7 @@
 use async_channel::Sender;
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
-use celeryhaven_policy::{Decision, SharedRetryBudget, StallDetector, Ticket};
+use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{CauseDigest, PendingCrashes, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
@@ -55,6 +55,8 @@
     pub(crate) may_delegate: bool,
     /// Whether a retry by a peer has been charged to the retry budget.
     pub(crate) is_retry_paid: bool,
+    /// Why it got no further attempt when it last needed one.
+    pub(crate) retry_denial: Option<RetryDenial>,
     pub(crate) digest: CauseDigest,
 }
 
@@ -144,6 +146,7 @@
             may_repeat: request.may_repeat(),
             may_delegate: false,
             is_retry_paid: false,
+            retry_denial: None,
             digest: request.digest,
         };
         self.active_requests.insert(ticket, active);
@@ -446,6 +449,12 @@
                 }
                 Decision::Refuse { ticket, refusal } => (ticket, Instruction::Refuse(refusal)),
                 Decision::Cancel { ticket } => (ticket, Instruction::Cancel),
+                Decision::DenyRetry { ticket, denial } => {
+                    if let Some(active) = self.active_requests.get_mut(&ticket) {
+                        active.retry_denial = Some(denial);
+                    }
+                    continue;
+                }
             };
             if let Some(active) = self.active_requests.get(&ticket) {
                 active.instructions.try_send(instruction).unwrap_or_default();
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -6,7 +6,7 @@
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
 use celeryhaven_http::ConnectionPool;
-use celeryhaven_policy::Ticket;
+use celeryhaven_policy::{RetryDenial, Ticket};
 use celeryhaven_telemetry::GatewayMetrics;
 use celeryhaven_types::{ServiceName, TimeMs, Verdict};
 use slog::{Logger, info};
@@ -319,6 +319,11 @@
         state.remove(ticket);
     }
 
+    /// Returns why a request got no further attempt when it last needed one.
+    pub(crate) fn retry_denial(&self, ticket: Ticket) -> Option<RetryDenial> {
+        self.state.borrow().active_requests.get(&ticket)?.retry_denial
+    }
+
     /// Removes a request that the policy has refused.
     pub(crate) fn refused(&self, ticket: Ticket) {
         self.state.borrow_mut().remove(ticket);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use celeryhaven_delegation::DelegationRefusal;
 use celeryhaven_http::EventSplitter;
-use celeryhaven_policy::Ticket;
+use celeryhaven_policy::{RetryDenial, Ticket};
 use celeryhaven_types::{Refusal, RefusalCode, TimeMs, Verdict, VmName};
 use http::StatusCode;
 use slog::info;
@@ -51,6 +51,8 @@
     target: Option<VmName>,
     /// The outcome of the last attempt, unless the target answered.
     last_attempt_outcome: Option<&'static str>,
+    /// Why the last attempt was not followed by another, unless the target answered.
+    retry_denial: Option<RetryDenial>,
     pub(crate) may_have_run: bool,
     /// The error answer of a target, sent to the caller if no other attempt succeeds.
     pub(crate) failed_answer: Option<(AnswerParts, Bytes)>,
@@ -97,6 +99,7 @@
             delivery: DeliveryTimes::default(),
             target: None,
             last_attempt_outcome: None,
+            retry_denial: None,
             may_have_run: false,
             failed_answer: None,
             ticket,
@@ -135,6 +138,7 @@
             match instruction {
                 Instruction::Cancel => {}
                 Instruction::Refuse(refusal) => {
+                    self.retry_denial = self.dispatcher.retry_denial(self.ticket);
                     self.dispatcher.refused(self.ticket);
                     return self.refuse(refusal).await;
                 }
@@ -255,12 +259,16 @@
 
     async fn retry_or_fail(&mut self, verdict: Verdict) -> bool {
         let may_repeat = self.request.may_repeat() && !self.is_trial;
-        let may_retry = may_repeat || !self.may_have_run;
-        if may_retry && self.attempts < self.request.route.attempts_max {
+        let denial = if !may_repeat && self.may_have_run {
+            RetryDenial::MayHaveRun
+        } else if self.attempts >= self.request.route.attempts_max {
+            RetryDenial::NoAttemptLeft
+        } else {
             self.wait_for_reports(verdict).await;
             self.dispatcher.attempt_failed(self.ticket, &self.request, verdict);
             return false;
-        }
+        };
+        self.retry_denial = Some(denial);
         self.fail(RefusalCode::AnswerLost).await;
         true
     }
@@ -378,6 +386,7 @@
             "attempts" => self.attempts,
             "target" => self.target.as_ref().map(VmName::as_str),
             "attempt_end" => self.last_attempt_outcome,
+            "no_retry" => self.retry_denial.map(RetryDenial::as_str),
             "prompt_tokens" => self.request.caller.prompt_tokens,
             "shared_parts" => self.request.caller.shared_parts.join(","),
             "output_tokens" => self.request.caller.output_tokens_max,
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -2,7 +2,7 @@
 
 use crate::fair::FairPolicy;
 use crate::fair::request::{CancelReason, Phase, RequestState};
-use crate::interface::{Decision, TargetKey, Ticket};
+use crate::interface::{Decision, RetryDenial, TargetKey, Ticket};
 
 /// Maximum number of attempts of one request.
 pub(crate) const ATTEMPTS_MAX: u32 = 4;
@@ -118,10 +118,12 @@
         // The retry of a stuck attempt was paid from the budget when it was cancelled.
         let free = not_run && !self.settings.charge_refused;
         let prepaid = free || cancelled == Some(CancelReason::Stuck);
-        if self.should_retry(now, ticket, prepaid) {
-            self.enqueue(now, ticket, out);
-        } else {
-            self.refuse_failed(now, ticket, out);
+        match self.check_retry(now, ticket, prepaid) {
+            Ok(()) => self.enqueue(now, ticket, out),
+            Err(denial) => {
+                out.push(Decision::DenyRetry { ticket, denial });
+                self.refuse_failed(now, ticket, out);
+            }
         }
         self.dispatch_queued(now, class, out);
     }
@@ -140,17 +142,27 @@
         self.dispatch_queued(now, request.class, out);
     }
 
-    fn should_retry(&mut self, now: TimeMs, ticket: Ticket, prepaid: bool) -> bool {
-        let Some(request) = self.requests.get(&ticket) else { return false };
+    /// Decides whether a failed request is sent again, and charges the retry budget if it is.
+    fn check_retry(
+        &mut self,
+        now: TimeMs,
+        ticket: Ticket,
+        prepaid: bool,
+    ) -> Result<(), RetryDenial> {
+        let Some(request) = self.requests.get(&ticket) else { return Err(RetryDenial::TooLate) };
         let RequestState { idempotent, attempts, attempts_max, may_have_run, .. } = *request;
-        let safe_to_retry = idempotent || !may_have_run;
         let in_time = now.get() as f64 + request.cost.mean_ms <= request.deadline.get() as f64;
-        // Only attempts that a target may have run use the budget, unless the settings say
-        // otherwise.
-        safe_to_retry
-            && in_time
-            && attempts < attempts_max
-            && (prepaid || self.retry_budget.try_withdraw())
+        if !idempotent && may_have_run {
+            Err(RetryDenial::MayHaveRun)
+        } else if attempts >= attempts_max {
+            Err(RetryDenial::NoAttemptLeft)
+        } else if !in_time {
+            Err(RetryDenial::TooLate)
+        } else if !prepaid && !self.retry_budget.try_withdraw() {
+            Err(RetryDenial::NoRetryLeft)
+        } else {
+            Ok(())
+        }
     }
 
     fn refuse_failed(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
--- a/crates/policy/src/interface/decision.rs
+++ b/crates/policy/src/interface/decision.rs
@@ -1,7 +1,7 @@
 use celeryhaven_derives::state;
 use celeryhaven_types::Refusal;
 
-use crate::interface::{TargetKey, Ticket};
+use crate::interface::{RetryDenial, TargetKey, Ticket};
 
 state! {
     /// An action that a policy requests from its driver.
@@ -20,6 +20,13 @@
             /// The refusal that the caller receives.
             refusal: Refusal,
         },
+        /// Tells why a request gets no further attempt; a refusal follows if none is running.
+        DenyRetry {
+            /// The request.
+            ticket: Ticket,
+            /// The reason.
+            denial: RetryDenial,
+        },
         /// Stops a running attempt at its target;
         /// [`PolicyEvent::AttemptFailed`](super::PolicyEvent::AttemptFailed) follows.
         Cancel {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,7 +23,7 @@
 pub use baseline::{LeastLoaded, RoundRobin};
 pub use fair::{FairPolicy, FairSettings, Sharing};
 pub use interface::{
-    Decision, PolicyEvent, RequestPolicy, TargetKey, TargetLoad, TargetProfile, Ticket,
+    Decision, PolicyEvent, RequestPolicy, RetryDenial, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
 pub use retry::SharedRetryBudget;
 pub use stall::StallDetector;
