forming: a silent target is not a lost one (LOST)

Cause: a probe without an answer, an order without an answer and streams that stand still while a head closes were each taken for the loss of the target, and loss was acted on by orders that end streams.

Change: a target whose host accepts connections while its process answers nothing is silent. Silent targets join nothing and are sent no order that ends streams; a replica with a silent member stays, until the member answers, no connection reaches it, or it has been silent for as long as engines themselves wait. An order to close holds until it is answered. A target without a connection is lost as before.

--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -80,8 +80,12 @@
         };
         let state = view.replicas.get(key).and_then(|replica| replica.head_state);
         let waited_ms = now.since(closing_since);
+        let has_lost_member =
+            dissolving.remaining.iter().any(|member| self.unreachable.contains_key(member));
         let is_closing = match state {
+            _ if has_lost_member => false,
             Some(MemberState::Closing) => waited_ms < self.settings.drain_timeout_ms,
+            Some(MemberState::Open) if self.is_close_pending(key) => true,
             Some(MemberState::Open) => waited_ms < self.settings.order_retry_ms * 3,
             // The head is no longer listed. It may have requests as long as it answers.
             None => {
--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -3,7 +3,7 @@
 use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
 
-use crate::domain::formation::{Dissolving, Formation, PendingOrder};
+use crate::domain::formation::{Dissolving, Formation, PendingOrder, Silence};
 use crate::domain::load_grants::LoadGrants;
 use crate::domain::unlisted::UnlistedPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
@@ -54,6 +54,8 @@
     pub(crate) unfinished: BTreeMap<ReplicaKey, TimeMs>,
     /// Unreachable targets and the time of their next probe.
     pub(crate) unreachable: BTreeMap<VmName, TimeMs>,
+    /// Targets that are silent, which are not lost.
+    pub(crate) silent: BTreeMap<VmName, Silence>,
     /// Members whose entry was removed, the time of their next probe, and whether one was answered.
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
@@ -92,6 +94,7 @@
             left: BTreeSet::new(),
             unfinished: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            silent: BTreeMap::new(),
             departing: BTreeMap::new(),
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
@@ -138,6 +141,7 @@
         self.retract_unlisted_plans(now, view, out);
         self.probe_unreachable(now, out);
         self.retry_orders(now, out);
+        self.release_held_orders(now, out);
         self.evaluate_replicas(now, view, out);
         self.advance_dissolving(now, view, out);
         if self.is_evacuated(view) {
@@ -259,6 +263,7 @@
     /// Drops the state of targets and replicas that are no longer listed.
     fn drop_unlisted_state(&mut self, view: FormingView<'_>) {
         self.unreachable.retain(|name, _| view.fleet.target_or_removed(name).is_some());
+        self.silent.retain(|name, _| view.fleet.target_or_removed(name).is_some());
         self.departing.retain(|name, _| {
             view.fleet.target_or_removed(name).is_some() && view.fleet.target(name).is_none()
         });
--- a/crates/forming/src/domain/formation.rs
+++ b/crates/forming/src/domain/formation.rs
@@ -28,10 +28,21 @@
     pub(crate) attempts: u32,
     /// When to send it again, or `None` while an attempt is in flight.
     pub(crate) retry_at: Option<TimeMs>,
+    /// Whether it is held back until its target answers probes.
+    pub(crate) is_held: bool,
     /// The grant of the load that the order may begin, until the load counts as unresolved.
     pub(crate) grant: Option<GrantId>,
 }
 
+/// A target whose host accepts connections while its process answers nothing.
+///
+/// It may have stopped for a while and go on with what it has begun.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Silence {
+    pub(crate) since: TimeMs,
+    pub(crate) next_probe_at: TimeMs,
+}
+
 /// A replica that is being dissolved.
 #[derive(Clone, Debug)]
 pub(crate) struct Dissolving {
--- a/crates/forming/src/domain/free.rs
+++ b/crates/forming/src/domain/free.rs
@@ -34,7 +34,7 @@
         self.targets_of_domain(view)
             .filter(|entry| entry.phase == TargetPhase::Ready)
             .filter(|entry| !view.fleet.is_lapsed(&entry.name))
-            .filter(|entry| !self.unreachable.contains_key(&entry.name))
+            .filter(|entry| self.is_reachable(&entry.name))
             .filter(|entry| !taken.contains(&entry.name) && self.is_in_no_replica(entry))
             .collect()
     }
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -40,16 +40,40 @@
     ) {
         let id = self.next_order_id;
         self.next_order_id = id.next();
+        // A silent target would carry it out on waking, when its reason may be gone.
+        let ends_streams = matches!(order, TargetOrder::Leave { .. } | TargetOrder::Close { .. });
+        let is_held = ends_streams && self.silent.contains_key(&target);
         let send_by = load.as_ref().map(|load| load.send_by);
         let pending = PendingOrder {
             target: target.clone(),
             order: order.clone(),
             attempts: 1,
             retry_at: None,
+            is_held,
             grant: load.map(|load| load.grant),
         };
         self.pending.insert(id, pending);
-        out.push(FormingAction::Order { id, target, order, send_by });
+        if !is_held {
+            out.push(FormingAction::Order { id, target, order, send_by });
+        }
+    }
+
+    /// Sends the orders that were held back for targets that answer again; those for targets that are
+    /// lost count as unanswered.
+    pub(crate) fn release_held_orders(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
+        let held = self.pending.iter().filter(|(_, pending)| pending.is_held);
+        let due = held.filter(|(_, pending)| !self.silent.contains_key(&pending.target));
+        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(pending) = self.pending.get_mut(&id) else { continue };
+            let (target, order) = (pending.target.clone(), pending.order.clone());
+            if self.unreachable.contains_key(&target) {
+                pending.attempts = self.settings.order_attempts_max;
+                self.apply_order_outcome(now, id, OrderOutcome::Unanswered, out);
+            } else {
+                pending.is_held = false;
+                out.push(FormingAction::Order { id, target, order, send_by: None });
+            }
+        }
     }
 
     /// Sends unanswered orders again once their retry is due. Every order is idempotent.
@@ -85,7 +109,13 @@
                 self.pending.insert(id, PendingOrder { retry_at, ..pending });
                 return;
             }
-            self.unreachable.insert(pending.target.clone(), now);
+            self.suspect_silent(now, &pending.target, out);
+            let is_silent = self.silent.contains_key(&pending.target);
+            if is_silent && matches!(pending.order, TargetOrder::Close { .. }) {
+                // Its replica serves until the head has finished.
+                self.pending.insert(id, PendingOrder { is_held: true, attempts: 1, ..pending });
+                return;
+            }
         }
         if outcome == OrderOutcome::TargetRemoved {
             self.unreachable.insert(pending.target.clone(), now);
@@ -93,7 +123,7 @@
         match &pending.order {
             TargetOrder::Join { replica, generation, .. } => {
                 let key = key(replica, *generation);
-                self.apply_join_outcome(now, &key, &pending.target, outcome, out);
+                self.apply_join_outcome(&key, &pending.target, outcome, out);
             }
             TargetOrder::Open { replica, generation } => {
                 let key = key(replica, *generation);
@@ -115,10 +145,23 @@
                     self.stage_failed(now, &pending.target);
                 }
             }
-            TargetOrder::Close { .. } => {}
+            TargetOrder::Close { replica, generation, .. } => {
+                let dissolving = self.dissolving.get_mut(&key(replica, *generation));
+                if let Some(closing_since) = dissolving.and_then(|it| it.closing_since.as_mut()) {
+                    *closing_since = now;
+                }
+            }
         }
     }
 
+    /// Whether the head of a replica has not answered its order to close yet.
+    pub(crate) fn is_close_pending(&self, closing: &ReplicaKey) -> bool {
+        self.pending.values().any(|pending| match &pending.order {
+            TargetOrder::Close { replica, generation, .. } => key(replica, *generation) == *closing,
+            _ => false,
+        })
+    }
+
     fn is_still_needed(&self, pending: &PendingOrder) -> bool {
         match &pending.order {
             TargetOrder::Join { replica, generation, .. }
--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -2,6 +2,7 @@
 use celeryhaven_types::{TimeMs, VmName};
 
 use crate::domain::DomainPlanner;
+use crate::domain::formation::Silence;
 use crate::interface::{FormingAction, FormingView, Reachability};
 
 impl DomainPlanner {
@@ -15,10 +16,6 @@
         let Some(replica) = view.replicas.get(key) else { return };
         let members: Vec<VmName> = replica.members.iter().flatten().cloned().collect();
         self.log_change(key, "suspected", None, out);
-        if self.dissolving.get(key).is_some_and(|dissolving| dissolving.closing_since.is_some()) {
-            // A member was lost before the head had finished its requests.
-            return self.dissolve(key, members, out);
-        }
         out.extend(members.into_iter().map(|target| FormingAction::Probe { target }));
     }
 
@@ -29,21 +26,55 @@
         target: VmName,
         reachability: Reachability,
     ) {
+        let next_probe_at = now.after(self.settings.probe_interval_ms);
         match reachability {
             Reachability::Answers => {
                 self.unreachable.remove(&target);
+                self.silent.remove(&target);
                 if let Some((_, answered)) = self.departing.get_mut(&target) {
                     *answered = true;
                 }
             }
+            Reachability::Silent if !self.is_silent_for_long(now, &target) => {
+                self.unreachable.remove(&target);
+                let silence =
+                    self.silent.entry(target).or_insert(Silence { since: now, next_probe_at });
+                silence.next_probe_at = next_probe_at;
+            }
             Reachability::Gone | Reachability::Silent | Reachability::NoConnection => {
                 self.departing.remove(&target);
-                let next_probe_at = now.after(self.settings.probe_interval_ms);
+                self.silent.remove(&target);
                 self.unreachable.insert(target, next_probe_at);
             }
         }
     }
 
+    /// Takes a target as silent that has not answered an order, until a probe tells.
+    pub(crate) fn suspect_silent(
+        &mut self,
+        now: TimeMs,
+        target: &VmName,
+        out: &mut Vec<FormingAction>,
+    ) {
+        let next_probe_at = now.after(self.settings.probe_interval_ms);
+        let silence = Silence { since: now, next_probe_at };
+        if !self.unreachable.contains_key(target) && !self.silent.contains_key(target) {
+            self.silent.insert(target.clone(), silence);
+            out.push(FormingAction::Probe { target: target.clone() });
+        }
+    }
+
+    /// Whether a target may be a member of a new replica, or be sent an order that begins something.
+    pub(crate) fn is_reachable(&self, name: &VmName) -> bool {
+        !self.unreachable.contains_key(name) && !self.silent.contains_key(name)
+    }
+
+    /// Whether a target has been silent for so long that it counts as lost.
+    fn is_silent_for_long(&self, now: TimeMs, name: &VmName) -> bool {
+        let silence = self.silent.get(name);
+        silence.is_some_and(|silence| now.since(silence.since) >= self.settings.silence_max_ms)
+    }
+
     /// Whether a member whose entry was removed still answers, or `None` while its first probe is pending.
     ///
     /// A target that shuts down still serves its requests for a while, and one that has failed does
@@ -62,6 +93,9 @@
         if is_listed || !is_known || self.unreachable.contains_key(name) {
             return Some(false);
         }
+        if self.silent.contains_key(name) {
+            return None;
+        }
         if let Some((_, answered)) = self.departing.get(name) {
             return answered.then_some(true);
         }
@@ -71,10 +105,14 @@
         None
     }
 
-    /// Probes unreachable and departing targets once their next probe is due.
+    /// Probes unreachable, silent and departing targets once their next probe is due.
     pub(crate) fn probe_unreachable(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
         let departing = self.departing.iter_mut().map(|(target, (at, _))| (target, at));
-        for (target, at) in self.unreachable.iter_mut().chain(departing) {
+        let departing = departing.filter(|(target, _)| !self.silent.contains_key(*target));
+        let departing: Vec<_> = departing.collect();
+        let silent = self.silent.iter_mut();
+        let silent = silent.map(|(target, silence)| (target, &mut silence.next_probe_at));
+        for (target, at) in self.unreachable.iter_mut().chain(departing).chain(silent) {
             if *at <= now {
                 *at = now.after(self.settings.probe_interval_ms);
                 out.push(FormingAction::Probe { target: target.clone() });
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -94,7 +94,6 @@
     /// Applies the outcome of a join order.
     pub(crate) fn apply_join_outcome(
         &mut self,
-        now: TimeMs,
         key: &ReplicaKey,
         target: &VmName,
         outcome: OrderOutcome,
@@ -107,7 +106,6 @@
             }
             OrderOutcome::Refused => self.abandon(key, "join refused", out),
             OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {
-                self.unreachable.insert(target.clone(), now.after(self.settings.probe_interval_ms));
                 self.abandon(key, "member unreachable", out);
             }
         }
@@ -122,6 +120,8 @@
         replica: &Replica,
         out: &mut Vec<FormingAction>,
     ) {
+        let Some(formation) = self.formations.get(&replica.key) else { return };
+        let reachable = formation.members.iter().all(|name| self.is_reachable(name));
         let Some(formation) = self.formations.get_mut(&replica.key) else { return };
         if replica.head_state == Some(MemberState::Open) {
             self.formations.remove(&replica.key);
@@ -129,7 +129,6 @@
             return;
         }
         let whole = replica.is_complete(formation.members.len()) && replica.all_ready;
-        let reachable = formation.members.iter().all(|name| !self.unreachable.contains_key(name));
         let listed = formation.members.iter().all(|name| !view.fleet.is_lapsed(name));
         if whole && reachable && listed && !replica.draining && !formation.open_sent {
             formation.open_sent = true;
--- a/crates/forming/src/domain/second_models.rs
+++ b/crates/forming/src/domain/second_models.rs
@@ -57,7 +57,7 @@
     fn serving<'a>(&self, view: FormingView<'a>) -> impl Iterator<Item = &'a TargetEntry> {
         let open = self.open_replicas(view);
         let members = open.flat_map(|replica| replica.members.iter().flatten());
-        let reachable = members.filter(|name| !self.unreachable.contains_key(*name));
+        let reachable = members.filter(|name| self.is_reachable(name));
         let listed = reachable.filter_map(move |name| view.fleet.target(name));
         listed.filter(|entry| entry.phase == TargetPhase::Ready)
     }
--- a/crates/forming/src/interface/settings.rs
+++ b/crates/forming/src/interface/settings.rs
@@ -29,6 +29,11 @@
         pub stage_retry_max_ms: u64,
         /// Time between two probes of an unreachable target, in milliseconds.
         pub probe_interval_ms: u64,
+        /// Silence of a target whose host accepts connections after which it counts as lost, in
+        /// milliseconds.
+        ///
+        /// Engines themselves break a replica off whose member has not moved for as long.
+        pub silence_max_ms: u64,
         /// Longest time to wait for a head to finish its requests, in milliseconds.
         pub drain_timeout_ms: u64,
         /// Longest time to wait for a head that is no longer listed to finish its requests, in
@@ -59,6 +64,7 @@
             stage_retry_ms: 3_000,
             stage_retry_max_ms: 12_000,
             probe_interval_ms: 1_000,
+            silence_max_ms: 4_000,
             drain_timeout_ms: 10_000,
             unlisted_drain_timeout_ms: 4_000,
             concurrent_loads_max: 2,
