--- a/crates/bench/src/world/state.rs
+++ b/crates/bench/src/world/state.rs
@@ -135,7 +135,7 @@
                 Decision::Dispatch { ticket, target } => self.dispatch(ticket, target.get()),
                 Decision::Refuse { ticket, refusal } => self.refused(ticket, &refusal),
                 Decision::Cancel { ticket } => self.cancelled(ticket),
-                Decision::DenyRetry { .. } => {}
+                Decision::ReportSlow { .. } | Decision::DenyRetry { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -218,7 +218,7 @@
             }
             // Nothing has been sent.
             Err(Interrupt::Cancelled) => Err(AttemptOutcome::Failed(Verdict::NotRun)),
-            Err(Interrupt::Deadline) => Err(AttemptOutcome::Interrupted(Interrupt::Deadline)),
+            Err(interrupt) => Err(AttemptOutcome::Interrupted(interrupt)),
         }
     }
 
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
@@ -35,6 +35,25 @@
     Refuse(Refusal),
     /// Cancel the attempt.
     Cancel,
+    /// Begin a second attempt beside the one that runs.
+    StartSecond(SecondAttempt),
+}
+
+/// A second attempt of a request, to be begun.
+#[derive(Clone, Debug)]
+pub(crate) struct SecondAttempt {
+    pub(crate) ticket: Ticket,
+    pub(crate) destination: Destination,
+    /// Yields the instructions for the second attempt.
+    pub(crate) instructions: Receiver<Instruction>,
+}
+
+/// Instructions that may wait for an exchange.
+const INSTRUCTIONS_MAX: usize = 8;
+
+/// Creates the channel of the instructions for an attempt.
+pub(crate) fn instruction_channel() -> (Sender<Instruction>, Receiver<Instruction>) {
+    async_channel::bounded(INSTRUCTIONS_MAX)
 }
 
 /// A request without a final answer.
@@ -55,6 +74,10 @@
     pub(crate) may_delegate: bool,
     /// Whether a retry by a peer has been charged to the retry budget.
     pub(crate) is_retry_paid: bool,
+    /// The second attempt that runs beside this one.
+    pub(crate) second: Option<Ticket>,
+    /// The attempt beside which this one runs.
+    pub(crate) first: Option<Ticket>,
     /// Why it got no further attempt when it last needed one.
     pub(crate) retry_denial: Option<RetryDenial>,
     pub(crate) digest: CauseDigest,
@@ -90,6 +113,8 @@
     pub(super) pools: Map<PoolKey, Pool>,
     senders: Senders,
     next_ticket: Ticket,
+    /// Requests that the policy has reported as slow since the last tick.
+    slow: Vec<Ticket>,
     seed: u64,
     retry_earned_per_arrival: f64,
     shared_retries: SharedRetryBudget,
@@ -121,6 +146,7 @@
             pools: Map::default(),
             senders: Senders { nodes: 1, rank: 0 },
             next_ticket: Ticket::default(),
+            slow: Vec::new(),
             seed,
             retry_earned_per_arrival,
             shared_retries: SharedRetryBudget::new(retry_saved_max, node_fraction),
@@ -146,6 +172,8 @@
             may_repeat: request.may_repeat(),
             may_delegate: false,
             is_retry_paid: false,
+            second: None,
+            first: None,
             retry_denial: None,
             digest: request.digest,
         };
@@ -182,13 +210,73 @@
         self.execute(&key, out);
     }
 
-    /// Removes a completed request that the policy no longer tracks.
+    /// Removes a completed request, or one of its attempts, that the policy no longer tracks.
     pub(crate) fn remove(&mut self, ticket: Ticket) {
-        if let Some(ActiveRequest { destination: Some(name), streaming_since: Some(_), .. }) =
-            self.active_requests.remove(&ticket)
-        {
-            self.stall_detector.stream_finished(&name);
+        let Some(active) = self.active_requests.remove(&ticket) else { return };
+        if let (Some(name), Some(_)) = (&active.destination, active.streaming_since) {
+            self.stall_detector.stream_finished(name);
+        }
+        let other = active.first.or(active.second);
+        if let Some(other) = other.and_then(|other| self.active_requests.get_mut(&other)) {
+            (other.first, other.second) = (None, None);
+        }
+    }
+
+    /// Begins a second attempt of a request whose target is silent or slow, if the policy allows it.
+    ///
+    /// The first one goes on: its target may, too.
+    fn start_second(&mut self, now: TimeMs, ticket: Ticket) {
+        let Some(active) = self.active_requests.get(&ticket) else { return };
+        if !active.may_repeat || active.first.is_some() || active.second.is_some() {
+            return;
+        }
+        let key = active.pool.clone();
+        let second = self.reserve_ticket();
+        let silent: Vec<DestinationName> = self.stall_detector.quiet(now).cloned().collect();
+        let mut out = Vec::new();
+        let Some(pool) = self.pools.get_mut(&key) else { return };
+        pool.start_second(now, (ticket, second), &silent, &mut out);
+        let target = out.iter().find_map(|decision| match decision {
+            Decision::Dispatch { ticket, target } if *ticket == second => Some(*target),
+            _ => None,
+        });
+        let destination = target.and_then(|target| pool.destination(target)).cloned();
+        if let Some(destination) = destination {
+            out.retain(
+                |other| !matches!(other, Decision::Dispatch { ticket, .. } if *ticket == second),
+            );
+            self.add_second(now, (ticket, second), destination);
         }
+        self.execute(&key, out);
+    }
+
+    fn add_second(
+        &mut self,
+        now: TimeMs,
+        (ticket, second): (Ticket, Ticket),
+        destination: Destination,
+    ) {
+        let Some(first) = self.active_requests.get_mut(&ticket) else { return };
+        first.second = Some(second);
+        let (instructions, receiver) = instruction_channel();
+        let active = ActiveRequest {
+            pool: first.pool.clone(),
+            instructions,
+            destination: Some(destination.name.clone()),
+            data_centre: Some(destination.data_centre.clone()),
+            heard_at: now,
+            streaming_since: None,
+            may_repeat: first.may_repeat,
+            may_delegate: false,
+            is_retry_paid: false,
+            second: None,
+            first: Some(ticket),
+            retry_denial: None,
+            digest: first.digest,
+        };
+        let attempt = SecondAttempt { ticket: second, destination, instructions: receiver };
+        first.instructions.try_send(Instruction::StartSecond(attempt)).unwrap_or_default();
+        self.active_requests.insert(second, active);
     }
 
     /// Sets the destinations for requests.
@@ -265,9 +353,9 @@
         if self.stall_detector.take_changed() {
             self.refresh_targets(now);
         }
-        // Requests that could not be moved before may be now.
+        // Requests that could not get a second attempt before may now.
         for name in self.stall_detector.stalled() {
-            self.move_repeatable(now, &name);
+            self.start_seconds(now, &name);
         }
         let due = self.pools.iter().filter(|(_, pool)| pool.is_due(now));
         for key in due.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
@@ -277,15 +365,18 @@
             }
             self.execute(&key, out);
         }
+        for ticket in std::mem::take(&mut self.slow) {
+            self.start_second(now, ticket);
+        }
         stalled
     }
 
-    /// Suspects a destination temporarily and moves the repeatable requests there.
+    /// Suspects a destination temporarily and lets the repeatable requests there begin elsewhere as well.
     pub(crate) fn suspect(&mut self, now: TimeMs, name: &DestinationName) {
         if !self.stall_detector.is_stalled(now, name) {
             self.stall_detector.suspect_stalled(now, name);
             self.refresh_targets(now);
-            self.move_repeatable(now, name);
+            self.start_seconds(now, name);
         }
     }
 
@@ -356,10 +447,11 @@
         self.pools.values().map(Pool::queued).sum()
     }
 
-    /// Moves repeatable requests away from a suspected destination where that is possible.
+    /// Begins second attempts of the repeatable requests at a suspected destination where that is
+    /// possible.
     ///
     /// The head of a replica that lost a member may accept requests for seconds before it notices.
-    fn move_repeatable(&mut self, now: TimeMs, name: &DestinationName) {
+    fn start_seconds(&mut self, now: TimeMs, name: &DestinationName) {
         let is_at_destination =
             |active: &ActiveRequest| active.may_repeat && active.destination.as_ref() == Some(name);
         let at_destination =
@@ -367,7 +459,7 @@
         let mut tickets: Vec<Ticket> = at_destination.map(|(ticket, _)| *ticket).collect();
         tickets.sort_unstable();
         for ticket in tickets {
-            self.notify_pool(ticket, |pool, out| pool.stalled(now, ticket, out));
+            self.start_second(now, ticket);
         }
     }
 
@@ -449,6 +541,10 @@
                 }
                 Decision::Refuse { ticket, refusal } => (ticket, Instruction::Refuse(refusal)),
                 Decision::Cancel { ticket } => (ticket, Instruction::Cancel),
+                Decision::ReportSlow { ticket } => {
+                    self.slow.push(ticket);
+                    continue;
+                }
                 Decision::DenyRetry { ticket, denial } => {
                     if let Some(active) = self.active_requests.get_mut(&ticket) {
                         active.retry_denial = Some(denial);
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -14,7 +14,7 @@
 
 use crate::adapter::{Adapter, ReportedLoad};
 use crate::links::LinkCheck;
-use crate::traffic::dispatch_state::{DispatchState, Instruction};
+use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
 use crate::traffic::{
     CallerRequest, CrashReport, DestinationName, SharedConfirmation, SharedNotices, TrafficReport,
     TrafficUpdate,
@@ -220,8 +220,7 @@
         ticket: Ticket,
         request: &CallerRequest,
     ) -> Receiver<Instruction> {
-        // Capacity for a cancellation and the instruction that follows it.
-        let (sender, instructions) = async_channel::bounded(4);
+        let (sender, instructions) = instruction_channel();
         self.state.borrow_mut().register(self.now(), ticket, request, sender);
         instructions
     }
@@ -311,6 +310,12 @@
         state.notify_pool(ticket, |pool, out| pool.attempt_failed(now, ticket, failure, out));
     }
 
+    /// Records that one of two attempts has failed; the request goes on as the other.
+    pub(crate) fn partner_failed(&self, ticket: Ticket, request: &CallerRequest, verdict: Verdict) {
+        self.attempt_failed(ticket, request, verdict);
+        self.state.borrow_mut().remove(ticket);
+    }
+
     /// Records a request that ends without an answer from a target.
     pub(crate) fn abandoned(&self, ticket: Ticket) {
         let now = self.now();
@@ -329,7 +334,8 @@
         self.state.borrow_mut().remove(ticket);
     }
 
-    /// Suspects a destination, moves its repeatable requests, and notifies the control thread.
+    /// Suspects a destination, lets its repeatable requests begin elsewhere as well, and notifies the
+    /// control thread.
     pub(crate) fn suspect_replica(&self, name: &DestinationName, why: &'static str) {
         self.state.borrow_mut().suspect(self.now(), name);
         let DestinationName::Replica(key) = name else { return };
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -1,3 +1,4 @@
+use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::traffic::delegation::Delegation;
 use crate::traffic::delivery_times::DeliveryTimes;
 use crate::traffic::dispatch_state::Instruction;
+use crate::traffic::second::{EndedSecond, RunningSecond};
 use crate::traffic::{
     AnswerParts, AnswerSink, CallerRequest, Destination, Dispatcher, add_delegation_refusal,
 };
@@ -37,18 +39,20 @@
     Deadline,
     /// The dispatcher cancelled the attempt.
     Cancelled,
+    /// The second attempt has an answer.
+    Overtaken,
 }
 
 /// Handles one caller request from its arrival to its final answer.
 pub(crate) struct Exchange<A: Adapter> {
     pub(crate) dispatcher: Rc<Dispatcher<A>>,
-    pub(crate) request: CallerRequest,
+    pub(crate) request: Rc<CallerRequest>,
     pub(crate) sink: AnswerSink,
     pub(crate) splitter: EventSplitter,
     pub(crate) attempts: u32,
     pub(crate) delivery: DeliveryTimes,
     /// The target of the last attempt.
-    target: Option<VmName>,
+    pub(super) target: Option<VmName>,
     /// The outcome of the last attempt, unless the target answered.
     last_attempt_outcome: Option<&'static str>,
     /// Why the last attempt was not followed by another, unless the target answered.
@@ -66,7 +70,13 @@
     pub(crate) reached: u32,
     /// The target that has sent no whole event yet, and when the request was sent to it.
     pub(crate) unanswered_at: Option<(Destination, TimeMs)>,
-    completed: bool,
+    /// The second attempt that runs beside this one.
+    pub(super) second: RefCell<Option<RunningSecond>>,
+    /// Second attempts that have failed since the first was begun.
+    pub(super) ended_seconds: RefCell<Vec<EndedSecond>>,
+    /// Whether this is the second attempt of another exchange.
+    is_second: bool,
+    pub(super) completed: bool,
 }
 
 /// Reports an exchange that is dropped because its caller disconnected.
@@ -75,7 +85,9 @@
         if !self.completed {
             self.check_abandoned();
             self.dispatcher.abandoned(self.ticket);
-            self.log_completed("caller gone", 0);
+            if !self.is_second {
+                self.log_completed("caller gone", 0);
+            }
         }
     }
 }
@@ -92,7 +104,7 @@
         let splitter = EventSplitter::new(request.caller.last_event_id.clone());
         Self {
             dispatcher,
-            request,
+            request: Rc::new(request),
             sink,
             splitter,
             attempts: 0,
@@ -108,6 +120,41 @@
             is_registered: false,
             reached: 0,
             unanswered_at: None,
+            second: RefCell::default(),
+            ended_seconds: RefCell::default(),
+            is_second: false,
+            completed: false,
+        }
+    }
+
+    /// Creates the exchange of a second attempt of a request.
+    pub(super) fn second(
+        first: &Self,
+        ticket: Ticket,
+        instructions: Receiver<Instruction>,
+        (sink, splitter): (AnswerSink, EventSplitter),
+    ) -> Self {
+        Self {
+            dispatcher: first.dispatcher.clone(),
+            request: first.request.clone(),
+            sink,
+            splitter,
+            attempts: first.attempts,
+            delivery: DeliveryTimes::default(),
+            target: None,
+            last_attempt_outcome: None,
+            retry_denial: None,
+            may_have_run: false,
+            failed_answer: None,
+            ticket,
+            instructions,
+            is_trial: false,
+            is_registered: true,
+            reached: first.reached,
+            unanswered_at: None,
+            second: RefCell::default(),
+            ended_seconds: RefCell::default(),
+            is_second: true,
             completed: false,
         }
     }
@@ -147,10 +194,17 @@
                         self.dispatcher.abandoned(self.ticket);
                         return self.refuse(refusal).await;
                     }
-                    self.attempts += 1;
-                    self.delivery.record_sent(self.dispatcher.now());
-                    self.target = Some(destination.target.clone());
-                    let outcome = Attempt::new(&mut self, &destination).run().await;
+                    let outcome = self.run_attempts(&destination).await;
+                    if self.resolve_attempt(outcome).await {
+                        return;
+                    }
+                }
+                // It was granted as the first attempt ended, whose ticket the policy has dropped.
+                Instruction::StartSecond(second) => {
+                    self.dispatcher.refused(self.ticket);
+                    let Some(outcome) = self.run_granted(second).await else {
+                        return self.fail(RefusalCode::AnswerLost).await;
+                    };
                     if self.resolve_attempt(outcome).await {
                         return;
                     }
@@ -159,30 +213,51 @@
         }
     }
 
-    /// Waits for a future, the caller's deadline or a cancellation.
+    /// Sends the request to one target.
+    pub(super) async fn run_attempt(&mut self, destination: &Destination) -> AttemptOutcome {
+        self.attempts += 1;
+        self.delivery.record_sent(self.dispatcher.now());
+        self.target = Some(destination.target.clone());
+        Attempt::new(self, destination).run().await
+    }
+
+    /// Waits for a future, the caller's deadline, a cancellation, or the answer of a second attempt.
     pub(crate) async fn unless_interrupted<T>(
         &self,
         future: impl Future<Output = T>,
     ) -> Result<T, Interrupt> {
-        let cancel = async {
+        let instruction = async || {
             loop {
                 match self.instructions.recv().await {
                     Ok(Instruction::Cancel) => return Err(Interrupt::Cancelled),
+                    Ok(Instruction::StartSecond(second)) => return Ok(second),
                     // The policy does not know the request, so nothing cancels it.
                     Err(_) => std::future::pending().await,
                     Ok(Instruction::Send(_) | Instruction::Refuse(_)) => {}
                 }
             }
         };
+        let interrupt = async {
+            loop {
+                let overtaken = async {
+                    while !self.second_answers().await {}
+                    Err(Interrupt::Overtaken)
+                };
+                match smol::future::or(instruction(), overtaken).await {
+                    Ok(second) => self.start_second(second),
+                    Err(interrupt) => return Err(interrupt),
+                }
+            }
+        };
         let deadline = async {
             Timer::after(self.time_left()).await;
             Err(Interrupt::Deadline)
         };
-        smol::future::or(async { Ok(future.await) }, smol::future::or(cancel, deadline)).await
+        smol::future::or(async { Ok(future.await) }, smol::future::or(interrupt, deadline)).await
     }
 
     /// Returns the refusal if the request was quarantined while it waited.
-    fn quarantine_refusal(&self) -> Option<Refusal> {
+    pub(super) fn quarantine_refusal(&self) -> Option<Refusal> {
         match self.is_trial {
             true => None,
             false => self.dispatcher.quarantine_refusal(&self.request),
@@ -203,7 +278,7 @@
     }
 
     /// Lets the target be checked that may run on the last attempt.
-    fn check_abandoned(&mut self) {
+    pub(super) fn check_abandoned(&mut self) {
         if let Some((target, sent_at)) = self.unanswered_at.take() {
             self.dispatcher.check_abandoned(self.ticket, &self.request, (&target, sent_at));
         }
@@ -215,6 +290,7 @@
             AttemptOutcome::Answered => None,
             AttemptOutcome::Interrupted(Interrupt::Deadline) => Some("deadline"),
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => Some("taken off its target"),
+            AttemptOutcome::Interrupted(Interrupt::Overtaken) => Some("overtaken"),
             AttemptOutcome::Failed(_) | AttemptOutcome::PeerRefused(..) => Some("broken"),
             AttemptOutcome::Withheld => Some("withheld"),
             AttemptOutcome::Isolated(_) => Some("node isolated"),
@@ -233,7 +309,7 @@
                 self.fail(RefusalCode::AnswerLost).await;
                 true
             }
-            AttemptOutcome::Interrupted(Interrupt::Cancelled) => {
+            AttemptOutcome::Interrupted(Interrupt::Cancelled | Interrupt::Overtaken) => {
                 self.log_cancelled_attempt();
                 self.may_have_run = true;
                 match self.dispatcher.link_check.links.is_isolated(&self.request.service) {
@@ -359,6 +435,16 @@
         self.complete(if self.may_have_run { "may have run" } else { "not run" }, 0);
     }
 
+    /// Logs an attempt whose request goes on as a second one.
+    pub(super) fn log_replaced_attempt(&mut self, outcome: AttemptOutcome) {
+        if let AttemptOutcome::Interrupted(interrupt) = outcome {
+            let is_overtaken = interrupt == Interrupt::Overtaken;
+            self.last_attempt_outcome =
+                Some(if is_overtaken { "overtaken" } else { "taken off its target" });
+            self.log_cancelled_attempt();
+        }
+    }
+
     /// Logs a cancelled attempt; other outcomes are logged where they occur.
     fn log_cancelled_attempt(&self) {
         info!(self.dispatcher.log, "attempt ended";
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -94,6 +94,7 @@
                 continue;
             };
             self.exchange.unanswered_at = None;
+            self.exchange.cancel_second();
             self.send_head(&mut parts).await;
             self.exchange.delivery.record_chunk(self.exchange.dispatcher.now());
             self.exchange.sink.send_chunk(events).await;
@@ -122,6 +123,7 @@
             self.exchange.splitter.drop_pending();
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
+        self.exchange.cancel_second();
         self.send_head(&mut parts).await;
         self.exchange.sink.finish().await;
         AttemptOutcome::Answered
@@ -151,7 +153,7 @@
         }
         self.exchange.dispatcher.started(self.exchange.ticket, false);
         let body = buffered.freeze();
-        if self.exchange.sink.head_sent() {
+        if self.exchange.sink.is_begun() {
             // A resumed stream got an error answer, which does not belong in the caller's stream.
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
@@ -160,6 +162,7 @@
             self.exchange.failed_answer = Some((parts, body));
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
+        self.exchange.cancel_second();
         self.exchange.delivery.record_chunk(self.exchange.dispatcher.now());
         self.exchange.sink.send_head(AnswerParts { body: Some(body), ..parts }).await;
         AttemptOutcome::Answered
@@ -171,9 +174,10 @@
         buffered: Bytes,
         mut body: Incoming,
     ) -> AttemptOutcome {
-        if self.exchange.sink.head_sent() {
+        if self.exchange.sink.is_begun() {
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
+        self.exchange.cancel_second();
         self.exchange.dispatcher.started(self.exchange.ticket, false);
         self.exchange.sink.send_head(parts).await;
         self.exchange.sink.send_chunk(buffered).await;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod pool;
 mod quarantine_gate;
+mod second;
 mod sink;
 mod update;
 
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -118,6 +118,7 @@
         let settings = FairSettings::new(seed)
             .with_eject_silent(false)
             .with_cancel_late_rest(false)
+            .with_cancel_slow(false)
             .with_cost_margin(0.0)
             .with_retries(retries.earned_per_arrival, retries.saved_max, true);
         let mut request_times = RequestTimes::default();
@@ -356,8 +357,18 @@
         self.policy.try_withdraw_retry()
     }
 
-    pub(crate) fn stalled(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
-        self.policy.handle(now, PolicyEvent::Stalled { ticket }, out);
+    /// Asks for a second attempt of a running request, not at the `silent` destinations.
+    pub(crate) fn start_second(
+        &mut self,
+        now: TimeMs,
+        (ticket, second): (Ticket, Ticket),
+        silent: &[DestinationName],
+        out: &mut Vec<Decision>,
+    ) {
+        let excluded = silent.iter().filter_map(|name| self.target_keys.get(name).copied());
+        let excluded: Vec<TargetKey> = excluded.collect();
+        let event = PolicyEvent::SecondAttempt { ticket, second, excluded: &excluded };
+        self.policy.handle(now, event, out);
     }
 
     /// Handles a failed attempt; a further one follows the choice key.
--- /dev/null
+++ b/crates/gateway/src/traffic/second.rs
@@ -0,0 +1,242 @@
+use async_channel::Receiver;
+use bytes::Bytes;
+use celeryhaven_http::EventSplitter;
+use celeryhaven_policy::Ticket;
+use celeryhaven_types::{TimeMs, Verdict};
+use slog::info;
+use smol::Task;
+
+use crate::adapter::Adapter;
+use crate::traffic::attempt::AttemptOutcome;
+use crate::traffic::dispatch_state::{Instruction, SecondAttempt};
+use crate::traffic::exchange::{Exchange, Interrupt};
+use crate::traffic::sink::Chunk;
+use crate::traffic::{AnswerParts, Destination, answer_sink};
+
+/// A second attempt that runs beside the first.
+///
+/// It is an exchange of its own, whose answer waits here until the first attempt has failed or the
+/// second has produced the next event.
+#[derive(Debug)]
+pub(crate) struct RunningSecond {
+    ticket: Ticket,
+    head: Receiver<AnswerParts>,
+    chunks: Receiver<Chunk>,
+    /// The head, once it has been received.
+    received_head: Option<AnswerParts>,
+    task: Task<EndedSecond>,
+}
+
+/// What a second attempt leaves behind when it ends.
+#[derive(Debug)]
+pub(crate) struct EndedSecond {
+    outcome: AttemptOutcome,
+    ticket: Ticket,
+    instructions: Receiver<Instruction>,
+    splitter: EventSplitter,
+    unanswered_at: Option<(Destination, TimeMs)>,
+    failed_answer: Option<(AnswerParts, Bytes)>,
+    may_have_run: bool,
+    attempts: u32,
+    reached: u32,
+    target: Option<celeryhaven_types::VmName>,
+}
+
+impl<A: Adapter> Exchange<A> {
+    /// Begins a second attempt, unless the request must not be sent again.
+    pub(crate) fn start_second(&self, second: SecondAttempt) {
+        let SecondAttempt { ticket, destination, instructions } = second;
+        if self.is_trial || self.quarantine_refusal().is_some() {
+            return self.dispatcher.abandoned(ticket);
+        }
+        info!(self.dispatcher.log, "second attempt begins"; "request_id" => self.request.id(),
+            "attempt" => self.attempts + 1, "target" => destination.target.as_str());
+        let (sink, head, chunks) = answer_sink();
+        let mut splitter = self.splitter.clone();
+        splitter.drop_pending();
+        let sink = sink.with_resumed(self.sink.is_begun());
+        let mut exchange = Self::second(self, ticket, instructions, (sink, splitter));
+        let task = self.dispatcher.executor.spawn(async move {
+            let outcome = exchange.run_attempts(&destination).await;
+            exchange.end_second(outcome)
+        });
+        let running = RunningSecond { ticket, head, chunks, received_head: None, task };
+        self.second.replace(Some(running));
+    }
+
+    /// Waits until the second attempt has an answer; returns false if it has ended without one.
+    pub(crate) async fn second_answers(&self) -> bool {
+        let head = self.second.borrow().as_ref().map(|second| second.head.clone());
+        let Some(head) = head else { return std::future::pending().await };
+        match head.recv().await {
+            Ok(parts) => {
+                if let Some(second) = self.second.borrow_mut().as_mut() {
+                    second.received_head = Some(parts);
+                }
+                true
+            }
+            Err(_) => {
+                let second = self.second.take();
+                if let Some(second) = second {
+                    let ended = second.task.await;
+                    let verdict = ended.outcome.verdict();
+                    self.dispatcher.partner_failed(ended.ticket, &self.request, verdict);
+                    self.ended_seconds.borrow_mut().push(ended);
+                }
+                false
+            }
+        }
+    }
+
+    /// Stops the second attempt, as the first has produced the next event.
+    pub(crate) fn cancel_second(&self) {
+        if let Some(second) = self.second.take() {
+            info!(self.dispatcher.log, "second attempt not needed";
+                "request_id" => self.request.id());
+            drop(second);
+        }
+    }
+
+    /// Sends the request to a target, and to a second one if the dispatcher says so, until one of them
+    /// has answered or all have failed.
+    pub(crate) async fn run_attempts(&mut self, destination: &Destination) -> AttemptOutcome {
+        let outcome = self.run_attempt(destination).await;
+        self.run_others(outcome).await
+    }
+
+    /// Runs a second attempt whose first has ended; returns `None` if it must not be sent.
+    pub(crate) async fn run_granted(&mut self, second: SecondAttempt) -> Option<AttemptOutcome> {
+        self.start_second(second);
+        let running = self.second.take()?;
+        let outcome = self.continue_as(running).await;
+        Some(self.run_others(outcome).await)
+    }
+
+    /// Goes on as a second attempt, for as long as the last one has failed and another runs.
+    async fn run_others(&mut self, mut outcome: AttemptOutcome) -> AttemptOutcome {
+        loop {
+            self.count_ended_seconds();
+            if !outcome.may_go_on() {
+                return outcome;
+            }
+            // One that was granted as the first attempt ended has not begun yet.
+            while let Ok(instruction) = self.instructions.try_recv() {
+                if let Instruction::StartSecond(second) = instruction {
+                    self.start_second(second);
+                }
+            }
+            let Some(second) = self.second.take() else { return outcome };
+            self.end_first(outcome);
+            outcome = self.continue_as(second).await;
+        }
+    }
+
+    /// Gives the first attempt up, as the request goes on as the second.
+    fn end_first(&mut self, outcome: AttemptOutcome) {
+        self.log_replaced_attempt(outcome);
+        match outcome {
+            AttemptOutcome::Interrupted(_) => {
+                self.may_have_run = true;
+                self.check_abandoned();
+            }
+            _ => {
+                self.may_have_run |= outcome.verdict() != Verdict::NotRun;
+                self.unanswered_at = None;
+            }
+        }
+        match outcome {
+            AttemptOutcome::Interrupted(Interrupt::Overtaken) => {
+                self.dispatcher.abandoned(self.ticket);
+            }
+            _ => self.dispatcher.partner_failed(self.ticket, &self.request, outcome.verdict()),
+        }
+    }
+
+    /// Forwards the answer of the second attempt; returns how that has ended.
+    async fn continue_as(&mut self, second: RunningSecond) -> AttemptOutcome {
+        let RunningSecond { ticket, head, chunks, received_head, task } = second;
+        self.ticket = ticket;
+        let head = match received_head {
+            Some(parts) => Some(parts),
+            None => head.recv().await.ok(),
+        };
+        if let Some(parts) = head {
+            if parts.body.is_some() {
+                self.delivery.record_chunk(self.dispatcher.now());
+            }
+            if !self.sink.head_sent() {
+                self.sink.send_head(parts).await;
+            }
+            while let Ok(chunk) = chunks.recv().await {
+                match chunk {
+                    Chunk::Data(bytes) => {
+                        self.delivery.record_chunk(self.dispatcher.now());
+                        self.sink.send_chunk(bytes).await;
+                    }
+                    Chunk::End => self.sink.finish().await,
+                }
+            }
+        }
+        let ended = task.await;
+        let outcome = ended.outcome;
+        self.become_second(ended);
+        outcome
+    }
+
+    fn become_second(&mut self, ended: EndedSecond) {
+        self.may_have_run |= ended.may_have_run;
+        self.attempts = ended.attempts;
+        self.reached = ended.reached;
+        self.ticket = ended.ticket;
+        self.instructions = ended.instructions;
+        self.splitter = ended.splitter;
+        self.unanswered_at = ended.unanswered_at;
+        self.target = ended.target;
+        self.failed_answer = ended.failed_answer.or(self.failed_answer.take());
+    }
+
+    /// Counts the second attempts that have failed while the first went on.
+    fn count_ended_seconds(&mut self) {
+        for ended in self.ended_seconds.take() {
+            let withheld = u32::from(ended.outcome == AttemptOutcome::Withheld);
+            self.attempts = self.attempts.max(ended.attempts - withheld);
+            self.reached = self.reached.max(ended.reached);
+            self.may_have_run |= ended.may_have_run || ended.outcome.verdict() != Verdict::NotRun;
+            self.failed_answer = self.failed_answer.take().or(ended.failed_answer);
+        }
+    }
+
+    /// Ends this second attempt; what it has learned is passed to the first.
+    fn end_second(mut self, outcome: AttemptOutcome) -> EndedSecond {
+        self.completed = true;
+        EndedSecond {
+            outcome,
+            ticket: self.ticket,
+            instructions: self.instructions.clone(),
+            splitter: std::mem::take(&mut self.splitter),
+            unanswered_at: self.unanswered_at.take(),
+            failed_answer: self.failed_answer.take(),
+            may_have_run: self.may_have_run,
+            attempts: self.attempts,
+            reached: self.reached,
+            target: self.target.take(),
+        }
+    }
+}
+
+impl AttemptOutcome {
+    /// Whether a second attempt may still answer the request.
+    fn may_go_on(self) -> bool {
+        !matches!(self, Self::Answered | Self::Interrupted(Interrupt::Deadline))
+    }
+
+    /// Returns whether the target may have run the request.
+    fn verdict(self) -> Verdict {
+        match self {
+            Self::Failed(verdict) | Self::Isolated(verdict) => verdict,
+            Self::PeerRefused(refusal, _) => refusal.verdict,
+            Self::Withheld => Verdict::NotRun,
+            Self::Answered | Self::Interrupted(_) => Verdict::MayHaveRun,
+        }
+    }
+}
--- a/crates/gateway/src/traffic/sink.rs
+++ b/crates/gateway/src/traffic/sink.rs
@@ -29,16 +29,32 @@
     parts: Sender<AnswerParts>,
     chunks: Sender<Chunk>,
     head_sent: bool,
+    /// Whether an earlier attempt has sent the head to the caller.
+    is_resumed: bool,
 }
 
 /// Creates a sink and the receivers of its head and chunks.
 pub(crate) fn answer_sink() -> (AnswerSink, Receiver<AnswerParts>, Receiver<Chunk>) {
     let (parts, parts_receiver) = bounded(1);
     let (chunks, chunks_receiver) = bounded(BUFFERED_CHUNKS_MAX);
-    (AnswerSink { parts, chunks, head_sent: false }, parts_receiver, chunks_receiver)
+    (
+        AnswerSink { parts, chunks, head_sent: false, is_resumed: false },
+        parts_receiver,
+        chunks_receiver,
+    )
 }
 
 impl AnswerSink {
+    /// Makes this the sink of an attempt beside another that may have sent the head to the caller.
+    pub(crate) fn with_resumed(self, is_resumed: bool) -> Self {
+        Self { is_resumed, ..self }
+    }
+
+    /// Whether the caller has a head already, of this attempt or of an earlier one.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.head_sent || self.is_resumed
+    }
+
     /// Whether the head has been sent to the caller.
     pub(crate) fn head_sent(&self) -> bool {
         self.head_sent
--- a/crates/node/src/entry/serving/decisions.rs
+++ b/crates/node/src/entry/serving/decisions.rs
@@ -27,7 +27,7 @@
                 self.complete_refused(now, ticket, refusal, out);
             }
             Decision::Cancel { ticket } => self.cancel(now, ticket, out),
-            Decision::DenyRetry { .. } => {}
+            Decision::ReportSlow { .. } | Decision::DenyRetry { .. } => {}
         }
     }
 
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -177,6 +177,7 @@
             }
             PolicyEvent::Reported { .. }
             | PolicyEvent::Stalled { .. }
+            | PolicyEvent::SecondAttempt { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Limited { .. }
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -81,6 +81,7 @@
             }
             PolicyEvent::Started { .. }
             | PolicyEvent::Stalled { .. }
+            | PolicyEvent::SecondAttempt { .. }
             | PolicyEvent::CacheChanged { .. }
             | PolicyEvent::Senders { .. }
             | PolicyEvent::Organisations { .. }
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -153,6 +153,7 @@
             avoid: None,
             phase: Phase::Queued,
             check_at: None,
+            partner: None,
         };
         request.cost = self.estimate_cost(&request);
         request
--- a/crates/policy/src/fair/candidates.rs
+++ b/crates/policy/src/fair/candidates.rs
@@ -67,7 +67,7 @@
     /// Returns the targets that come first in the ranking of a key, which is the same at every node.
     ///
     /// Nodes that do not know yet that a request ends its targets send all its copies to these.
-    fn first_ranked(
+    pub(crate) fn first_ranked(
         &self,
         pool: &TargetSet,
         key: u64,
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -72,7 +72,13 @@
         other.or(Some((first, pick)))
     }
 
-    fn dispatch(&mut self, now: TimeMs, ticket: Ticket, pick: Pick, out: &mut Vec<Decision>) {
+    pub(crate) fn dispatch(
+        &mut self,
+        now: TimeMs,
+        ticket: Ticket,
+        pick: Pick,
+        out: &mut Vec<Decision>,
+    ) {
         let Some(mut request) = self.requests.remove(&ticket) else { return };
         let Pick { target, uncached_tokens, loads_adapter } = pick;
         self.learn_prefix_hit(&request, uncached_tokens);
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -12,6 +12,7 @@
 mod policy;
 mod request;
 mod running;
+mod second_attempt;
 mod settings;
 mod shed;
 
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -102,6 +102,9 @@
         let Phase::Running { target, cancelled, estimate, .. } = request.phase else {
             return;
         };
+        if request.partner.is_some() {
+            return self.partner_failed(now, ticket, verdict, out);
+        }
         request.send_by = request.send_by.map(|send_by| send_by.max(now.after(RESUME_WINDOW_MS)));
         let class = request.class;
         let not_run = verdict == Verdict::NotRun;
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -163,6 +163,9 @@
         if let Some(check_at) = request.check_at {
             self.timers.remove(&(check_at, Timer::Request(ticket)));
         }
+        if let Some(partner) = request.partner.and_then(|partner| self.requests.get_mut(&partner)) {
+            partner.partner = None;
+        }
         let class = self.class(request.class);
         class.queue.remove(ticket);
         if matches!(request.phase, Phase::Running { cancelled: Some(CancelReason::Stuck), .. }) {
@@ -205,6 +208,9 @@
             PolicyEvent::Arrived { ticket, head } => self.admit(now, ticket, head, out),
             PolicyEvent::Started { ticket } => self.attempt_started(now, ticket, out),
             PolicyEvent::Stalled { ticket } => self.attempt_stalled(now, ticket, out),
+            PolicyEvent::SecondAttempt { ticket, second, excluded } => {
+                self.start_second_attempt(now, (ticket, second), excluded, out);
+            }
             PolicyEvent::Finished { ticket, output_tokens } => {
                 self.request_finished(now, ticket, output_tokens, out);
             }
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -3,7 +3,7 @@
 use celeryhaven_types::{Priority, TimeMs};
 
 use crate::fair::{AdapterKey, ClassKey};
-use crate::interface::TargetKey;
+use crate::interface::{TargetKey, Ticket};
 use crate::targets::AttemptEstimate;
 
 state! {
@@ -51,7 +51,7 @@
         pub(crate) high_ms: f64,
     }
 
-    /// A request without a final answer.
+    /// A request without a final answer, or its second attempt.
     pub(crate) struct RequestState {
         pub(crate) class: ClassKey,
         pub(crate) flow: FlowKey,
@@ -74,5 +74,7 @@
         pub(crate) avoid: Option<TargetKey>,
         pub(crate) phase: Phase,
         pub(crate) check_at: Option<TimeMs>,
+        /// The other attempt of the same request, if two run.
+        pub(crate) partner: Option<Ticket>,
     }
 }
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -4,7 +4,7 @@
 use crate::fair::class::ClassState;
 use crate::fair::policy::Timer;
 use crate::fair::request::{CancelReason, Phase, RequestState};
-use crate::interface::{Decision, TargetKey, Ticket};
+use crate::interface::{Decision, RetryDenial, TargetKey, Ticket};
 
 /// Least time without a first token after which an attempt is stuck, longer than network pauses.
 const STUCK_TIMEOUT_MIN_MS: f64 = 1_000.0;
@@ -59,7 +59,10 @@
         };
         if now >= request.deadline {
             self.cancel(ticket, CancelReason::TooLate, out);
-        } else if started_at.is_none() && self.can_move(now, ticket) {
+        } else if started_at.is_none() && !self.settings.cancel_slow {
+            self.schedule_deadline_check(ticket);
+            out.push(Decision::ReportSlow { ticket });
+        } else if started_at.is_none() && self.check_move(now, ticket).is_ok() {
             self.cancel(ticket, CancelReason::Stuck, out);
             self.evaluate_failure(now, target, out);
         } else {
@@ -96,7 +99,12 @@
             let Phase::Running { sent_at, cancelled: None, .. } = request.phase else { continue };
             let remaining_ms = request.cost.mean_ms * ratio - now.since(sent_at) as f64;
             let sooner = failing || remaining_ms > request.cost.mean_ms;
-            if request.idempotent && sooner && self.can_move(now, ticket) {
+            if !request.idempotent || !sooner {
+                continue;
+            }
+            if !self.settings.cancel_slow {
+                out.push(Decision::ReportSlow { ticket });
+            } else if self.check_move(now, ticket).is_ok() {
                 self.cancel(ticket, CancelReason::Stuck, out);
             }
         }
@@ -111,20 +119,33 @@
         let class = &self.classes[request.class.get() as usize];
         // Each of the others that are moving takes a slot.
         let has_room = self.free_slots(now, class) > class.moving as f64;
-        if is_running && request.idempotent && has_room && self.can_move(now, ticket) {
+        if is_running && request.idempotent && has_room && self.check_move(now, ticket).is_ok() {
             self.cancel(ticket, CancelReason::Stuck, out);
         }
     }
 
-    /// Whether another target can answer in time and the retry budget, which is charged, allows it.
-    fn can_move(&mut self, now: TimeMs, ticket: Ticket) -> bool {
-        let Some(request) = self.requests.get(&ticket) else { return false };
-        let has_free_slot = self.classes[request.class.get() as usize].has_free_slot(self.senders);
-        let in_time = now.after(request.cost.mean_ms as u64) <= request.deadline;
-        has_free_slot
-            && in_time
-            && request.attempts < request.attempts_max
-            && self.retry_budget.try_withdraw()
+    /// Decides whether another target can answer a running request in time, and charges the retry budget
+    /// if so.
+    fn check_move(&mut self, now: TimeMs, ticket: Ticket) -> Result<(), RetryDenial> {
+        self.check_room(now, ticket)?;
+        match self.retry_budget.try_withdraw() {
+            true => Ok(()),
+            false => Err(RetryDenial::NoRetryLeft),
+        }
+    }
+
+    /// Decides whether another target could answer a running request in time.
+    pub(crate) fn check_room(&self, now: TimeMs, ticket: Ticket) -> Result<(), RetryDenial> {
+        let Some(request) = self.requests.get(&ticket) else { return Err(RetryDenial::TooLate) };
+        if request.attempts >= request.attempts_max {
+            Err(RetryDenial::NoAttemptLeft)
+        } else if now.after(request.cost.mean_ms as u64) > request.deadline {
+            Err(RetryDenial::TooLate)
+        } else if !self.classes[request.class.get() as usize].has_free_slot(self.senders) {
+            Err(RetryDenial::NoFreeTarget)
+        } else {
+            Ok(())
+        }
     }
 
     /// Returns the free slots of the targets that can accept a request now, at least one of each.
--- a/crates/policy/src/fair/settings.rs
+++ b/crates/policy/src/fair/settings.rs
@@ -48,6 +48,11 @@
         pub cost_margin: f64,
         /// Whether running requests are retried elsewhere when their target is ejected.
         pub move_off_ejected: bool,
+        /// Whether a running attempt is cancelled once another target can take its request over.
+        ///
+        /// Otherwise the driver is told that its target is slow, and may begin a second attempt beside
+        /// it: a silent target may go on.
+        pub cancel_slow: bool,
         /// Number of requests of one organisation among which one with a cached prefix is
         /// preferred; one means strict order.
         pub look_ahead: usize,
@@ -90,6 +95,7 @@
             wait_feedback: true,
             cost_margin: 0.5,
             move_off_ejected: true,
+            cancel_slow: true,
             look_ahead: 8,
             learn_prefix_hits: true,
             stuck_ratio: 2.5,
@@ -132,6 +138,12 @@
         self
     }
 
+    /// Sets whether a slow attempt is cancelled once another target can take its request over.
+    pub fn with_cancel_slow(mut self, cancel_slow: bool) -> Self {
+        self.cancel_slow = cancel_slow;
+        self
+    }
+
     /// Sets the number of requests among which one with a cached prefix is preferred; at least one.
     pub fn with_look_ahead(mut self, look_ahead: usize) -> Self {
         self.look_ahead = look_ahead.max(1);
--- a/crates/policy/src/interface/decision.rs
+++ b/crates/policy/src/interface/decision.rs
@@ -20,6 +20,12 @@
             /// The refusal that the caller receives.
             refusal: Refusal,
         },
+        /// Tells that the target of a running request is slow, so that the driver may ask for a
+        /// [`SecondAttempt`](super::PolicyEvent::SecondAttempt).
+        ReportSlow {
+            /// The request.
+            ticket: Ticket,
+        },
         /// Tells why a request gets no further attempt; a refusal follows if none is running.
         DenyRetry {
             /// The request.
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -26,6 +26,19 @@
         /// The request.
         ticket: Ticket,
     },
+    /// A running request may get a second attempt, beside the one that runs.
+    ///
+    /// [`Decision::Dispatch`](super::Decision::Dispatch) of the second ticket follows if it does, and
+    /// [`Decision::DenyRetry`](super::Decision::DenyRetry) if not. From then on each ticket is an attempt
+    /// of the same request; once one has failed or been abandoned, the request goes on as the other.
+    SecondAttempt {
+        /// The request, whose target is silent or slow.
+        ticket: Ticket,
+        /// Identifies the second attempt.
+        second: Ticket,
+        /// Targets that are not sent the second attempt, because they may be silent as well.
+        excluded: &'a [TargetKey],
+    },
     /// The caller received the whole answer; the ticket is finished.
     Finished {
         /// The request that was answered.
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -8,10 +8,13 @@
 /// lost a member gives none until its head notices, seconds later.
 const STALL_TIMEOUT_MS: u64 = 600;
 
+/// Time without an event from any stream of a replica after which it may be silent.
+const QUIET_MS: u64 = 250;
+
 /// Time for which a suspected replica receives no requests.
 ///
 /// The coordinator finds a lost member within half a second and dissolves the replica; one that was
-/// suspected wrongly serves again after this time.
+/// suspected wrongly serves again after this time, or with its next event.
 const SUSPICION_MS: u64 = 2_500;
 
 /// Detects replicas whose streams have all stopped producing events.
@@ -121,6 +124,14 @@
         self.changed |= self.suspected.insert(name.clone(), suspicion).is_none();
     }
 
+    /// Returns the replicas whose streams have given nothing for longer than between two events of a
+    /// full batch: they may be silent.
+    pub fn quiet(&self, now: TimeMs) -> impl Iterator<Item = &K> {
+        let replicas = self.replicas.iter();
+        let quiet = replicas.filter(move |(_, at)| now.since(at.last_event_at) >= QUIET_MS);
+        quiet.map(|(name, _)| name)
+    }
+
     /// Returns the replicas that are suspected because they are silent, in order.
     pub fn stalled(&self) -> Vec<K> {
         let stalled = self.suspected.iter().filter(|(_, suspicion)| suspicion.is_stalled);
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -309,7 +309,9 @@
                     let late = self.now_ms - request.at_ms > OBJECTIVE_MS + 100;
                     self.refused_late += u32::from(late);
                 }
-                Decision::Cancel { .. } | Decision::DenyRetry { .. } => {}
+                Decision::Cancel { .. }
+                | Decision::ReportSlow { .. }
+                | Decision::DenyRetry { .. } => {}
             }
         }
     }
--- a/crates/policy/tests/simulator/mod.rs
+++ b/crates/policy/tests/simulator/mod.rs
@@ -231,7 +231,7 @@
                     self.finish(ticket.get(), Outcome::Refused { at_ms: self.now_ms, refusal });
                 }
                 Decision::Cancel { ticket } => self.fail_attempt(ticket.get(), Verdict::MayHaveRun),
-                Decision::DenyRetry { .. } => {}
+                Decision::ReportSlow { .. } | Decision::DenyRetry { .. } => {}
             }
         }
     }
--- a/crates/policy/tests/timed_node/mod.rs
+++ b/crates/policy/tests/timed_node/mod.rs
@@ -79,7 +79,9 @@
                     self.ends.push((ms + REQUEST_MS + slower_ms, ticket));
                 }
                 Decision::Refuse { refusal, .. } => self.refused.push((ms, refusal)),
-                Decision::Cancel { .. } | Decision::DenyRetry { .. } => {}
+                Decision::Cancel { .. }
+                | Decision::ReportSlow { .. }
+                | Decision::DenyRetry { .. } => {}
             }
         }
     }
