--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -47,6 +47,17 @@
 
     /// Lets peers run the request until one of them gives a final answer.
     pub(crate) async fn delegate(&mut self) -> Delegation {
+        match self.attempt_at_peers().await {
+            Some(outcome) => {
+                self.resolve_delegated(outcome).await;
+                Delegation::Completed
+            }
+            None => Delegation::NoPeer,
+        }
+    }
+
+    /// Lets peers run the request until one has sent it to a target; returns how that ended.
+    pub(super) async fn attempt_at_peers(&mut self) -> Option<AttemptOutcome> {
         let mut tried = Vec::new();
         while tried.len() < PEERS_MAX {
             let Some(peer) = self.dispatcher.choose_peer(&self.request, &tried) else { break };
@@ -64,13 +75,10 @@
                 AttemptOutcome::Failed(Verdict::NotRun) => {
                     self.dispatcher.avoid_peer(&peer.node, &self.request);
                 }
-                outcome => {
-                    self.resolve_delegated(outcome).await;
-                    return Delegation::Completed;
-                }
+                outcome => return Some(outcome),
             }
         }
-        Delegation::NoPeer
+        None
     }
 
     /// Completes the request with what a peer has answered.
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -37,6 +37,8 @@
     Cancel,
     /// Begin a second attempt beside the one that runs.
     StartSecond(SecondAttempt),
+    /// Let a peer run the request beside the attempt that runs.
+    DelegateSecond,
 }
 
 /// A second attempt of a request, to be begun.
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -167,7 +167,7 @@
             }
         }
         if !isolated.is_empty() {
-            state.cancel_isolated(now, |service| isolated.contains(service));
+            state.delegate_silent(now, |service| isolated.contains(service));
         }
     }
 
@@ -324,6 +324,11 @@
         state.remove(ticket);
     }
 
+    /// Whether the policy knows a request.
+    pub(crate) fn is_registered(&self, ticket: Ticket) -> bool {
+        self.state.borrow().active_requests.contains_key(&ticket)
+    }
+
     /// Returns why a request got no further attempt when it last needed one.
     pub(crate) fn retry_denial(&self, ticket: Ticket) -> Option<RetryDenial> {
         self.state.borrow().active_requests.get(&ticket)?.retry_denial
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -183,7 +183,7 @@
                 Some(instruction) => instruction,
             };
             match instruction {
-                Instruction::Cancel => {}
+                Instruction::Cancel | Instruction::DelegateSecond => {}
                 Instruction::Refuse(refusal) => {
                     self.retry_denial = self.dispatcher.retry_denial(self.ticket);
                     self.dispatcher.refused(self.ticket);
@@ -230,7 +230,8 @@
             loop {
                 match self.instructions.recv().await {
                     Ok(Instruction::Cancel) => return Err(Interrupt::Cancelled),
-                    Ok(Instruction::StartSecond(second)) => return Ok(second),
+                    Ok(Instruction::StartSecond(second)) => return Ok(Some(second)),
+                    Ok(Instruction::DelegateSecond) => return Ok(None),
                     // The policy does not know the request, so nothing cancels it.
                     Err(_) => std::future::pending().await,
                     Ok(Instruction::Send(_) | Instruction::Refuse(_)) => {}
@@ -244,7 +245,8 @@
                     Err(Interrupt::Overtaken)
                 };
                 match smol::future::or(instruction(), overtaken).await {
-                    Ok(second) => self.start_second(second),
+                    Ok(Some(second)) => self.start_second(second),
+                    Ok(None) => self.start_second_at_peer(),
                     Err(interrupt) => return Err(interrupt),
                 }
             }
@@ -312,10 +314,7 @@
             AttemptOutcome::Interrupted(Interrupt::Cancelled | Interrupt::Overtaken) => {
                 self.log_cancelled_attempt();
                 self.may_have_run = true;
-                match self.dispatcher.link_check.links.is_isolated(&self.request.service) {
-                    true => self.delegate_or_fail().await,
-                    false => self.retry_or_fail(Verdict::MayHaveRun).await,
-                }
+                self.retry_or_fail(Verdict::MayHaveRun).await
             }
             AttemptOutcome::Isolated(verdict) => {
                 self.may_have_run |= verdict != Verdict::NotRun;
--- a/crates/gateway/src/traffic/isolated.rs
+++ b/crates/gateway/src/traffic/isolated.rs
@@ -6,8 +6,8 @@
 use crate::traffic::pool::Pool;
 use crate::traffic::{CrashReport, DispatchState};
 
-/// Silence of a target after which a repeatable request is taken off it while this node is isolated,
-/// in milliseconds.
+/// Silence of a target after which a peer runs a repeatable request as well while this node is
+/// isolated, in milliseconds.
 ///
 /// The links may be back within a second; callers give up after two.
 const ISOLATED_SILENCE_MS: u64 = 1_200;
@@ -34,10 +34,10 @@
         pool.and_then(|key| self.pools.get_mut(key)).is_some_and(Pool::try_withdraw_retry)
     }
 
-    /// Takes repeatable requests off the silent targets of isolated services, so that peers run them.
+    /// Lets peers run the repeatable requests at silent targets of isolated services.
     ///
-    /// One that no peer could run, or whose retry is not granted, stays: the target may go on.
-    pub(crate) fn cancel_isolated(
+    /// The attempts here stay: the links may be back, and the targets go on.
+    pub(crate) fn delegate_silent(
         &mut self,
         now: TimeMs,
         is_isolated: impl Fn(&ServiceName) -> bool,
@@ -58,9 +58,9 @@
                 return;
             }
             let Some(active) = self.active_requests.get_mut(&ticket) else { continue };
-            // It is cancelled only once.
+            // It is delegated only once.
             (active.may_delegate, active.is_retry_paid) = (false, true);
-            active.instructions.try_send(Instruction::Cancel).unwrap_or_default();
+            active.instructions.try_send(Instruction::DelegateSecond).unwrap_or_default();
         }
     }
 
--- a/crates/gateway/src/traffic/second.rs
+++ b/crates/gateway/src/traffic/second.rs
@@ -8,7 +8,7 @@
 
 use crate::adapter::Adapter;
 use crate::traffic::attempt::AttemptOutcome;
-use crate::traffic::dispatch_state::{Instruction, SecondAttempt};
+use crate::traffic::dispatch_state::{Instruction, SecondAttempt, instruction_channel};
 use crate::traffic::exchange::{Exchange, Interrupt};
 use crate::traffic::sink::Chunk;
 use crate::traffic::{AnswerParts, Destination, answer_sink};
@@ -46,18 +46,50 @@
     /// Begins a second attempt, unless the request must not be sent again.
     pub(crate) fn start_second(&self, second: SecondAttempt) {
         let SecondAttempt { ticket, destination, instructions } = second;
-        if self.is_trial || self.quarantine_refusal().is_some() {
+        if self.is_trial || self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
             return self.dispatcher.abandoned(ticket);
         }
+        self.log_second(destination.target.as_str());
+        self.spawn_second(ticket, instructions, async move |exchange| {
+            exchange.run_attempts(&destination).await
+        });
+    }
+
+    /// Lets a peer run the request beside the attempt that runs.
+    pub(crate) fn start_second_at_peer(&self) {
+        if self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
+            return;
+        }
+        self.log_second("peer");
+        // The policy does not know what peers run.
+        let (_, instructions) = instruction_channel();
+        self.spawn_second(self.dispatcher.reserve_ticket(), instructions, async |exchange| {
+            let outcome = exchange.attempt_at_peers().await;
+            if let Some(AttemptOutcome::PeerRefused(refusal, _)) = outcome {
+                exchange.reached += refusal.attempts;
+            }
+            outcome.unwrap_or(AttemptOutcome::Failed(Verdict::NotRun))
+        });
+    }
+
+    fn log_second(&self, target: &str) {
         info!(self.dispatcher.log, "second attempt begins"; "request_id" => self.request.id(),
-            "attempt" => self.attempts + 1, "target" => destination.target.as_str());
+            "attempt" => self.attempts + 1, "target" => target);
+    }
+
+    fn spawn_second(
+        &self,
+        ticket: Ticket,
+        instructions: Receiver<Instruction>,
+        run: impl AsyncFnOnce(&mut Self) -> AttemptOutcome + 'static,
+    ) {
         let (sink, head, chunks) = answer_sink();
         let mut splitter = self.splitter.clone();
         splitter.drop_pending();
         let sink = sink.with_resumed(self.sink.is_begun());
         let mut exchange = Self::second(self, ticket, instructions, (sink, splitter));
         let task = self.dispatcher.executor.spawn(async move {
-            let outcome = exchange.run_attempts(&destination).await;
+            let outcome = run(&mut exchange).await;
             exchange.end_second(outcome)
         });
         let running = RunningSecond { ticket, head, chunks, received_head: None, task };
@@ -66,7 +98,11 @@
 
     /// Waits until the second attempt has an answer; returns false if it has ended without one.
     pub(crate) async fn second_answers(&self) -> bool {
-        let head = self.second.borrow().as_ref().map(|second| second.head.clone());
+        let head = match &*self.second.borrow() {
+            None => None,
+            Some(second) if second.received_head.is_some() => return true,
+            Some(second) => Some(second.head.clone()),
+        };
         let Some(head) = head else { return std::future::pending().await };
         match head.recv().await {
             Ok(parts) => {
@@ -185,7 +221,9 @@
 
     fn become_second(&mut self, ended: EndedSecond) {
         self.may_have_run |= ended.may_have_run;
-        self.attempts = ended.attempts;
+        let is_at_peer = !self.dispatcher.is_registered(ended.ticket);
+        // The policy can't send what a peer has run again.
+        self.attempts = if is_at_peer { self.request.route.attempts_max } else { ended.attempts };
         self.reached = ended.reached;
         self.ticket = ended.ticket;
         self.instructions = ended.instructions;
@@ -198,8 +236,11 @@
     /// Counts the second attempts that have failed while the first went on.
     fn count_ended_seconds(&mut self) {
         for ended in self.ended_seconds.take() {
-            let withheld = u32::from(ended.outcome == AttemptOutcome::Withheld);
-            self.attempts = self.attempts.max(ended.attempts - withheld);
+            let is_counted = match ended.outcome {
+                AttemptOutcome::Withheld => false,
+                _ => true,
+            };
+            self.attempts = self.attempts.max(ended.attempts - u32::from(!is_counted));
             self.reached = self.reached.max(ended.reached);
             self.may_have_run |= ended.may_have_run || ended.outcome.verdict() != Verdict::NotRun;
             self.failed_answer = self.failed_answer.take().or(ended.failed_answer);
