--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -324,6 +324,10 @@
                 self.attempts -= 1;
                 self.retry_or_fail(Verdict::NotRun).await
             }
+            AttemptOutcome::Failed(Verdict::NotRun) if self.sink.head_sent() => {
+                self.attempts -= 1;
+                self.retry_or_fail(Verdict::NotRun).await
+            }
             AttemptOutcome::Failed(verdict)
             | AttemptOutcome::PeerRefused(DelegationRefusal { verdict, .. }, _) => {
                 self.may_have_run |= verdict != Verdict::NotRun;
--- a/crates/gateway/src/traffic/second.rs
+++ b/crates/gateway/src/traffic/second.rs
@@ -238,6 +238,7 @@
         for ended in self.ended_seconds.take() {
             let is_counted = match ended.outcome {
                 AttemptOutcome::Withheld => false,
+                AttemptOutcome::Failed(Verdict::NotRun) => !self.sink.is_begun(),
                 _ => true,
             };
             self.attempts = self.attempts.max(ended.attempts - u32::from(!is_counted));
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -150,6 +150,7 @@
             attempts: 0,
             attempts_max: head.attempts_max.unwrap_or(ATTEMPTS_MAX).min(ATTEMPTS_MAX),
             may_have_run: false,
+            has_begun: false,
             avoid: None,
             phase: Phase::Queued,
             check_at: None,
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -28,6 +28,7 @@
         if started_at.replace(now).is_some() {
             return;
         }
+        request.has_begun = true;
         let (target, uncached_tokens, elapsed_ms) =
             (*target, *uncached_tokens, now.since(*sent_at) as f64);
         let loads_adapter = *loads_adapter;
@@ -108,7 +109,7 @@
         request.send_by = request.send_by.map(|send_by| send_by.max(now.after(RESUME_WINDOW_MS)));
         let class = request.class;
         let not_run = verdict == Verdict::NotRun;
-        request.may_have_run |= !not_run;
+        request.record_attempt_end(verdict);
         request.avoid = Some(target);
         request.phase = Phase::Queued;
         self.record_completed(now, ticket, target, estimate);
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -68,9 +68,12 @@
         pub(crate) priority: Priority,
         pub(crate) worth: u32,
         pub(crate) cost: Cost,
+        /// Attempts, without those that a target has refused after the answer had begun.
         pub(crate) attempts: u32,
         pub(crate) attempts_max: u32,
         pub(crate) may_have_run: bool,
+        /// Whether the answer has begun, so that a refusal would break it off.
+        pub(crate) has_begun: bool,
         pub(crate) avoid: Option<TargetKey>,
         pub(crate) phase: Phase,
         pub(crate) check_at: Option<TimeMs>,
--- a/crates/policy/src/fair/second_attempt.rs
+++ b/crates/policy/src/fair/second_attempt.rs
@@ -54,7 +54,8 @@
         let Some(request) = self.remove_request(ticket) else { return };
         let Phase::Running { target, cancelled, estimate, .. } = request.phase else { return };
         if let Some(other) = request.partner.and_then(|other| self.requests.get_mut(&other)) {
-            other.may_have_run |= verdict != Verdict::NotRun;
+            other.has_begun |= request.has_begun;
+            other.record_attempt_end(verdict);
             other.avoid = Some(target);
         }
         self.record_completed(now, ticket, target, estimate);
@@ -103,6 +104,18 @@
 }
 
 impl RequestState {
+    /// Records how an attempt of the request has ended.
+    ///
+    /// A refused attempt has run nowhere. Once the answer has begun it is not counted: the caller can't
+    /// come back with what it has.
+    pub(crate) fn record_attempt_end(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::NotRun if self.has_begun => self.attempts = self.attempts.saturating_sub(1),
+            Verdict::NotRun => {}
+            _ => self.may_have_run = true,
+        }
+    }
+
     /// Returns the target at which the request runs.
     fn target(&self) -> Option<TargetKey> {
         match self.phase {
