--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -52,6 +52,8 @@
     /// Delay of orders, which are then unanswered and executed late.
     pub order_delay_ms: Option<u64>,
     delayed_orders: Vec<(TimeMs, VmName, TargetOrder)>,
+    /// Targets whose process is stopped, with the orders that lie in their sockets.
+    stopped: BTreeMap<VmName, Vec<TargetOrder>>,
     pub refuses_stage: BTreeSet<VmName>,
     /// Whether coordinators are granted the loads that they need.
     pub grants_loads: bool,
@@ -89,6 +91,7 @@
             violations: Vec::new(),
             order_delay_ms: None,
             delayed_orders: Vec::new(),
+            stopped: BTreeMap::new(),
             refuses_stage: BTreeSet::new(),
             grants_loads: true,
             loads_granted: 0,
@@ -141,6 +144,20 @@
         }
     }
 
+    /// Stops the process of a target, whose host goes on accepting connections.
+    pub fn stop(&mut self, target: &VmName) {
+        self.stopped.insert(target.clone(), Vec::new());
+    }
+
+    /// Lets a stopped target go on: it carries out the orders that lie in its socket, and returns them.
+    pub fn resume(&mut self, target: &VmName) -> Vec<TargetOrder> {
+        let orders = self.stopped.remove(target).unwrap_or_default();
+        for order in &orders {
+            self.apply(target, order);
+        }
+        orders
+    }
+
     /// Removes a target from the list while it continues to serve.
     pub fn unlist(&mut self, target: &VmName) {
         self.unlisted.insert(target.clone());
@@ -342,6 +359,7 @@
                 FormingAction::Probe { target } => {
                     self.probes += 1;
                     let reachability = match self.targets.get(&target) {
+                        _ if self.stopped.contains_key(&target) => Reachability::Silent,
                         Some(fake) if fake.alive => Reachability::Answers,
                         _ => Reachability::NoConnection,
                     };
@@ -381,6 +399,10 @@
     }
 
     fn order(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
+        if let Some(lying) = self.stopped.get_mut(target) {
+            lying.push(order.clone());
+            return OrderOutcome::Unanswered;
+        }
         if let Some(delay_ms) = self.order_delay_ms {
             self.delayed_orders.push((self.now.after(delay_ms), target.clone(), order.clone()));
             return OrderOutcome::Unanswered;
