--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -26,6 +26,9 @@
 /// Timeout of a probe; answering one takes no slot, so load does not delay it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after which a probe tries to connect a second time, early enough for an answer.
+const SECOND_CONNECT_DELAY: Duration = Duration::from_millis(100);
+
 /// Marks the answer to a request of which an earlier copy may have been received.
 #[derive(Clone, Copy, Debug)]
 struct SentTwice;
@@ -103,7 +106,8 @@
         let has_connected = Cell::new(false);
         // Only a new connection shows whether the target's host is reachable now.
         let open = async {
-            let connection = self.connections.connect(target.address).await;
+            let connect = self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY);
+            let connection = connect.await;
             has_connected.set(connection.is_ok());
             Ok((connection?, true))
         };
--- a/crates/http/src/client/pool.rs
+++ b/crates/http/src/client/pool.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use celeryhaven_types::Map;
-use smol::LocalExecutor;
+use smol::{LocalExecutor, Timer};
 
 use crate::client::{Connection, ConnectionError};
 
@@ -64,6 +64,25 @@
         Connection::connect(&self.executor, address, connect_timeout, tcp_user_timeout).await
     }
 
+    /// Opens a new connection, and tries a second time beside the first after `delay`.
+    ///
+    /// A lost packet delays an attempt by a second, which says nothing of the target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the attempt that ends first.
+    pub async fn connect_twice(
+        &self,
+        address: SocketAddr,
+        delay: Duration,
+    ) -> Result<Connection, ConnectionError> {
+        let second = async {
+            Timer::after(delay).await;
+            self.connect(address).await
+        };
+        smol::future::or(self.connect(address), second).await
+    }
+
     /// Returns a connection whose exchange is complete to the pool.
     ///
     /// `keep_alive` is the time after which the target closes an idle connection, if known.
