gateway: second attempts in a file of their own, asked for ten times a second at most

A request at a silent target asked for a second attempt every 25 ms, each time with the names of all quiet targets. One that can't be handed to its exchange is given back to the policy.

--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -14,6 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::traffic::pool::{Pool, RetryLimits};
+use crate::traffic::second_attempts::SecondAttempt;
 use crate::traffic::{
     CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, Senders, TargetLimitMap,
     TargetNotices,
@@ -41,15 +42,6 @@
     DelegateSecond,
 }
 
-/// A second attempt of a request, to be begun.
-#[derive(Clone, Debug)]
-pub(crate) struct SecondAttempt {
-    pub(crate) ticket: Ticket,
-    pub(crate) destination: Destination,
-    /// Yields the instructions for the second attempt.
-    pub(crate) instructions: Receiver<Instruction>,
-}
-
 /// Instructions that may wait for an exchange.
 const INSTRUCTIONS_MAX: usize = 8;
 
@@ -76,6 +68,8 @@
     pub(crate) may_delegate: bool,
     /// Whether a retry by a peer has been charged to the retry budget.
     pub(crate) is_retry_paid: bool,
+    /// When it may next ask for a second attempt.
+    pub(crate) next_second_at: TimeMs,
     /// The second attempt that runs beside this one.
     pub(crate) second: Option<Ticket>,
     /// The attempt beside which this one runs.
@@ -174,6 +168,7 @@
             may_repeat: request.may_repeat(),
             may_delegate: false,
             is_retry_paid: false,
+            next_second_at: now,
             second: None,
             first: None,
             retry_denial: None,
@@ -224,63 +219,6 @@
         }
     }
 
-    /// Begins a second attempt of a request whose target is silent or slow, if the policy allows it.
-    ///
-    /// The first one goes on: its target may, too.
-    fn start_second(&mut self, now: TimeMs, ticket: Ticket) {
-        let Some(active) = self.active_requests.get(&ticket) else { return };
-        if !active.may_repeat || active.first.is_some() || active.second.is_some() {
-            return;
-        }
-        let key = active.pool.clone();
-        let second = self.reserve_ticket();
-        let silent: Vec<DestinationName> = self.stall_detector.quiet(now).cloned().collect();
-        let mut out = Vec::new();
-        let Some(pool) = self.pools.get_mut(&key) else { return };
-        pool.start_second(now, (ticket, second), &silent, &mut out);
-        let target = out.iter().find_map(|decision| match decision {
-            Decision::Dispatch { ticket, target } if *ticket == second => Some(*target),
-            _ => None,
-        });
-        let destination = target.and_then(|target| pool.destination(target)).cloned();
-        if let Some(destination) = destination {
-            out.retain(
-                |other| !matches!(other, Decision::Dispatch { ticket, .. } if *ticket == second),
-            );
-            self.add_second(now, (ticket, second), destination);
-        }
-        self.execute(&key, out);
-    }
-
-    fn add_second(
-        &mut self,
-        now: TimeMs,
-        (ticket, second): (Ticket, Ticket),
-        destination: Destination,
-    ) {
-        let Some(first) = self.active_requests.get_mut(&ticket) else { return };
-        first.second = Some(second);
-        let (instructions, receiver) = instruction_channel();
-        let active = ActiveRequest {
-            pool: first.pool.clone(),
-            instructions,
-            destination: Some(destination.name.clone()),
-            data_centre: Some(destination.data_centre.clone()),
-            heard_at: now,
-            streaming_since: None,
-            may_repeat: first.may_repeat,
-            may_delegate: false,
-            is_retry_paid: false,
-            second: None,
-            first: Some(ticket),
-            retry_denial: None,
-            digest: first.digest,
-        };
-        let attempt = SecondAttempt { ticket: second, destination, instructions: receiver };
-        first.instructions.try_send(Instruction::StartSecond(attempt)).unwrap_or_default();
-        self.active_requests.insert(second, active);
-    }
-
     /// Sets the destinations for requests.
     pub(crate) fn set_destinations(&mut self, now: TimeMs, destinations: Arc<[Destination]>) {
         if !Arc::ptr_eq(&self.destinations, &destinations) {
@@ -357,7 +295,7 @@
         }
         // Requests that could not get a second attempt before may now.
         for name in self.stall_detector.stalled() {
-            self.start_seconds(now, &name);
+            self.start_seconds_at(now, &name);
         }
         let due = self.pools.iter().filter(|(_, pool)| pool.is_due(now));
         for key in due.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
@@ -367,9 +305,8 @@
             }
             self.execute(&key, out);
         }
-        for ticket in std::mem::take(&mut self.slow) {
-            self.start_second(now, ticket);
-        }
+        let slow = std::mem::take(&mut self.slow);
+        self.start_seconds(now, slow);
         stalled
     }
 
@@ -378,7 +315,7 @@
         if !self.stall_detector.is_stalled(now, name) {
             self.stall_detector.suspect_stalled(now, name);
             self.refresh_targets(now);
-            self.start_seconds(now, name);
+            self.start_seconds_at(now, name);
         }
     }
 
@@ -449,22 +386,6 @@
         self.pools.values().map(Pool::queued).sum()
     }
 
-    /// Begins second attempts of the repeatable requests at a suspected destination where that is
-    /// possible.
-    ///
-    /// The head of a replica that lost a member may accept requests for seconds before it notices.
-    fn start_seconds(&mut self, now: TimeMs, name: &DestinationName) {
-        let is_at_destination =
-            |active: &ActiveRequest| active.may_repeat && active.destination.as_ref() == Some(name);
-        let at_destination =
-            self.active_requests.iter().filter(|(_, active)| is_at_destination(active));
-        let mut tickets: Vec<Ticket> = at_destination.map(|(ticket, _)| *ticket).collect();
-        tickets.sort_unstable();
-        for ticket in tickets {
-            self.start_second(now, ticket);
-        }
-    }
-
     /// Gives each pool the destinations that are neither suspected nor leaving.
     pub(super) fn refresh_targets(&mut self, now: TimeMs) {
         for key in self.pools.keys().cloned().collect::<Vec<_>>() {
@@ -529,7 +450,7 @@
         RetryLimits { earned_per_arrival: self.retry_earned_per_arrival, saved_max }
     }
 
-    fn execute(&mut self, key: &PoolKey, decisions: Vec<Decision>) {
+    pub(super) fn execute(&mut self, key: &PoolKey, decisions: Vec<Decision>) {
         for decision in decisions {
             let (ticket, instruction) = match decision {
                 Decision::Dispatch { ticket, target } => {
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -18,8 +18,8 @@
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
 use crate::traffic::delegation::Delegation;
 use crate::traffic::delivery_times::DeliveryTimes;
-use crate::traffic::dispatch_state::Instruction;
-use crate::traffic::second::{EndedSecond, RunningSecond};
+use crate::traffic::dispatch_state::{Instruction, instruction_channel};
+use crate::traffic::running_second::{EndedSecond, RunningSecond};
 use crate::traffic::{
     AnswerParts, AnswerSink, CallerRequest, Destination, Dispatcher, add_delegation_refusal,
 };
@@ -75,7 +75,7 @@
     /// Second attempts that have failed since the first was begun.
     pub(super) ended_seconds: RefCell<Vec<EndedSecond>>,
     /// Whether this is the second attempt of another exchange.
-    is_second: bool,
+    pub(super) is_second: bool,
     pub(super) completed: bool,
 }
 
@@ -100,46 +100,24 @@
         sink: AnswerSink,
     ) -> Self {
         let ticket = dispatcher.reserve_ticket();
-        let (_, instructions) = async_channel::bounded(1);
         let splitter = EventSplitter::new(request.caller.last_event_id.clone());
-        Self {
-            dispatcher,
-            request: Rc::new(request),
-            sink,
-            splitter,
-            attempts: 0,
-            delivery: DeliveryTimes::default(),
-            target: None,
-            last_attempt_outcome: None,
-            retry_denial: None,
-            may_have_run: false,
-            failed_answer: None,
-            ticket,
-            instructions,
-            is_trial: false,
-            is_registered: false,
-            reached: 0,
-            unanswered_at: None,
-            second: RefCell::default(),
-            ended_seconds: RefCell::default(),
-            is_second: false,
-            completed: false,
-        }
+        Self::with_ticket(dispatcher, Rc::new(request), ticket, (sink, splitter))
     }
 
-    /// Creates the exchange of a second attempt of a request.
-    pub(super) fn second(
-        first: &Self,
+    /// Creates an exchange that goes on after the last event that the splitter has seen.
+    pub(super) fn with_ticket(
+        dispatcher: Rc<Dispatcher<A>>,
+        request: Rc<CallerRequest>,
         ticket: Ticket,
-        instructions: Receiver<Instruction>,
         (sink, splitter): (AnswerSink, EventSplitter),
     ) -> Self {
+        let (_, instructions) = instruction_channel();
         Self {
-            dispatcher: first.dispatcher.clone(),
-            request: first.request.clone(),
+            dispatcher,
+            request,
             sink,
             splitter,
-            attempts: first.attempts,
+            attempts: 0,
             delivery: DeliveryTimes::default(),
             target: None,
             last_attempt_outcome: None,
@@ -149,12 +127,12 @@
             ticket,
             instructions,
             is_trial: false,
-            is_registered: true,
-            reached: first.reached,
+            is_registered: false,
+            reached: 0,
             unanswered_at: None,
             second: RefCell::default(),
             ended_seconds: RefCell::default(),
-            is_second: true,
+            is_second: false,
             completed: false,
         }
     }
@@ -378,7 +356,7 @@
     /// Removes the request from the policy, whose instructions then no longer arrive.
     fn detach(&mut self) {
         self.dispatcher.abandoned(self.ticket);
-        let (_, instructions) = async_channel::bounded(1);
+        let (_, instructions) = instruction_channel();
         self.instructions = instructions;
     }
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -16,7 +16,8 @@
 mod notices;
 mod pool;
 mod quarantine_gate;
-mod second;
+mod running_second;
+mod second_attempts;
 mod sink;
 mod update;
 
--- a/crates/gateway/src/traffic/second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -8,8 +8,9 @@
 
 use crate::adapter::Adapter;
 use crate::traffic::attempt::AttemptOutcome;
-use crate::traffic::dispatch_state::{Instruction, SecondAttempt, instruction_channel};
+use crate::traffic::dispatch_state::{Instruction, instruction_channel};
 use crate::traffic::exchange::{Exchange, Interrupt};
+use crate::traffic::second_attempts::SecondAttempt;
 use crate::traffic::sink::Chunk;
 use crate::traffic::{AnswerParts, Destination, answer_sink};
 
@@ -87,7 +88,11 @@
         let mut splitter = self.splitter.clone();
         splitter.drop_pending();
         let sink = sink.with_resumed(self.sink.is_begun());
-        let mut exchange = Self::second(self, ticket, instructions, (sink, splitter));
+        let (dispatcher, request) = (self.dispatcher.clone(), self.request.clone());
+        let mut exchange = Self::with_ticket(dispatcher, request, ticket, (sink, splitter));
+        exchange.instructions = instructions;
+        (exchange.attempts, exchange.reached) = (self.attempts, self.reached);
+        (exchange.is_registered, exchange.is_second) = (true, true);
         let task = self.dispatcher.executor.spawn(async move {
             let outcome = run(&mut exchange).await;
             exchange.end_second(outcome)
