--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -93,7 +93,10 @@
     /// Returns the queue entry of a request.
     pub(crate) fn queue_entry(&self, request: &RequestState) -> QueueEntry {
         let Cost { mean_ms, high_ms } = request.cost;
-        let needed_ms = mean_ms + (high_ms - mean_ms) * self.settings.cost_margin;
+        let needed_ms = match request.has_begun {
+            true => self.needed_ms(request),
+            false => mean_ms + (high_ms - mean_ms) * self.settings.cost_margin,
+        };
         let latest_start = TimeMs::new(request.deadline.get().saturating_sub(needed_ms as u64));
         QueueEntry {
             flow: request.flow,
@@ -104,6 +107,18 @@
         }
     }
 
+    /// Returns the time that another attempt of a request needs before the deadline, in milliseconds.
+    ///
+    /// What is left of an answer that has begun is not known, and to give it up loses all of it, so it
+    /// goes on if there is time for its next event.
+    pub(crate) fn needed_ms(&self, request: &RequestState) -> f64 {
+        let times = &self.classes[request.class.get() as usize].times;
+        match request.has_begun {
+            true => times.first_token_ms(ASSUMED_UTILISATION, f64::from(request.prompt_tokens)),
+            false => request.cost.mean_ms,
+        }
+    }
+
     /// Estimates the slot time of a request.
     ///
     /// The estimate covers the prompt tokens that are not expected to be cached, the output length,
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -28,7 +28,7 @@
         if started_at.replace(now).is_some() {
             return;
         }
-        request.has_begun = true;
+        request.has_begun = !self.settings.cancel_late_rest;
         let (target, uncached_tokens, elapsed_ms) =
             (*target, *uncached_tokens, now.since(*sent_at) as f64);
         let loads_adapter = *loads_adapter;
@@ -155,7 +155,7 @@
     ) -> Result<(), RetryDenial> {
         let Some(request) = self.requests.get(&ticket) else { return Err(RetryDenial::TooLate) };
         let RequestState { idempotent, attempts, attempts_max, may_have_run, .. } = *request;
-        let in_time = now.get() as f64 + request.cost.mean_ms <= request.deadline.get() as f64;
+        let in_time = now.get() as f64 + self.needed_ms(request) <= request.deadline.get() as f64;
         if !idempotent && may_have_run {
             Err(RetryDenial::MayHaveRun)
         } else if attempts >= attempts_max {
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -72,7 +72,7 @@
         pub(crate) attempts: u32,
         pub(crate) attempts_max: u32,
         pub(crate) may_have_run: bool,
-        /// Whether the answer has begun, so that a refusal would break it off.
+        /// Whether the answer is streamed and has begun, so that a refusal would break it off.
         pub(crate) has_begun: bool,
         pub(crate) avoid: Option<TargetKey>,
         pub(crate) phase: Phase,
--- a/crates/policy/src/fair/running.rs
+++ b/crates/policy/src/fair/running.rs
@@ -139,7 +139,7 @@
         let Some(request) = self.requests.get(&ticket) else { return Err(RetryDenial::TooLate) };
         if request.attempts >= request.attempts_max {
             Err(RetryDenial::NoAttemptLeft)
-        } else if now.after(request.cost.mean_ms as u64) > request.deadline {
+        } else if now.after(self.needed_ms(request) as u64) > request.deadline {
             Err(RetryDenial::TooLate)
         } else if !self.classes[request.class.get() as usize].has_free_slot(self.senders) {
             Err(RetryDenial::NoFreeTarget)
