forming: a member whose entry lapsed while it was silent is not leaving (LOST)

Cause: an entry that is gone and a target that answers mean a planned leave without a word; after a silence of some seconds the entry has lapsed as well, and comes back only with the next report. Its replica was closed.

Measured: silent_member_whose_entry_lapses, red without the change (replica closed).

--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -30,8 +30,11 @@
         match reachability {
             Reachability::Answers => {
                 self.unreachable.remove(&target);
-                self.silent.remove(&target);
-                if let Some((_, answered)) = self.departing.get_mut(&target) {
+                if self.silent.remove(&target).is_some() {
+                    // If its entry has lapsed meanwhile, it comes back with the next report.
+                    let next_probe_at = next_probe_at.after(self.settings.probe_interval_ms);
+                    self.departing.insert(target, (next_probe_at, false));
+                } else if let Some((_, answered)) = self.departing.get_mut(&target) {
                     *answered = true;
                 }
             }
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Lists a target again that continues to serve.
+    pub fn list_again(&mut self, target: &VmName) {
+        self.unlisted.remove(target);
+    }
+
     /// Stops the process of a target, whose host goes on accepting connections.
     pub fn stop(&mut self, target: &VmName) {
         self.stopped.insert(target.clone(), Vec::new());
--- a/crates/forming/tests/silent_targets.rs
+++ b/crates/forming/tests/silent_targets.rs
@@ -64,6 +64,27 @@
     assert!(leaves(&sim, &members) > 0);
 }
 
+/// A member whose entry lapsed while it was silent is not leaving: its entry comes back with its next
+/// report.
+#[test]
+fn silent_member_whose_entry_lapses() {
+    for rank in [0, 2] {
+        let mut sim = formed(8);
+        let members = sim.members_of("large");
+        sim.stop(&members[rank]);
+        sim.suspect(&members[0]);
+        sim.run_ms(2_400);
+        sim.unlist(&members[rank]);
+        sim.run_ms(600);
+        sim.resume(&members[rank]);
+        sim.run_ms(1_200);
+        sim.list_again(&members[rank]);
+        sim.run_ms(5_000);
+        assert_eq!(sim.members_of("large"), members, "rank {rank}");
+        assert_eq!(leaves(&sim, &members), 0, "rank {rank}");
+    }
+}
+
 /// A target that never goes on is lost in the end, and learns of it only once it answers.
 #[test]
 fn silent_head_for_ever() {
--- a/crates/gateway/src/traffic/running_second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -2,6 +2,7 @@
 use bytes::Bytes;
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
+use celeryhaven_telemetry::metrics::OutcomeLabel;
 use celeryhaven_types::{TimeMs, Verdict};
 use slog::info;
 use smol::Task;
@@ -73,6 +74,11 @@
         });
     }
 
+    fn count_second(&self, outcome: &'static str) {
+        let label = OutcomeLabel { call: "request", outcome };
+        self.dispatcher.metrics.second_attempts.get_or_create(&label).inc();
+    }
+
     fn log_second(&self, target: &str) {
         info!(self.dispatcher.log, "second attempt begins"; "request_id" => self.request.id(),
             "attempt" => self.attempts + 1, "target" => target);
@@ -120,6 +126,7 @@
                 let second = self.second.take();
                 if let Some(second) = second {
                     let ended = second.task.await;
+                    self.count_second("failed");
                     let verdict = ended.outcome.verdict();
                     self.dispatcher.partner_failed(ended.ticket, &self.request, verdict);
                     self.ended_seconds.borrow_mut().push(ended);
@@ -132,6 +139,7 @@
     /// Stops the second attempt, as the first has produced the next event.
     pub(crate) fn cancel_second(&self) {
         if let Some(second) = self.second.take() {
+            self.count_second("not needed");
             info!(self.dispatcher.log, "second attempt not needed";
                 "request_id" => self.request.id());
             drop(second);
@@ -197,6 +205,7 @@
     async fn continue_as(&mut self, second: RunningSecond) -> AttemptOutcome {
         let RunningSecond { ticket, head, chunks, received_head, task } = second;
         self.ticket = ticket;
+        self.count_second("took over");
         let head = match received_head {
             Some(parts) => Some(parts),
             None => head.recv().await.ok(),
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -40,6 +40,8 @@
     pub isolated: Gauge,
     /// Requests that were delegated to other nodes, by outcome.
     pub delegated: Family<OutcomeLabel, Counter>,
+    /// Second attempts beside those whose targets were silent or slow, by outcome.
+    pub second_attempts: Family<OutcomeLabel, Counter>,
     /// Requests that still run in evacuated data centres.
     pub evacuating_requests: Gauge,
     /// Calls to the platform's store, by kind of object and call.
@@ -65,6 +67,7 @@
         let targets_backing_off = Gauge::default();
         let loads_granted = Counter::default();
         let (isolated, delegated) = (Gauge::default(), Family::default());
+        let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -127,6 +130,11 @@
                 "Requests that were delegated to other nodes, by outcome",
                 delegated.clone(),
             );
+            registry.register(
+                "second_attempts",
+                "Second attempts beside those whose targets were silent or slow, by outcome",
+                second_attempts.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -146,6 +154,7 @@
             evacuating_requests,
             isolated,
             delegated,
+            second_attempts,
             store_calls,
         }
     }
