gateway: a target that no connection reaches is tried once more before it is lost (LOST)

Cause: between a probe that finds no connection and the look whether this node reaches any target, links may come back, or the process may go on after a suspension; a sound target was lost then.

Change: once another target has been reached, the one that was not is tried again for 100 ms; the probe's own wait for a connection is 200 ms, so both are as long as before. An order that is refused is confirmed in the same way.

No red test: the span is a few milliseconds, or needs a suspended coordinator at the moment of a probe.

--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -1,4 +1,3 @@
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +28,12 @@
 /// Time after which a probe tries to connect a second time, early enough for an answer.
 const SECOND_CONNECT_DELAY: Duration = Duration::from_millis(100);
 
+/// Time within which a probe must have a connection, and within which the target is tried again.
+///
+/// Together they are as long as the wait for an answer.
+const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Marks the answer to a request of which an earlier copy may have been received.
 #[derive(Clone, Copy, Debug)]
 struct SentTwice;
@@ -86,9 +91,11 @@
                 }
                 outcome => outcome,
             },
-            _ if self.is_isolated(target).await => OrderOutcome::Unanswered,
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
-                OrderOutcome::TargetRemoved
+                match self.confirm_unreachable(target).await {
+                    Some(Reachability::Gone) => OrderOutcome::TargetRemoved,
+                    _ => OrderOutcome::Unanswered,
+                }
             }
             Some(Err(_)) | None => OrderOutcome::Unanswered,
         }
@@ -101,27 +108,40 @@
         if notices.back_offs.holds(BootClock.now(), &target.name, target.started_at_ms) {
             return None;
         }
-        let mut request = Request::new(Full::default());
-        *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
-        let has_connected = Cell::new(false);
         // Only a new connection shows whether the target's host is reachable now.
-        let open = async {
-            let connect = self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY);
-            let connection = connect.await;
-            has_connected.set(connection.is_ok());
-            Ok((connection?, true))
+        let connect = self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY);
+        let Some(Ok(connection)) = within(PROBE_CONNECT_TIMEOUT, connect).await else {
+            return self.confirm_unreachable(target).await;
         };
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
+        let open = async { Ok((connection, true)) };
         let answer = self.exchange(target.address, open, request, PROBE_TIMEOUT).await;
         self.record_notices(target, answer.as_ref());
-        if !matches!(answer, Some(Ok(_))) && self.is_isolated(target).await {
+        match answer {
+            Some(Ok(_)) => Some(Reachability::Answers),
+            _ if self.is_isolated(target).await => None,
+            Some(Err(_)) | None => Some(Reachability::Silent),
+        }
+    }
+
+    /// Decides whether a target is unreachable to which no connection could be opened; returns `None`
+    /// if this node reaches no target.
+    ///
+    /// The links may be back since, or this process may have been suspended, so the target is tried once
+    /// more after another one has been reached.
+    async fn confirm_unreachable(&self, target: &CalledTarget) -> Option<Reachability> {
+        if self.is_isolated(target).await {
             return None;
         }
-        Some(match answer {
-            Some(Ok(_)) => Reachability::Answers,
+        Some(match within(CONFIRM_TIMEOUT, self.connections.connect(target.address)).await {
+            Some(Ok(connection)) => {
+                self.connections.put(target.address, connection, None);
+                Reachability::Silent
+            }
             Some(Err(ConnectionError::Connect { source })) if is_refused(&source) => {
                 Reachability::Gone
             }
-            Some(Err(_)) | None if has_connected.get() => Reachability::Silent,
             Some(Err(_)) | None => Reachability::NoConnection,
         })
     }
@@ -185,10 +205,6 @@
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
             request.headers_mut().insert(HOST, host);
         }
-        let late = async {
-            Timer::after(timeout).await;
-            None
-        };
         let exchange = async {
             let answer = async {
                 let (mut connection, is_new) = open.await?;
@@ -203,16 +219,12 @@
                     Ok(response) => Ok((connection, response)),
                 }
             };
-            Some(match answer.await {
-                Ok((connection, response)) => {
-                    let (parts, body) = response.into_parts();
-                    self.finish(address, connection, &parts, body).await;
-                    Ok(parts)
-                }
-                Err(error) => Err(error),
-            })
+            let (connection, response) = answer.await?;
+            let (parts, body) = response.into_parts();
+            self.finish(address, connection, &parts, body).await;
+            Ok(parts)
         };
-        smol::future::or(exchange, late).await
+        within(timeout, exchange).await
     }
 
     /// Reads the rest of the answer and returns the connection to the pool.
@@ -231,6 +243,15 @@
     }
 }
 
+/// Waits for a future; returns `None` on a timeout.
+async fn within<T>(timeout: Duration, future: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(timeout).await;
+        None
+    };
+    smol::future::or(async { Some(future.await) }, late).await
+}
+
 fn is_refused(error: &std::io::Error) -> bool {
     matches!(
         error.kind(),
