--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -172,6 +172,7 @@
                 let is_isolated = self.is_isolated().await;
                 self.log_failure(&error, is_isolated);
                 if is_isolated {
+                    self.log_unchecked();
                     return Err(SendError::Ended(AttemptOutcome::Isolated(error.verdict())));
                 }
                 if error.verdict() == Verdict::MayHaveRun {
@@ -287,6 +288,13 @@
         self.exchange.unless_interrupted(check).await.unwrap_or(false)
     }
 
+    /// Logs that nothing finds out whether the target has ended.
+    pub(crate) fn log_unchecked(&self) {
+        info!(self.exchange.dispatcher.log, "target not checked";
+            "digest" => self.exchange.request.digest.to_string(),
+            "target" => self.destination.target.as_str(), "why" => "isolated");
+    }
+
     fn log_failure(&self, error: &ConnectionError, is_isolated: bool) {
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -5,6 +5,7 @@
 use celeryhaven_http::ConnectionError;
 use celeryhaven_policy::Ticket;
 use celeryhaven_types::TimeMs;
+use slog::info;
 use smol::Timer;
 
 use crate::adapter::Adapter;
@@ -61,19 +62,32 @@
     async fn check_after(self: Rc<Self>, delay: Duration, run: EndedRun) {
         Timer::after(delay).await;
         let address = run.destination.address;
-        match self.connections.connect(address).await {
-            Ok(connection) => self.connections.put(address, connection, None),
+        let found = match self.connections.connect(address).await {
+            Ok(connection) => {
+                self.connections.put(address, connection, None);
+                "accepted"
+            }
             Err(ConnectionError::Connect { source })
                 if source.kind() == ErrorKind::ConnectionRefused =>
             {
+                self.log_checked(&run, "refused");
                 return self.record_refused(&run).await;
             }
             // A target that is out of reach need not have ended.
-            Err(_) => {}
-        }
+            Err(ConnectionError::ConnectTimeout { .. }) => "timed out",
+            Err(_) => "failed",
+        };
+        self.log_checked(&run, found);
         self.log_unattributed(&run, "not ended");
     }
 
+    /// Logs what a new connection to the target of a run has shown.
+    fn log_checked(&self, run: &EndedRun, found: &'static str) {
+        info!(self.log, "target checked"; "digest" => run.request.digest.to_string(),
+            "target" => run.destination.target.as_str(), "found" => found,
+            "after_ms" => self.now().since(run.broken_at));
+    }
+
     /// Records a crash, unless this node can open no connection to any target now.
     async fn record_refused(&self, run: &EndedRun) {
         let Destination { service, address, .. } = &run.destination;
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -205,6 +205,7 @@
                 Ok(Some(Err(_))) => {
                     self.log_end("answer broke off", StatusCode::OK.as_u16());
                     if self.is_isolated().await {
+                        self.log_unchecked();
                         let outcome = AttemptOutcome::Isolated(Verdict::MayHaveRun);
                         return ReadResult::Ended(outcome);
                     }
