--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`SoundRuns`] | causes that targets have run lately without ending |
 //! | [`CrashRecord`] | what the fleet knows of one cause, as stored |
 //! | [`Quarantine`] | all records, and the reports that are still to be written |
+//! | [`UnsettledEnds`] | contents that were running when targets may have ended |
 //! | [`Standing`] | how the requests that hold a cause are treated |
 
 mod cause_digest;
@@ -25,6 +26,7 @@
 mod quarantine;
 mod sound_runs;
 mod standing;
+mod unsettled_ends;
 
 pub use cause_digest::{CauseDigest, InvalidDigest};
 pub use crash_record::{CRASHES_MAX, CauseKind, Crash, CrashRecord};
@@ -32,3 +34,4 @@
 pub use quarantine::{Quarantine, QuarantineWrite};
 pub use sound_runs::SoundRuns;
 pub use standing::{Standing, Standings};
+pub use unsettled_ends::UnsettledEnds;
--- a/crates/quarantine/src/pending_crashes.rs
+++ b/crates/quarantine/src/pending_crashes.rs
@@ -89,13 +89,13 @@
     /// Records that a target ended while it ran a cause.
     ///
     /// Several requests that hold it on the same target count once. A crash is not recorded if
-    /// too many causes have pending ones.
+    /// too many causes have pending ones; returns whether it is.
     ///
     /// If `is_urgent`, all crashes of the cause are due at once.
-    pub fn record(&mut self, now: TimeMs, crash: C, is_urgent: bool) {
+    pub fn record(&mut self, now: TimeMs, crash: C, is_urgent: bool) -> bool {
         let digest = crash.digest();
         if self.by_cause.len() >= PENDING_MAX && !self.by_cause.contains_key(&digest) {
-            return;
+            return false;
         }
         let pending = self.by_cause.entry(digest);
         let pending = pending.or_insert_with(|| Pending { crashes: Vec::new(), is_urgent });
@@ -103,6 +103,7 @@
             pending.crashes.push((now, crash));
         }
         pending.is_urgent |= is_urgent;
+        true
     }
 
     /// Whether crashes of a cause are pending.
@@ -134,21 +135,11 @@
             .for_each(|(_, crash)| crash.clear_excuse());
     }
 
-    /// Records that a target has completed a request that holds a cause, which acquits it of the crashes so far.
-    pub fn completed(&mut self, digest: CauseDigest) {
-        self.by_cause.remove(&digest);
-    }
-
-    /// Removes and returns the crashes that match.
-    pub fn take_matching(&mut self, matches: impl Fn(&C) -> bool) -> Vec<C> {
-        let mut taken = Vec::new();
-        self.by_cause.retain(|_, Pending { crashes, .. }| {
-            taken.extend(
-                crashes.extract_if(.., |(_, crash)| matches(crash)).map(|(_, crash)| crash),
-            );
-            !crashes.is_empty()
-        });
-        taken
+    /// Records that a target has completed a request that holds a cause, which acquits it of the
+    /// crashes so far; returns these.
+    pub fn completed(&mut self, digest: CauseDigest) -> Vec<C> {
+        let crashes = self.by_cause.remove(&digest).map(|pending| pending.crashes);
+        crashes.into_iter().flatten().map(|(_, crash)| crash).collect()
     }
 
     /// Removes and returns the crashes that are due to be reported.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -2,8 +2,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use celeryhaven_records::{RecordTable, RecordWrite, StoredRecord, WriteOutcome};
-use celeryhaven_types::TimeMs;
 use celeryhaven_types::store::ObjectVersion;
+use celeryhaven_types::{TimeMs, VmName};
 
 use crate::crash_record::Explained;
 use crate::{CauseDigest, Crash, CrashRecord, Standing, Standings};
@@ -31,6 +31,9 @@
 const WRITE_RETRY_MS: u64 = 400;
 const WRITE_RETRY_DOUBLINGS_MAX: u32 = 2;
 
+/// How long a node remembers what others have told it and the store does not hold, in milliseconds.
+const TOLD_RETENTION_MS: u64 = 60 * 1_000;
+
 /// What this node has to add to a record.
 #[derive(Clone, Debug)]
 struct Unwritten {
@@ -43,11 +46,14 @@
 /// What was running when targets ended, as one node knows it.
 ///
 /// The records are in the store, where they outlive every node. A node follows them, adds its own
-/// reports by conditional writes, and acts on its reports before they are written.
+/// reports by conditional writes, and acts on its reports, and on those that other nodes tell it, before
+/// they are written.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     stored: RecordTable<CauseDigest, CrashRecord>,
     unwritten: BTreeMap<CauseDigest, Unwritten>,
+    /// What other nodes have told this one, until the store holds it or until a time.
+    told: BTreeMap<CauseDigest, (CrashRecord, TimeMs)>,
     /// Records that this node is removing.
     deleting: BTreeMap<CauseDigest, TimeMs>,
     /// Reports that found no room in the store.
@@ -74,13 +80,40 @@
         &mut self.stored
     }
 
-    /// Returns the record of a cause, with this node's own reports.
+    /// Returns the record of a cause, with this node's own reports and those that others have told it.
     pub fn record(&self, digest: CauseDigest) -> Option<CrashRecord> {
-        let stored = self.stored.get(&digest).map(|stored| stored.record.clone());
-        let Some(unwritten) = self.unwritten.get(&digest) else { return stored };
-        let mut record = stored.unwrap_or_default();
-        record.merge(&unwritten.addition);
-        Some(record)
+        let stored = self.stored.get(&digest).map(|stored| &stored.record);
+        let unwritten = self.unwritten.get(&digest).map(|unwritten| &unwritten.addition);
+        let told = self.told.get(&digest).map(|(told, _)| told);
+        let known = stored.into_iter().chain(unwritten).chain(told);
+        known.cloned().reduce(|mut record, addition| {
+            record.merge(&addition);
+            record
+        })
+    }
+
+    /// Applies what another node has seen of a cause, which that node writes to the store.
+    ///
+    /// While too much is remembered, it is dropped.
+    pub fn learn(&mut self, now: TimeMs, digest: CauseDigest, addition: &CrashRecord) {
+        if self.told.len() < RECORDS_MAX || self.told.contains_key(&digest) {
+            let (told, until) = self.told.entry(digest).or_default();
+            told.merge(addition);
+            *until = now.after(TOLD_RETENTION_MS);
+        }
+    }
+
+    /// Forgets what others have told this node once the store holds it.
+    fn forget_told(&mut self, now: TimeMs) {
+        let stored = &self.stored;
+        self.told.retain(|digest, (told, until)| {
+            let is_stored = stored.get(digest).is_some_and(|known| {
+                let mut record = known.record.clone();
+                record.merge(told);
+                record == known.record
+            });
+            !is_stored && *until > now
+        });
     }
 
     /// Returns the standing of every cause that has one.
@@ -109,7 +142,8 @@
 
     fn records(&self) -> Vec<(CauseDigest, CrashRecord)> {
         let stored = self.stored.iter().map(|(digest, _)| *digest);
-        let digests: BTreeSet<_> = stored.chain(self.unwritten.keys().copied()).collect();
+        let own = self.unwritten.keys().chain(self.told.keys());
+        let digests: BTreeSet<_> = stored.chain(own.copied()).collect();
         digests.into_iter().filter_map(|digest| Some((digest, self.record(digest)?))).collect()
     }
 
@@ -128,6 +162,7 @@
 
     /// Notes when this node has learned of the crashes that it knows by now.
     pub fn note_learned(&mut self, now: TimeMs) {
+        self.forget_told(now);
         let records: BTreeMap<_, _> = self.records().into_iter().collect();
         self.learned.retain(|digest, _| records.contains_key(digest));
         for (digest, record) in records {
@@ -165,6 +200,24 @@
         (!addition.crashes.is_empty()).then_some(addition)
     }
 
+    /// Returns what the records lack once it is known that a process has not ended.
+    pub fn retraction(
+        &self,
+        target: &VmName,
+        started_at_ms: Option<u64>,
+    ) -> Vec<(CauseDigest, CrashRecord)> {
+        let is_wrong = |crash: &Crash| {
+            !crash.refuted && &crash.target == target && crash.started_at_ms == started_at_ms
+        };
+        let records = self.records().into_iter();
+        let retracted = records.filter_map(|(digest, record)| {
+            let crash = record.crashes.into_iter().find(is_wrong)?;
+            let crashes = vec![Crash { refuted: true, ..crash }];
+            Some((digest, CrashRecord { crashes, ..CrashRecord::default() }))
+        });
+        retracted.collect()
+    }
+
     /// Adds what this node has seen of a cause; returns whether it is remembered.
     ///
     /// While too many reports are unwritten, further ones are dropped.
