--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -29,6 +29,7 @@
 use crate::control::coordinators::Coordinators;
 use crate::control::counted_store::CountedStore;
 use crate::control::directory::DirectoryState;
+use crate::control::ends::Ends;
 use crate::control::event::{ControlEvent, FeedKind};
 use crate::control::feed::{Feed, Poller, SharedSource};
 use crate::control::feed_conditions::{FeedConditions, FleetScale};
@@ -106,6 +107,7 @@
     pub(super) evacuations_listed: bool,
     /// Last standings published to traffic.
     pub(super) standings: Arc<Standings>,
+    pub(super) ends: Ends,
     pub(super) limits: TargetLimits,
     /// Last limits published to traffic.
     pub(super) node_limits: Arc<TargetLimitMap>,
@@ -155,6 +157,7 @@
             advisories_listed: false,
             evacuations_listed: false,
             standings: Arc::default(),
+            ends: Ends::default(),
             limits: TargetLimits::new(),
             node_limits: Arc::default(),
             notices: Arc::default(),
@@ -290,6 +293,27 @@
                 self.record_quarantine_write(now, &write, outcome);
                 Changes::nodes(true)
             }
+            ControlEvent::EndsAsked(question, reply) => {
+                self.answer_question(now, question, reply);
+                Changes::nodes(true)
+            }
+            ControlEvent::EndsAnswered(node, answers) => {
+                self.record_answers(now, &node, answers);
+                Changes::nodes(true)
+            }
+            ControlEvent::EndFound(process, finding) => {
+                self.record_found(now, &process, finding);
+                Changes::nodes(true)
+            }
+            ControlEvent::EndsDue => Changes::nodes(true),
+            ControlEvent::EndSettled(process) => {
+                self.record_settled(&process);
+                Changes::nodes(true)
+            }
+            ControlEvent::CrashesSeen(seen) => {
+                self.learn_crashes(now, seen);
+                Changes::nodes(true)
+            }
             ControlEvent::LimitWritten(write, outcome) => {
                 self.record_limit_write(now, &write, outcome);
                 Changes::nodes(true)
@@ -359,6 +383,7 @@
         if changes.targets || changes.nodes {
             self.update_coordinated_domains();
             self.update_upstream();
+            self.process_ends(BootClock.now());
             self.publish();
         }
         if changes.forming {
@@ -370,7 +395,10 @@
     fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) -> Changes {
         let changes_advisories = matches!(
             report,
-            TrafficReport::Crashed(_) | TrafficReport::Completed(..) | TrafficReport::LimitNamed(_)
+            TrafficReport::Crashed(_)
+                | TrafficReport::EndSuspected(..)
+                | TrafficReport::Completed(..)
+                | TrafficReport::LimitNamed(_)
         );
         match report {
             TrafficReport::FirstRequest => {
@@ -384,6 +412,7 @@
                 self.handle_suspicion(now, Suspicion::LossReported(target));
             }
             TrafficReport::Offered(loads) => self.record_offered_load(now, &loads),
+            TrafficReport::EndSuspected(query, reply) => self.check_end(now, query, reply),
             TrafficReport::Crashed(crashes) => self.report_crashes(now, crashes),
             TrafficReport::Completed(digest, sent_at) => {
                 self.report_completed(now, digest, sent_at);
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,3 +1,5 @@
+use async_channel::Sender;
+use celeryhaven_ends::{Finding, TargetProcess};
 use celeryhaven_fleet::StoreContact;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_load_quota::{QuotaCall, QuotaReply};
@@ -11,6 +13,7 @@
 
 use crate::control::counted_store::StoreCallKind;
 use crate::control::directory::StoredDirectory;
+use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
 use crate::control::suspicions::Suspicion;
 use crate::traffic::TrafficReport;
 
@@ -127,6 +130,18 @@
     Forming(DomainName, FormingEvent),
     /// Version of a domain record after a read or write.
     RecordVersion(DomainName, Option<ObjectVersion>),
+    /// Another node asks about ends of targets.
+    EndsAsked(EndQuestion, Sender<EndAnswer>),
+    /// What a peer has found of ends of targets; `None` if it has not answered.
+    EndsAnswered(NodeName, Vec<(TargetProcess, Option<Finding>)>),
+    /// What this node has found of a process by connecting once more.
+    EndFound(TargetProcess, Finding),
+    /// A refusal has waited for a contradiction.
+    EndsDue,
+    /// A process that another node has asked about goes on.
+    EndSettled(TargetProcess),
+    /// What another node has seen of causes of crashes.
+    CrashesSeen(SeenCrashes),
     /// Outcome of a write of a quarantine record.
     QuarantineWritten(QuarantineWrite, WriteOutcome<CrashRecord>),
     /// Outcome of a write of a target's limit.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod counted_store;
 mod departures;
 mod directory;
+mod ends;
 mod evacuations;
 mod event;
 mod feed;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -44,6 +44,7 @@
             cut_off_until: self.cut_off_until,
             evacuations: self.fleet.evacuations().clone(),
             limits: self.node_limits.clone(),
+            held: self.ends.held.clone(),
             standings: self.advisories_listed.then(|| self.standings.clone()),
         };
         if !self.published.as_ref().is_some_and(|last| last.is_same_as(&update)) {
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -81,12 +81,14 @@
         }
     }
 
-    fn report(&mut self, now: TimeMs, additions: &[(CauseDigest, CrashRecord)]) {
+    /// Adds to the records what this node has seen.
+    pub(super) fn report(&mut self, now: TimeMs, additions: &[(CauseDigest, CrashRecord)]) {
         for (digest, addition) in additions {
             if !self.quarantine.report(now, *digest, addition) {
                 warn!(self.parts.log, "crash report dropped"; "digest" => digest.to_string());
             }
         }
+        self.tell_crashes(now, additions);
         self.write_quarantine(now);
         self.update_standings(now);
     }
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use smol::Timer;
 
+use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
 use crate::control::relay::codec::{decode, encode};
 use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::peer_address::PeerAddress;
@@ -19,6 +20,13 @@
 /// Path for suspicions.
 pub(super) const SUSPICION_PATH: &str = "/v1/suspicion";
 
+/// Paths for questions about ends of targets, and for crashes that a node has seen.
+pub(super) const ENDS_PATH: &str = "/v1/ends";
+pub(super) const CRASHES_PATH: &str = "/v1/crashes";
+
+/// How long a peer may take to find out about ends, beyond the slack of any answer, in milliseconds.
+const FIND_MS: u64 = 200;
+
 /// Polls a relay and reports this node's demand; returns `None` if there is no valid answer.
 pub(crate) async fn poll_relay(
     connections: &ConnectionPool,
@@ -45,6 +53,26 @@
     call_peer(connections, peer, SUSPICION_PATH, body.into(), 0).await.unwrap_or_default();
 }
 
+/// Asks a peer about ends of targets; returns `None` if there is no valid answer.
+pub(crate) async fn ask_ends(
+    connections: &ConnectionPool,
+    peer: &PeerAddress,
+    question: &EndQuestion,
+) -> Option<EndAnswer> {
+    let body = encode(question)?;
+    decode(&call_peer(connections, peer, ENDS_PATH, body.into(), FIND_MS).await?)
+}
+
+/// Tells a peer of crashes; returns whether it has answered. The store tells it as well.
+pub(crate) async fn send_crashes(
+    connections: &ConnectionPool,
+    peer: &PeerAddress,
+    seen: &SeenCrashes,
+) -> bool {
+    let Some(body) = encode(seen) else { return false };
+    call_peer(connections, peer, CRASHES_PATH, body.into(), 0).await.is_some()
+}
+
 /// Sends a request to a node that may wait up to `wait_ms` before it answers.
 async fn call_peer(
     connections: &ConnectionPool,
--- a/crates/gateway/src/control/relay/peer_server.rs
+++ b/crates/gateway/src/control/relay/peer_server.rs
@@ -4,16 +4,17 @@
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 
+use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
 use crate::control::event::ControlEvent;
-use crate::control::relay::codec::decode;
-use crate::control::relay::peer_client::SUSPICION_PATH;
+use crate::control::relay::codec::{decode, encode};
+use crate::control::relay::peer_client::{CRASHES_PATH, ENDS_PATH, SUSPICION_PATH};
 use crate::control::relay::relay_request::RelayRequest;
 use crate::control::relay::relay_state::RelayState;
 use crate::control::suspicions::Suspicion;
 use crate::traffic::AnswerBody;
 
 /// Longest accepted request of another node, in bytes.
-const MESSAGE_BYTES_MAX: usize = 4 * 1024;
+const MESSAGE_BYTES_MAX: usize = 32 * 1024;
 
 /// Answers a request of another node: a relay request or a suspicion.
 pub(crate) async fn answer_peer_request(
@@ -31,12 +32,39 @@
         events.send(ControlEvent::Suspicion(suspicion)).await.unwrap_or_default();
         return empty_response(StatusCode::OK);
     }
+    match request.uri().path() {
+        ENDS_PATH => return answer_ends(events, request).await,
+        CRASHES_PATH => {
+            let Some(seen) = read_body::<SeenCrashes>(request).await else {
+                return empty_response(StatusCode::BAD_REQUEST);
+            };
+            events.send(ControlEvent::CrashesSeen(seen)).await.unwrap_or_default();
+            return empty_response(StatusCode::OK);
+        }
+        _ => {}
+    }
     match RelayRequest::parse(&request) {
         Some(relay_request) => relay.answer(relay_request, read_body(request).await).await,
         None => empty_response(StatusCode::NOT_FOUND),
     }
 }
 
+/// Answers what this node finds of ends of targets.
+async fn answer_ends(
+    events: Sender<ControlEvent>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let Some(question) = read_body::<EndQuestion>(request).await else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
+    let (reply, answer) = async_channel::bounded(1);
+    events.send(ControlEvent::EndsAsked(question, reply)).await.unwrap_or_default();
+    match answer.recv().await.ok().and_then(|answer: EndAnswer| encode(&answer)) {
+        Some(bytes) => Response::new(AnswerBody::full(bytes)),
+        None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
 /// Reads and decodes a body; returns `None` if it is empty or invalid.
 async fn read_body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
     let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await.ok()?;
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use celeryhaven_clock::BootClock;
+use celeryhaven_ends::Finding;
 use celeryhaven_fleet::{OrderOutcome, TargetEntry, TargetOrder};
 use celeryhaven_forming::Reachability;
 use celeryhaven_http::{Connection, ConnectionError, ConnectionPool};
@@ -125,6 +126,24 @@
         }
     }
 
+    /// Finds out what a new connection to a target shows, without a request.
+    pub(crate) async fn find(&self, target: &CalledTarget) -> Finding {
+        let connect = self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY);
+        match within(PROBE_CONNECT_TIMEOUT, connect).await {
+            Some(Ok(connection)) => {
+                self.connections.put(target.address, connection, None);
+                Finding::Accepted
+            }
+            Some(Err(ConnectionError::Connect { source }))
+                if source.kind() == std::io::ErrorKind::ConnectionRefused
+                    && !self.is_isolated(target).await =>
+            {
+                Finding::Refused
+            }
+            Some(Err(_)) | None => Finding::Unreachable,
+        }
+    }
+
     /// Decides whether a target is unreachable to which no connection could be opened; returns `None`
     /// if this node reaches no target.
     ///
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -169,16 +169,15 @@
             Ok(Ok(response)) => Ok((connection, response)),
             Ok(Err(ConnectionError::Closed)) => Err(SendError::NotSent),
             Ok(Err(error)) => {
-                let is_isolated = self.is_isolated().await;
-                self.log_failure(&error, is_isolated);
-                if is_isolated {
-                    self.log_unchecked();
-                    return Err(SendError::Ended(AttemptOutcome::Isolated(error.verdict())));
-                }
                 if error.verdict() == Verdict::MayHaveRun {
                     self.check_broken();
                 }
-                Err(SendError::Ended(AttemptOutcome::Failed(error.verdict())))
+                let is_isolated = self.is_isolated().await;
+                self.log_failure(&error, is_isolated);
+                Err(SendError::Ended(match is_isolated {
+                    true => AttemptOutcome::Isolated(error.verdict()),
+                    false => AttemptOutcome::Failed(error.verdict()),
+                }))
             }
             Err(interrupt) => Err(SendError::Ended(AttemptOutcome::Interrupted(interrupt))),
         }
@@ -288,13 +287,6 @@
         self.exchange.unless_interrupted(check).await.unwrap_or(false)
     }
 
-    /// Logs that nothing finds out whether the target has ended.
-    pub(crate) fn log_unchecked(&self) {
-        info!(self.exchange.dispatcher.log, "target not checked";
-            "digest" => self.exchange.request.digest.to_string(),
-            "target" => self.destination.target.as_str(), "why" => "isolated");
-    }
-
     fn log_failure(&self, error: &ConnectionError, is_isolated: bool) {
         info!(self.exchange.dispatcher.log, "attempt broken";
             "request_id" => self.exchange.request.id(),
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -40,6 +40,9 @@
     StartSecond(SecondAttempt),
     /// Let a peer run the request beside the attempt that runs.
     DelegateSecond,
+    /// Give the attempt up, unless a whole event has come: a cause that the request holds is
+    /// quarantined.
+    TakeBack,
 }
 
 /// Instructions that may wait for an exchange.
@@ -77,6 +80,7 @@
     /// Why it got no further attempt when it last needed one.
     pub(crate) retry_denial: Option<RetryDenial>,
     pub(crate) digest: CauseDigest,
+    pub(crate) parts: Vec<CauseDigest>,
 }
 
 /// The state on which dispatch decisions are based.
@@ -94,6 +98,8 @@
     /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
     /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
+    /// Contents of which this node runs one copy at a time, as they may have ended targets.
+    pub(crate) held: Arc<BTreeSet<CauseDigest>>,
     /// Nodes that can run requests for this one.
     pub(crate) peers: PeerSet,
     /// Crashes that are not reported yet.
@@ -132,6 +138,7 @@
             active_requests: Map::default(),
             evacuations: Evacuations::default(),
             standings: None,
+            held: Arc::default(),
             peers: PeerSet::new(),
             rng: SmallRng::seed_from_u64(seed.wrapping_add(1)),
             crashes: PendingCrashes::new(),
@@ -173,6 +180,7 @@
             first: None,
             retry_denial: None,
             digest: request.digest,
+            parts: request.parts.clone(),
         };
         self.active_requests.insert(ticket, active);
         let mut out = Vec::new();
@@ -350,6 +358,30 @@
         self.standings.as_ref()?.get(&digest).copied()
     }
 
+    /// Takes back what runs and holds a quarantined cause, unless targets have run that lately without
+    /// ending.
+    pub(crate) fn take_back_quarantined(&self) {
+        let is_guilty = |digest: &CauseDigest| {
+            let standing = self.standing(*digest);
+            standing.is_some_and(Standing::is_quarantined) && !self.sound_runs.contains(*digest)
+        };
+        let running = self.active_requests.values().filter(|active| active.destination.is_some());
+        let guilty = running
+            .filter(|active| is_guilty(&active.digest) || active.parts.iter().any(is_guilty));
+        guilty.for_each(|active| {
+            active.instructions.try_send(Instruction::TakeBack).unwrap_or_default();
+        });
+    }
+
+    /// Whether a request must wait, as its content may end targets and another copy of it runs.
+    pub(crate) fn is_held_back(&self, ticket: Ticket, request: &CallerRequest) -> bool {
+        let digest = request.digest;
+        let mut others = self.active_requests.iter().filter(|(other, _)| **other != ticket);
+        self.held.contains(&digest)
+            && !self.sound_runs.contains(digest)
+            && others.any(|(_, active)| active.digest == digest && active.destination.is_some())
+    }
+
     /// Returns the choice key of a request: of the last part that is suspected, or else of its content;
     /// `None` if targets have run that lately without ending.
     ///
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -1,6 +1,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
@@ -16,8 +17,7 @@
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
 use crate::traffic::{
-    CallerRequest, CrashReport, DestinationName, SharedConfirmation, SharedNotices, TrafficReport,
-    TrafficUpdate,
+    CallerRequest, DestinationName, SharedConfirmation, SharedNotices, TrafficReport, TrafficUpdate,
 };
 
 /// Interval between two checks of queues and stalled replicas.
@@ -122,7 +122,15 @@
             state.addresses = update.addresses;
             state.ready = update.ready;
             state.cut_off_until = update.cut_off_until;
+            state.held = update.held;
+            let is_changed = match (&state.standings, &update.standings) {
+                (Some(before), Some(after)) => !Arc::ptr_eq(before, after),
+                (before, after) => before.is_some() != after.is_some(),
+            };
             state.standings = update.standings;
+            if is_changed {
+                state.take_back_quarantined();
+            }
             if state.evacuations != update.evacuations {
                 state.evacuations = update.evacuations;
                 self.is_clear.set(false);
@@ -160,11 +168,8 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let before = self.isolated.replace(isolated.clone());
-        for service in before.symmetric_difference(&isolated) {
-            for CrashReport { digest, target, .. } in state.forget_failures(now, service) {
-                info!(self.log, "end not attributed"; "digest" => digest.to_string(),
-                    "target" => target.as_str(), "why" => "isolated");
-            }
+        if before != isolated {
+            state.forget_failures(now);
         }
         if !isolated.is_empty() {
             state.delegate_silent(now, |service| isolated.contains(service));
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -32,6 +32,11 @@
 /// Time after a crash within which the other nodes learn what it implicates.
 const REPORT_TIME: Duration = Duration::from_millis(200);
 
+/// Longest wait for another copy of a content that may have ended targets, in milliseconds, and the
+/// interval between two looks.
+const HELD_MS_MAX: u64 = 600;
+const HELD_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Why an attempt was stopped before its target answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Interrupt {
@@ -41,6 +46,8 @@
     Cancelled,
     /// The second attempt has an answer.
     Overtaken,
+    /// A cause that the request holds is quarantined.
+    Quarantined,
 }
 
 /// Handles one caller request from its arrival to its final answer.
@@ -145,6 +152,7 @@
 
     /// Sends the request to targets until the caller has a final answer.
     pub(crate) async fn run(mut self) {
+        self.wait_while_held().await;
         if self.dispatcher.link_check.links.is_isolated(&self.request.service) {
             if self.request.delegated.is_some() {
                 return self.refuse_isolated().await;
@@ -161,7 +169,7 @@
                 Some(instruction) => instruction,
             };
             match instruction {
-                Instruction::Cancel | Instruction::DelegateSecond => {}
+                Instruction::Cancel | Instruction::DelegateSecond | Instruction::TakeBack => {}
                 Instruction::Refuse(refusal) => {
                     self.retry_denial = self.dispatcher.retry_denial(self.ticket);
                     self.dispatcher.refused(self.ticket);
@@ -210,9 +218,12 @@
                     Ok(Instruction::Cancel) => return Err(Interrupt::Cancelled),
                     Ok(Instruction::StartSecond(second)) => return Ok(Some(second)),
                     Ok(Instruction::DelegateSecond) => return Ok(None),
+                    Ok(Instruction::TakeBack) if self.may_be_taken_back() => {
+                        return Err(Interrupt::Quarantined);
+                    }
                     // The policy does not know the request, so nothing cancels it.
                     Err(_) => std::future::pending().await,
-                    Ok(Instruction::Send(_) | Instruction::Refuse(_)) => {}
+                    Ok(Instruction::Send(_) | Instruction::Refuse(_) | Instruction::TakeBack) => {}
                 }
             }
         };
@@ -244,6 +255,21 @@
         }
     }
 
+    /// Whether an attempt that runs is given up as its request is quarantined.
+    fn may_be_taken_back(&self) -> bool {
+        self.unanswered_at.is_some() && self.quarantine_refusal().is_some()
+    }
+
+    /// Waits while another copy of the content runs at this node, if it may have ended targets.
+    async fn wait_while_held(&self) {
+        let wait_ms = HELD_MS_MAX.min(self.time_left().as_millis() as u64 / 2);
+        let until = self.dispatcher.now().after(wait_ms);
+        let is_held = || self.dispatcher.state.borrow().is_held_back(self.ticket, &self.request);
+        while !self.is_trial && is_held() && self.dispatcher.now() < until {
+            Timer::after(HELD_INTERVAL).await;
+        }
+    }
+
     /// Returns the time until the caller's deadline.
     pub(crate) fn time_left(&self) -> Duration {
         Duration::from_millis(self.request.deadline.since(self.dispatcher.now()))
@@ -271,6 +297,7 @@
             AttemptOutcome::Interrupted(Interrupt::Deadline) => Some("deadline"),
             AttemptOutcome::Interrupted(Interrupt::Cancelled) => Some("taken off its target"),
             AttemptOutcome::Interrupted(Interrupt::Overtaken) => Some("overtaken"),
+            AttemptOutcome::Interrupted(Interrupt::Quarantined) => Some("quarantined"),
             AttemptOutcome::Failed(_) | AttemptOutcome::PeerRefused(..) => Some("broken"),
             AttemptOutcome::Withheld => Some("withheld"),
             AttemptOutcome::Isolated(_) => Some("node isolated"),
@@ -289,6 +316,12 @@
                 self.fail(RefusalCode::AnswerLost).await;
                 true
             }
+            AttemptOutcome::Interrupted(Interrupt::Quarantined) => {
+                self.log_cancelled_attempt();
+                self.may_have_run = true;
+                self.fail(RefusalCode::AnswerLost).await;
+                true
+            }
             AttemptOutcome::Interrupted(Interrupt::Cancelled | Interrupt::Overtaken) => {
                 self.log_cancelled_attempt();
                 self.may_have_run = true;
@@ -322,6 +355,7 @@
             RetryDenial::NoAttemptLeft
         } else {
             self.wait_for_reports(verdict).await;
+            self.wait_while_held().await;
             self.dispatcher.attempt_failed(self.ticket, &self.request, verdict);
             return false;
         };
@@ -345,6 +379,7 @@
         // Peers do not know that the request may have reached a target already.
         let is_paid = self.reached == 0 || self.dispatcher.try_withdraw_retry(self.ticket);
         self.detach();
+        self.wait_while_held().await;
         if !(may_retry && is_paid && self.may_delegate())
             || self.delegate().await == Delegation::NoPeer
         {
@@ -419,9 +454,11 @@
     /// Logs an attempt whose request goes on as a second one.
     pub(super) fn log_replaced_attempt(&mut self, outcome: AttemptOutcome) {
         if let AttemptOutcome::Interrupted(interrupt) = outcome {
-            let is_overtaken = interrupt == Interrupt::Overtaken;
-            self.last_attempt_outcome =
-                Some(if is_overtaken { "overtaken" } else { "taken off its target" });
+            self.last_attempt_outcome = Some(match interrupt {
+                Interrupt::Overtaken => "overtaken",
+                Interrupt::Quarantined => "quarantined",
+                Interrupt::Cancelled | Interrupt::Deadline => "taken off its target",
+            });
             self.log_cancelled_attempt();
         }
     }
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -204,13 +204,11 @@
                 Ok(None) => return ReadResult::Complete,
                 Ok(Some(Err(_))) => {
                     self.log_end("answer broke off", StatusCode::OK.as_u16());
-                    if self.is_isolated().await {
-                        self.log_unchecked();
-                        let outcome = AttemptOutcome::Isolated(Verdict::MayHaveRun);
-                        return ReadResult::Ended(outcome);
-                    }
                     self.check_broken();
-                    return ReadResult::Ended(AttemptOutcome::Failed(Verdict::MayHaveRun));
+                    return ReadResult::Ended(match self.is_isolated().await {
+                        true => AttemptOutcome::Isolated(Verdict::MayHaveRun),
+                        false => AttemptOutcome::Failed(Verdict::MayHaveRun),
+                    });
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(bytes) = frame.into_data() {
--- a/crates/gateway/src/traffic/isolated.rs
+++ b/crates/gateway/src/traffic/isolated.rs
@@ -2,9 +2,9 @@
 use celeryhaven_policy::Ticket;
 use celeryhaven_types::{NodeName, ServiceName, TimeMs};
 
+use crate::traffic::DispatchState;
 use crate::traffic::dispatch_state::Instruction;
 use crate::traffic::pool::Pool;
-use crate::traffic::{CrashReport, DispatchState};
 
 /// Silence of a target after which a peer runs a repeatable request as well while this node is
 /// isolated, in milliseconds.
@@ -64,16 +64,11 @@
         }
     }
 
-    /// Forgets what calls have shown of the targets of a service, as this node was isolated; returns
-    /// the crashes.
-    pub(crate) fn forget_failures(
-        &mut self,
-        now: TimeMs,
-        service: &ServiceName,
-    ) -> Vec<CrashReport> {
-        let forgotten = self.crashes.take_matching(|crash| crash.service == *service);
+    /// Forgets what calls have shown of silent targets, as this node was isolated.
+    ///
+    /// Ends of targets stay: each has been settled by more than this node's links.
+    pub(crate) fn forget_failures(&mut self, now: TimeMs) {
         self.stall_detector.clear_suspicions(now);
         self.refresh_targets(now);
-        forgotten
     }
 }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -33,6 +33,6 @@
 pub(crate) use quarantine_gate::Admission;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
-    CrashReport, Destination, DestinationName, NamedLimit, OfferedLoad, Senders, TrafficReport,
-    TrafficUpdate,
+    CrashReport, Destination, DestinationName, EndQuery, NamedLimit, OfferedLoad, Senders,
+    TrafficReport, TrafficUpdate,
 };
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -2,12 +2,14 @@
 
 use celeryhaven_policy::Ticket;
 use celeryhaven_quarantine::{CauseDigest, CauseKind, PendingCrash, Standing};
-use celeryhaven_types::{Refusal, RefusalCode, TimeMs};
+use celeryhaven_types::{Refusal, RefusalCode, TimeMs, VmName};
 use slog::info;
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::traffic::{CallerRequest, CrashReport, Destination, Dispatcher, TrafficReport};
+use crate::traffic::{
+    CallerRequest, CrashReport, Destination, DispatchState, Dispatcher, TrafficReport,
+};
 
 /// Longest wait for the claim of a trial, which is one write to the store.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
@@ -154,15 +156,30 @@
             let has_begun = streamed_ms.is_some() && request.may_repeat();
             let is_likely = is_part || !has_begun || state.crashes.has_other(&report);
             let is_suspected = state.standing(digest).is_some();
-            state.crashes.record(now, report, !excused && (is_suspected || is_likely));
+            let is_urgent = !excused && (is_suspected || is_likely);
+            if !state.crashes.record(now, report, is_urgent) {
+                self.log_end_unattributed(digest, &destination.target, "too many crashes");
+            }
         }
         self.report_due(state.take_due_crashes(now));
     }
 
     /// Logs the end of a target that is held against no request.
     pub(crate) fn log_unattributed(&self, run: &EndedRun, why: &'static str) {
-        info!(self.log, "end not attributed"; "digest" => run.request.digest.to_string(),
-            "target" => run.destination.target.as_str(), "why" => why);
+        self.log_end_unattributed(run.request.digest, &run.destination.target, why);
+    }
+
+    fn log_end_unattributed(&self, digest: CauseDigest, target: &VmName, why: &'static str) {
+        info!(self.log, "end not attributed"; "digest" => digest.to_string(),
+            "target" => target.as_str(), "why" => why);
+    }
+
+    /// Acquits a cause of the crashes that are not reported yet, as a target has run it.
+    fn acquit_of_pending(&self, state: &mut DispatchState, digest: CauseDigest) {
+        state.sound_runs.record(self.now(), digest);
+        for crash in state.crashes.completed(digest) {
+            self.log_end_unattributed(digest, &crash.target, "completed elsewhere");
+        }
     }
 
     /// Reports crashes to the control thread once they have settled.
@@ -181,8 +198,7 @@
     pub(crate) fn acquit(&self, request: &CallerRequest, sent_at: TimeMs) {
         let mut state = self.state.borrow_mut();
         for (digest, _) in request.causes() {
-            state.sound_runs.record(self.now(), digest);
-            state.crashes.completed(digest);
+            self.acquit_of_pending(&mut state, digest);
             if state.standing(digest).is_some() {
                 info!(self.log, "suspected request completed"; "digest" => digest.to_string());
                 self.notify_control(TrafficReport::Completed(digest, sent_at));
@@ -194,8 +210,7 @@
     pub(crate) fn record_sound(&self, request: &CallerRequest) {
         let mut state = self.state.borrow_mut();
         for part in &request.parts {
-            state.sound_runs.record(self.now(), *part);
-            state.crashes.completed(*part);
+            self.acquit_of_pending(&mut state, *part);
         }
     }
 }
--- a/crates/gateway/src/traffic/second_attempts.rs
+++ b/crates/gateway/src/traffic/second_attempts.rs
@@ -94,6 +94,7 @@
             first: Some(ticket),
             retry_denial: None,
             digest: first.digest,
+            parts: first.parts.clone(),
         };
         let attempt = SecondAttempt { ticket: second, destination, instructions: receiver };
         let is_sent = first.instructions.try_send(Instruction::StartSecond(attempt)).is_ok();
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -1,9 +1,11 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_channel::Sender;
 use celeryhaven_delegation::Peer;
 use celeryhaven_derives::state;
+use celeryhaven_ends::{EndVerdict, Finding, TargetProcess};
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
 use celeryhaven_quarantine::{CauseDigest, CauseKind, Standings};
 use celeryhaven_types::{
@@ -123,6 +125,8 @@
     /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
     /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
+    /// Contents of which a node runs one copy at a time, as they may have ended targets.
+    pub(crate) held: Arc<BTreeSet<CauseDigest>>,
 }
 
 impl TrafficUpdate {
@@ -146,6 +150,7 @@
             && self.evacuations == other.evacuations
             && standings
             && Arc::ptr_eq(&self.limits, &other.limits)
+            && Arc::ptr_eq(&self.held, &other.held)
     }
 }
 
@@ -159,6 +164,20 @@
     }
 }
 
+state! {
+    /// A target that may have ended while it ran a request.
+    pub(crate) struct EndQuery {
+        /// The process of the target.
+        pub(crate) process: TargetProcess,
+        /// What a new connection of this node has shown.
+        pub(crate) found: Finding,
+        /// Whether the connection of the request broke, rather than being given up.
+        pub(crate) is_broken: bool,
+        /// The content of the request, unless targets have run that lately without ending.
+        pub(crate) content: Option<CauseDigest>,
+    }
+}
+
 /// A report from traffic to the control thread.
 #[derive(Clone, Debug)]
 pub(crate) enum TrafficReport {
@@ -170,6 +189,8 @@
     LossReported(VmName),
     /// Load that callers have offered since the last report.
     Offered(Vec<OfferedLoad>),
+    /// A target may have ended; the answers tell whether it has.
+    EndSuspected(EndQuery, Sender<EndVerdict>),
     /// Targets that ended while they ran requests.
     Crashed(Vec<CrashReport>),
     /// A run of a suspected cause has completed, which had begun at this time.
