--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -44,13 +44,12 @@
     ) {
         match outcome {
             // A refusal means that the target is no longer in this replica.
-            OrderOutcome::Accepted
-            | OrderOutcome::AlreadyHeld
-            | OrderOutcome::Refused
-            | OrderOutcome::TargetRemoved => {
+            OrderOutcome::Accepted | OrderOutcome::AlreadyHeld | OrderOutcome::Refused => {
                 self.left.insert((member.clone(), key.clone()));
             }
-            OrderOutcome::Unanswered => {}
+            // The path may reset connections to a target that goes on. One that has ended leaves the list,
+            // or comes back without a replica.
+            OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {}
         }
         if let Some(dissolving) = self.dissolving.get_mut(key) {
             dissolving.remaining.remove(member);
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -52,6 +52,8 @@
     /// Delay of orders, which are then unanswered and executed late.
     pub order_delay_ms: Option<u64>,
     delayed_orders: Vec<(TimeMs, VmName, TargetOrder)>,
+    /// Targets to which the paths of the coordinators reset every connection.
+    resetting: BTreeSet<VmName>,
     /// Targets whose process is stopped, with the orders that lie in their sockets.
     stopped: BTreeMap<VmName, Vec<TargetOrder>>,
     pub refuses_stage: BTreeSet<VmName>,
@@ -91,6 +93,7 @@
             violations: Vec::new(),
             order_delay_ms: None,
             delayed_orders: Vec::new(),
+            resetting: BTreeSet::new(),
             stopped: BTreeMap::new(),
             refuses_stage: BTreeSet::new(),
             grants_loads: true,
@@ -154,6 +157,14 @@
         self.stopped.insert(target.clone(), Vec::new());
     }
 
+    /// Sets whether the paths to a target reset every connection.
+    pub fn set_resetting(&mut self, target: &VmName, is_resetting: bool) {
+        match is_resetting {
+            true => self.resetting.insert(target.clone()),
+            false => self.resetting.remove(target),
+        };
+    }
+
     /// Lets a stopped target go on: it carries out the orders that lie in its socket, and returns them.
     pub fn resume(&mut self, target: &VmName) -> Vec<TargetOrder> {
         let orders = self.stopped.remove(target).unwrap_or_default();
@@ -364,6 +375,7 @@
                 FormingAction::Probe { target } => {
                     self.probes += 1;
                     let reachability = match self.targets.get(&target) {
+                        _ if self.resetting.contains(&target) => Reachability::Gone,
                         _ if self.stopped.contains_key(&target) => Reachability::Silent,
                         Some(fake) if fake.alive => Reachability::Answers,
                         _ => Reachability::NoConnection,
@@ -404,6 +416,9 @@
     }
 
     fn order(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
+        if self.resetting.contains(target) {
+            return OrderOutcome::TargetRemoved;
+        }
         if let Some(lying) = self.stopped.get_mut(target) {
             lying.push(order.clone());
             return OrderOutcome::Unanswered;
--- a/crates/forming/tests/silent_targets.rs
+++ b/crates/forming/tests/silent_targets.rs
@@ -117,3 +117,18 @@
     let orders = sim.resume(&free);
     assert!(!orders.iter().any(|order| matches!(order, TargetOrder::Join { .. })), "{orders:?}");
 }
+
+/// A head whose paths reset must not be joined to another replica before it has carried out its leave.
+#[test]
+fn resetting_head_has_not_left() {
+    for (targets, reset_ms) in [(4, 600), (8, 600), (8, 6_000), (9, 16_000)] {
+        let mut sim = formed(targets);
+        let members = sim.members_of("large");
+        sim.set_resetting(&members[0], true);
+        sim.suspect(&members[0]);
+        sim.run_ms(reset_ms);
+        sim.set_resetting(&members[0], false);
+        sim.run_ms(30_000);
+        assert!(sim.serving().values().sum::<usize>() > 0, "{targets} targets, {reset_ms} ms");
+    }
+}
