gateway, ends: peers answer about ends within 40 ms, a refusal waits 150 ms for a contradiction (BUDGET)

A peer's answer for several ends waited for the slowest, which checks its own links meanwhile, and the 60 ms were over before the answer of a peer with a path.

Change: the first question leaves 40 ms for finding out, later ones 200; the verdict waits for all answers or 150 ms.

--- a/crates/ends/src/end_check.rs
+++ b/crates/ends/src/end_check.rs
@@ -9,8 +9,8 @@
 /// in milliseconds; later, a restarted one may listen in its place.
 const RESTART_MS_MIN: u64 = 350;
 
-/// Time for which a refusal waits for a peer that reaches the target.
-pub const CONTRADICTION_TIME: Duration = Duration::from_millis(60);
+/// Time for which a refusal waits for a peer that reaches the target and has not answered yet.
+pub const CONTRADICTION_TIME: Duration = Duration::from_millis(150);
 
 /// Time that peers have to answer, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 300;
--- a/crates/gateway/src/control/ends.rs
+++ b/crates/gateway/src/control/ends.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use celeryhaven_derives::data;
@@ -32,6 +33,11 @@
 const ASKED_FIRST_MS: u64 = 500;
 const ASKED_AGAIN_MS: u64 = 1_700;
 
+/// Time in which a peer finds out about an end, in milliseconds: at first it answers at once, as the
+/// answer for one end waits for those for others; later it may try a second connection.
+const FIND_FIRST_MS: u64 = 40;
+const FIND_AGAIN_MS: u64 = 200;
+
 /// Time for which a node counts an end as unsettled that it checks itself, in milliseconds.
 const CHECKED_MS_MAX: u64 = 20_000;
 
@@ -41,6 +47,8 @@
         pub(crate) ends: Vec<AskedEnd>,
         /// How long the contents count as unsettled.
         pub(crate) unsettled_ms: u64,
+        /// How long finding out may take.
+        pub(crate) find_ms: u64,
     }
 
     /// An end of a target, and the contents that it was running.
@@ -157,8 +165,11 @@
                 contents: self.ends.contents(process),
             });
             let is_first = due.iter().all(|(_, is_repeated)| !is_repeated);
-            let unsettled_ms = if is_first { ASKED_FIRST_MS } else { ASKED_AGAIN_MS };
-            let question = EndQuestion { ends: ends.collect(), unsettled_ms };
+            let (unsettled_ms, find_ms) = match is_first {
+                true => (ASKED_FIRST_MS, FIND_FIRST_MS),
+                false => (ASKED_AGAIN_MS, FIND_AGAIN_MS),
+            };
+            let question = EndQuestion { ends: ends.collect(), unsettled_ms, find_ms };
             peers.iter().for_each(|(node, peer)| self.ask_peer(node, peer, &question));
         }
         let events = self.parts.events.0.clone();
@@ -190,7 +201,7 @@
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let process = process.clone();
         let find = async move {
-            let finding = client.find(&called).await;
+            let finding = client.find(&called, Duration::from_millis(FIND_AGAIN_MS)).await;
             events.send(ControlEvent::EndFound(process, finding)).await.unwrap_or_default();
         };
         self.executor.spawn(find).detach();
@@ -279,13 +290,14 @@
         }
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let executor = self.executor.clone();
+        let find_time = Duration::from_millis(question.find_ms.min(FIND_AGAIN_MS));
         let find_all = async move {
             let finding = finds.into_iter().map(|(listing, called, process)| {
                 let (client, events) = (client.clone(), events.clone());
                 executor.spawn(async move {
                     let finding = match (listing, called) {
                         (Listing::Restarted, _) => Finding::Restarted,
-                        (_, Some(called)) => client.find(&called).await,
+                        (_, Some(called)) => client.find(&called, find_time).await,
                         (_, None) => Finding::Unreachable,
                     };
                     if finding == Finding::Accepted {
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -126,22 +126,24 @@
         }
     }
 
-    /// Finds out what a new connection to a target shows, without a request.
-    pub(crate) async fn find(&self, target: &CalledTarget) -> Finding {
-        let connect = self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY);
-        match within(PROBE_CONNECT_TIMEOUT, connect).await {
-            Some(Ok(connection)) => {
-                self.connections.put(target.address, connection, None);
-                Finding::Accepted
-            }
-            Some(Err(ConnectionError::Connect { source }))
-                if source.kind() == std::io::ErrorKind::ConnectionRefused
-                    && !self.is_isolated(target).await =>
-            {
-                Finding::Refused
+    /// Finds out within a time what a new connection to a target shows, without a request.
+    pub(crate) async fn find(&self, target: &CalledTarget, time: Duration) -> Finding {
+        let find = async {
+            match self.connections.connect_twice(target.address, SECOND_CONNECT_DELAY).await {
+                Ok(connection) => {
+                    self.connections.put(target.address, connection, None);
+                    Finding::Accepted
+                }
+                Err(ConnectionError::Connect { source })
+                    if source.kind() == std::io::ErrorKind::ConnectionRefused
+                        && !self.is_isolated(target).await =>
+                {
+                    Finding::Refused
+                }
+                Err(_) => Finding::Unreachable,
             }
-            Some(Err(_)) | None => Finding::Unreachable,
-        }
+        };
+        within(time, find).await.unwrap_or(Finding::Unreachable)
     }
 
     /// Decides whether a target is unreachable to which no connection could be opened; returns `None`
