--- a/crates/ends/src/end_check.rs
+++ b/crates/ends/src/end_check.rs
@@ -30,6 +30,9 @@
 /// since, in milliseconds.
 const RELIST_MS: u64 = 1_000;
 
+/// Age up to which a decision is taken back that refusals alone have brought about, in milliseconds.
+const REOPEN_MS: u64 = 1_000;
+
 /// Nodes that a target must refuse so that no further ones are asked.
 const REFUSALS_ENOUGH: usize = 3;
 
@@ -142,6 +145,24 @@
         self.asked = peers;
     }
 
+    /// Whether the process may have ended as far as nodes have found, and its check began within
+    /// `within_ms`.
+    pub(crate) fn may_have_ended(&self, now: TimeMs, within_ms: u64) -> bool {
+        let is_settled = self.decided.is_some_and(|(_, verdict)| !verdict.is_by_refusal());
+        let is_reached = self.accepted_early || self.accepted_late_at.is_some();
+        let is_listed = matches!(self.listing, Listing::Same | Listing::Unknown);
+        !is_settled && !is_reached && is_listed && now.since(self.began_at) < within_ms
+    }
+
+    /// Takes a decision back that refusals alone have brought about, as those of many targets at once
+    /// do not show ends.
+    pub(crate) fn reopen(&mut self, now: TimeMs) {
+        let is_recent = |at: TimeMs| now.since(at) < REOPEN_MS;
+        if self.decided.is_some_and(|(at, verdict)| verdict.is_by_refusal() && is_recent(at)) {
+            self.decided = None;
+        }
+    }
+
     /// Whether the check can be removed.
     pub(crate) fn has_expired(&self, now: TimeMs) -> bool {
         self.decided.is_some_and(|(at, verdict)| {
@@ -153,12 +174,8 @@
     fn is_certain(&self) -> bool {
         let refused = self.peers.values().filter(|found| **found == Finding::Refused).count();
         let refused = refused + usize::from(self.own == Finding::Refused);
-        self.decided.is_some_and(|(_, verdict)| match verdict {
-            EndVerdict::Ended(Evidence::Refused | Evidence::RefusedToPeer) => {
-                refused >= REFUSALS_ENOUGH
-            }
-            _ => true,
-        })
+        let is_enough = refused >= REFUSALS_ENOUGH;
+        self.decided.is_some_and(|(_, verdict)| is_enough || !verdict.is_by_refusal())
     }
 
     /// Whether a node reaches the target, whose entry names the same start also some time after.
@@ -171,17 +188,19 @@
     ///
     /// Few refusals may be those of paths, so an end that they have decided is taken back once a node
     /// reaches the target.
-    pub(crate) fn verdict(&mut self, now: TimeMs) -> Option<EndVerdict> {
+    ///
+    /// If `is_doubtful`, refusals show nothing.
+    pub(crate) fn verdict(&mut self, now: TimeMs, is_doubtful: bool) -> Option<EndVerdict> {
         match self.decided {
             Some((_, verdict)) if self.is_certain() || !self.goes_on(now) => return Some(verdict),
             _ => {}
         }
-        let verdict = self.weigh(now)?;
+        let verdict = self.weigh(now, is_doubtful)?;
         self.decided = verdict.is_final().then_some((now, verdict));
         Some(verdict)
     }
 
-    fn weigh(&self, now: TimeMs) -> Option<EndVerdict> {
+    fn weigh(&self, now: TimeMs, is_doubtful: bool) -> Option<EndVerdict> {
         if self.has_restarted {
             return Some(EndVerdict::Ended(Evidence::Restarted));
         }
@@ -192,10 +211,10 @@
         let is_round_over = self.answered >= self.asked || round_ms >= ANSWER_TIMEOUT_MS;
         let is_refused_to_peer = self.peers.values().any(|found| *found == Finding::Refused);
         let has_waited = is_round_over || round_ms >= CONTRADICTION_TIME.as_millis() as u64;
-        if is_refused_to_peer && has_waited {
+        if is_refused_to_peer && has_waited && !is_doubtful {
             return Some(EndVerdict::Ended(Evidence::RefusedToPeer));
         }
-        if self.own == Finding::Refused && is_round_over {
+        if self.own == Finding::Refused && is_round_over && !is_doubtful {
             return Some(EndVerdict::Ended(Evidence::Refused));
         }
         if self.listed_since.is_some_and(|since| now.since(since) >= LAPSE_MS) {
--- a/crates/ends/src/end_checks.rs
+++ b/crates/ends/src/end_checks.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_types::{NodeName, TimeMs};
 
@@ -8,8 +8,19 @@
 /// Maximum number of checks under way.
 const CHECKS_MAX: usize = 256;
 
+/// Ends within this time, in milliseconds, that together are more than one cause brings about: the
+/// paths to the targets are likelier to be lost.
+const MASS_MS: u64 = 250;
+const MASS_ENDS: usize = 6;
+
+/// Time for which ends that came together stay in doubt unless the list settles them, in milliseconds.
+const DOUBT_MS: u64 = 6_500;
+
 /// The checks whether targets have ended, one for each process.
 ///
+/// Where paths reset, many targets refuse connections at once, of all nodes that lack a path. While
+/// such refusals are in doubt, only the platform's list settles whether a target has ended.
+///
 /// ```
 /// use celeryhaven_ends::{EndChecks, EndVerdict, Evidence, Finding, TargetProcess};
 /// use celeryhaven_types::{NodeName, TimeMs, VmName};
@@ -29,6 +40,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndChecks {
     checks: BTreeMap<TargetProcess, EndCheck>,
+    /// Processes that other nodes check, and when they last asked.
+    heard: BTreeMap<TargetProcess, TimeMs>,
+    /// Processes that may have ended together, and when that was found.
+    in_doubt: BTreeMap<TargetProcess, TimeMs>,
 }
 
 impl EndChecks {
@@ -57,6 +72,19 @@
         true
     }
 
+    /// Records that another node checks a process.
+    pub fn heard(&mut self, now: TimeMs, process: &TargetProcess) {
+        if self.heard.len() < CHECKS_MAX {
+            self.heard.entry(process.clone()).or_insert(now);
+        }
+    }
+
+    /// Records that a process goes on that another node checks.
+    pub fn settle_heard(&mut self, process: &TargetProcess) {
+        self.heard.remove(process);
+        self.in_doubt.remove(process);
+    }
+
     /// Records what this node has found since a check began.
     pub fn found(&mut self, now: TimeMs, process: &TargetProcess, finding: Finding) {
         if let Some(check) = self.checks.get_mut(process) {
@@ -98,13 +126,41 @@
     pub fn look_up(&mut self, now: TimeMs, listing: impl Fn(&TargetProcess) -> Listing) {
         let checks = self.checks.iter_mut();
         checks.for_each(|(process, check)| check.record_listing(now, listing(process)));
+        let is_listed = |process: &TargetProcess| {
+            !matches!(listing(process), Listing::Restarted | Listing::Missing)
+        };
+        self.heard.retain(|process, at| now.since(*at) < DOUBT_MS && is_listed(process));
+        self.in_doubt.retain(|process, at| now.since(*at) < DOUBT_MS && is_listed(process));
+    }
+
+    /// Whether so many targets may have ended together that refusals are in doubt.
+    fn is_doubtful(&mut self, now: TimeMs) -> bool {
+        let checks = &self.checks;
+        self.in_doubt.retain(|process, _| {
+            checks.get(process).is_none_or(|check| check.may_have_ended(now, DOUBT_MS))
+        });
+        let own = checks.iter().filter(|(_, check)| check.may_have_ended(now, MASS_MS));
+        let heard = self.heard.iter().filter(|(_, at)| now.since(**at) < MASS_MS);
+        let own = own.map(|(process, _)| process);
+        let recent: BTreeSet<&TargetProcess> =
+            own.chain(heard.map(|(process, _)| process)).collect();
+        if recent.len() >= MASS_ENDS {
+            for process in recent {
+                self.in_doubt.entry(process.clone()).or_insert(now);
+            }
+        }
+        self.in_doubt.len() >= MASS_ENDS
     }
 
     /// Returns the verdicts that are new, and removes the checks that have ended.
     pub fn take_verdicts(&mut self, now: TimeMs) -> Vec<(TargetProcess, EndVerdict)> {
         let mut verdicts = Vec::new();
+        let is_doubtful = self.is_doubtful(now);
         self.checks.retain(|process, check| {
-            let verdict = check.verdict(now);
+            if is_doubtful {
+                check.reopen(now);
+            }
+            let verdict = check.verdict(now, is_doubtful);
             if let Some(verdict) = verdict.filter(|_| verdict != check.taken) {
                 check.taken = Some(verdict);
                 verdicts.push((process.clone(), verdict));
@@ -119,8 +175,8 @@
         self.checks.contains_key(process)
     }
 
-    /// Whether no check is under way.
+    /// Whether no check is under way, here or at another node.
     pub fn is_empty(&self) -> bool {
-        self.checks.is_empty()
+        self.checks.is_empty() && self.heard.is_empty()
     }
 }
--- a/crates/ends/src/verdict.rs
+++ b/crates/ends/src/verdict.rs
@@ -21,6 +21,11 @@
         !matches!(self, Self::Unsettled)
     }
 
+    /// Whether it is an end that only refused connections have shown.
+    pub(crate) const fn is_by_refusal(self) -> bool {
+        matches!(self, Self::Ended(Evidence::Refused | Evidence::RefusedToPeer))
+    }
+
     /// Returns the name used in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/ends/tests/end_checks.rs
+++ b/crates/ends/tests/end_checks.rs
@@ -93,6 +93,34 @@
     assert_eq!(check.verdict(2_500), Some(EndVerdict::Ended(Evidence::Restarted)));
 }
 
+/// Many paths that reset at once must not look like the ends of as many targets.
+#[test]
+fn verdict_many_refusals() {
+    let mut check = Check::begin(Finding::Refused, 1);
+    check.answered(4, "b", Finding::Refused);
+    assert_eq!(check.verdict(4), Some(EndVerdict::Ended(Evidence::RefusedToPeer)));
+    for number in 0..5 {
+        let name = VmName::new(format!("vm-1{number}"));
+        check.checks.heard(TimeMs::new(20), &TargetProcess { name, started_at_ms: Some(1) });
+    }
+    assert_eq!(check.verdict(20), Some(EndVerdict::Unsettled));
+    check.listed(100, Listing::Same);
+    assert_eq!(check.verdict(6_100), Some(EndVerdict::NotEnded(Evidence::Listed)));
+}
+
+/// Targets that have ended one after the other are in no doubt.
+#[test]
+fn verdict_refusals_apart() {
+    let mut check = Check::begin(Finding::Refused, 1);
+    for number in 0..8 {
+        let name = VmName::new(format!("vm-1{number}"));
+        let at = TimeMs::new(100 * number);
+        check.checks.heard(at, &TargetProcess { name, started_at_ms: Some(1) });
+    }
+    check.answered(701, "b", Finding::Refused);
+    assert_eq!(check.verdict(701), Some(EndVerdict::Ended(Evidence::RefusedToPeer)));
+}
+
 /// A target that nobody reaches for a while must not be taken for ended as long as it is listed.
 #[test]
 fn verdict_still_listed() {
--- a/crates/gateway/src/control/ends.rs
+++ b/crates/gateway/src/control/ends.rs
@@ -9,7 +9,7 @@
     CONTRADICTION_TIME, EndChecks, EndVerdict, Finding, Listing, TargetProcess,
 };
 use celeryhaven_fleet::FleetView;
-use celeryhaven_quarantine::{CauseDigest, CrashRecord, UnsettledEnds};
+use celeryhaven_quarantine::{CauseDigest, CrashRecord, Hold, UnsettledEnds};
 use celeryhaven_types::{NodeName, TimeMs};
 use slog::{info, warn};
 use smol::Timer;
@@ -84,8 +84,8 @@
     checks: EndChecks,
     watched: BTreeMap<TargetProcess, Watched>,
     unsettled: UnsettledEnds<TargetProcess>,
-    /// Contents of which each node runs one copy at a time.
-    pub(super) held: Arc<BTreeSet<CauseDigest>>,
+    /// Contents that are held meanwhile.
+    pub(super) held: Arc<BTreeMap<CauseDigest, Hold>>,
 }
 
 impl Ends {
@@ -142,7 +142,10 @@
             *known = if is_other { *known } else { entry.or(*known) };
             listings.insert(process, listing);
         }
-        checks.look_up(now, |process| listings.get(process).copied().unwrap_or(Listing::Unknown));
+        let listing_of = |process: &TargetProcess| listings.get(process).copied();
+        checks.look_up(now, |process| {
+            listing_of(process).unwrap_or_else(|| listing(fleet, process, is_away))
+        });
     }
 
     fn ask_about_ends(&mut self, now: TimeMs) {
@@ -243,7 +246,7 @@
         self.report(now, &retracted);
     }
 
-    /// Updates the contents of which each node runs one copy at a time.
+    /// Updates the contents that are held.
     fn update_held(&mut self, now: TimeMs) {
         let quarantine = &self.quarantine;
         let known_ends = |digest| {
@@ -282,6 +285,7 @@
         let until = now.after(question.unsettled_ms.min(ASKED_AGAIN_MS));
         let mut finds = Vec::new();
         for AskedEnd { process, contents } in question.ends.into_iter().take(ENDS_PER_QUESTION) {
+            self.ends.checks.heard(now, &process);
             for digest in contents.into_iter().take(CONTENTS_PER_END) {
                 self.ends.unsettled.record(digest, process.clone(), until);
             }
@@ -318,6 +322,7 @@
     /// Records that an end that another node asked about is settled.
     pub(super) fn record_settled(&mut self, process: &TargetProcess) {
         self.ends.unsettled.settle(process);
+        self.ends.checks.settle_heard(process);
     }
 
     /// Applies what another node has seen of causes of crashes.
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -6,7 +6,7 @@
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
-use celeryhaven_quarantine::{CauseDigest, PendingCrashes, SoundRuns, Standing, Standings};
+use celeryhaven_quarantine::{CauseDigest, Hold, PendingCrashes, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
 };
@@ -98,8 +98,8 @@
     /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
     /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
-    /// Contents of which this node runs one copy at a time, as they may have ended targets.
-    pub(crate) held: Arc<BTreeSet<CauseDigest>>,
+    /// Contents that are held, as they may have ended targets.
+    pub(crate) held: Arc<BTreeMap<CauseDigest, Hold>>,
     /// Nodes that can run requests for this one.
     pub(crate) peers: PeerSet,
     /// Crashes that are not reported yet.
@@ -373,13 +373,22 @@
         });
     }
 
-    /// Whether a request must wait, as its content may end targets and another copy of it runs.
+    /// Returns how the content of a request is held, unless targets have run it lately without ending.
+    pub(crate) fn hold(&self, request: &CallerRequest) -> Option<Hold> {
+        let hold = self.held.get(&request.digest).copied();
+        hold.filter(|_| !self.sound_runs.contains(request.digest))
+    }
+
+    /// Whether a request must wait, as its content may end targets.
     pub(crate) fn is_held_back(&self, ticket: Ticket, request: &CallerRequest) -> bool {
-        let digest = request.digest;
-        let mut others = self.active_requests.iter().filter(|(other, _)| **other != ticket);
-        self.held.contains(&digest)
-            && !self.sound_runs.contains(digest)
-            && others.any(|(_, active)| active.digest == digest && active.destination.is_some())
+        let is_other = |(other, active): (&Ticket, &ActiveRequest)| {
+            *other != ticket && active.digest == request.digest && active.destination.is_some()
+        };
+        match self.hold(request) {
+            None => false,
+            Some(Hold::Stopped) => true,
+            Some(Hold::OneAtATime) => self.active_requests.iter().any(is_other),
+        }
     }
 
     /// Returns the choice key of a request: of the last part that is suspected, or else of its content;
--- a/crates/gateway/src/traffic/quarantine_gate.rs
+++ b/crates/gateway/src/traffic/quarantine_gate.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use celeryhaven_policy::Ticket;
-use celeryhaven_quarantine::{CauseDigest, CauseKind, PendingCrash, Standing};
+use celeryhaven_quarantine::{CauseDigest, CauseKind, Hold, PendingCrash, Standing};
 use celeryhaven_types::{Refusal, RefusalCode, TimeMs, VmName};
 use slog::info;
 use smol::Timer;
@@ -58,6 +58,10 @@
             let refusal = Refusal::not_run(RefusalCode::NodeUnavailable);
             return Admission::Refused(refusal.with_retry_after_ms(UNREAD_RETRY_AFTER_MS));
         }
+        if self.quarantined(request).is_empty() {
+            // One that is held waits for the verdict on the targets that it may have ended.
+            return Admission::Admitted;
+        }
         let Some(refusal) = self.quarantine_refusal(request) else { return Admission::Admitted };
         let Some(due) = self.due_trial(request) else { return Admission::Refused(refusal) };
         match self.claim_trial(due).await {
@@ -68,7 +72,12 @@
 
     /// Returns the refusal of a request that must not be sent to targets.
     pub(crate) fn quarantine_refusal(&self, request: &CallerRequest) -> Option<Refusal> {
-        let (_, trial_at) = self.quarantined(request).into_iter().next()?;
+        let quarantined = self.quarantined(request).into_iter().next();
+        let Some((_, trial_at)) = quarantined else {
+            let is_stopped = self.state.borrow().hold(request) == Some(Hold::Stopped);
+            let refusal = Refusal::not_run(RefusalCode::Quarantined);
+            return is_stopped.then(|| refusal.with_retry_after_ms(QUARANTINED_RETRY_AFTER_MS_MIN));
+        };
         let retry_after_ms = trial_at.map_or(QUARANTINED_RETRY_AFTER_MS, |at| at.since(self.now()));
         let refusal = Refusal::not_run(RefusalCode::Quarantined);
         Some(refusal.with_retry_after_ms(retry_after_ms.max(QUARANTINED_RETRY_AFTER_MS_MIN)))
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,7 +7,7 @@
 use celeryhaven_derives::state;
 use celeryhaven_ends::{EndVerdict, Finding, TargetProcess};
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
-use celeryhaven_quarantine::{CauseDigest, CauseKind, Standings};
+use celeryhaven_quarantine::{CauseDigest, CauseKind, Hold, Standings};
 use celeryhaven_types::{
     DataCentreName, ModelName, NodeName, OrganisationName, ServiceName, TimeMs, VmName,
 };
@@ -125,8 +125,8 @@
     /// Requests that are suspected of ending their targets, or quarantined; `None` until they have
     /// been read.
     pub(crate) standings: Option<Arc<Standings>>,
-    /// Contents of which a node runs one copy at a time, as they may have ended targets.
-    pub(crate) held: Arc<BTreeSet<CauseDigest>>,
+    /// Contents that are held, as they may have ended targets.
+    pub(crate) held: Arc<BTreeMap<CauseDigest, Hold>>,
 }
 
 impl TrafficUpdate {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,10 +18,12 @@
 //! | [`CrashRecord`] | what the fleet knows of one cause, as stored |
 //! | [`Quarantine`] | all records, and the reports that are still to be written |
 //! | [`UnsettledEnds`] | contents that were running when targets may have ended |
+//! | [`Hold`] | how such a content is held meanwhile |
 //! | [`Standing`] | how the requests that hold a cause are treated |
 
 mod cause_digest;
 mod crash_record;
+mod hold;
 mod pending_crashes;
 mod quarantine;
 mod sound_runs;
@@ -30,6 +32,7 @@
 
 pub use cause_digest::{CauseDigest, InvalidDigest};
 pub use crash_record::{CRASHES_MAX, CauseKind, Crash, CrashRecord};
+pub use hold::Hold;
 pub use pending_crashes::{PendingCrash, PendingCrashes};
 pub use quarantine::{Quarantine, QuarantineWrite};
 pub use sound_runs::SoundRuns;
--- a/crates/quarantine/src/unsettled_ends.rs
+++ b/crates/quarantine/src/unsettled_ends.rs
@@ -1,23 +1,27 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use celeryhaven_types::TimeMs;
 
-use crate::CauseDigest;
+use crate::{CauseDigest, Hold};
 
 /// Ends from which on a content is held, known and unsettled ones together: one more would suffice to
 /// quarantine it.
 const HELD_ENDS: usize = 2;
 
+/// Ends from which on a content waits until some are settled.
+const STOPPED_ENDS: usize = 4;
+
 /// Maximum number of contents.
 const CONTENTS_MAX: usize = 1_024;
 
 /// Contents that were running when targets may have ended, until that is known.
 ///
 /// What ends its targets must not run in many places while nobody knows whether it does; what does
-/// not must not be refused meanwhile. A content that is held runs once at a time in a node.
+/// not must not be refused meanwhile. A content that is held runs once at a time in a node, and not at
+/// all once so many targets may have ended that the next verdict decides.
 ///
 /// ```
-/// use celeryhaven_quarantine::{CauseDigest, UnsettledEnds};
+/// use celeryhaven_quarantine::{CauseDigest, Hold, UnsettledEnds};
 /// use celeryhaven_types::TimeMs;
 ///
 /// let (now, later) = (TimeMs::new(0), TimeMs::new(500));
@@ -26,7 +30,7 @@
 /// ends.record(digest, "vm-1", later);
 /// assert!(ends.held(now, |_| 0).is_empty());
 /// ends.record(digest, "vm-2", later);
-/// assert!(ends.held(now, |_| 0).contains(&digest));
+/// assert_eq!(ends.held(now, |_| 0).get(&digest), Some(&Hold::OneAtATime));
 /// ends.settle(&"vm-2");
 /// assert!(ends.held(now, |_| 0).is_empty());
 /// ```
@@ -67,15 +71,21 @@
         &mut self,
         now: TimeMs,
         known_ends: impl Fn(CauseDigest) -> usize,
-    ) -> BTreeSet<CauseDigest> {
+    ) -> BTreeMap<CauseDigest, Hold> {
         self.by_content.retain(|_, processes| {
             processes.retain(|_, until| *until > now);
             !processes.is_empty()
         });
         let contents = self.by_content.iter();
-        let held = contents
-            .filter(|(digest, processes)| processes.len() + known_ends(**digest) >= HELD_ENDS);
-        held.map(|(digest, _)| *digest).collect()
+        let held = contents.filter_map(|(digest, processes)| {
+            let hold = match processes.len() + known_ends(*digest) {
+                ends if ends >= STOPPED_ENDS => Hold::Stopped,
+                ends if ends >= HELD_ENDS => Hold::OneAtATime,
+                _ => return None,
+            };
+            Some((*digest, hold))
+        });
+        held.collect()
     }
 }
 
