--- a/crates/ends/src/end_check.rs
+++ b/crates/ends/src/end_check.rs
@@ -9,8 +9,9 @@
 /// in milliseconds; later, a restarted one may listen in its place.
 const RESTART_MS_MIN: u64 = 350;
 
-/// Time for which a refusal waits for a peer that reaches the target and has not answered yet.
-pub const CONTRADICTION_TIME: Duration = Duration::from_millis(150);
+/// Times after a question at which a refusal decides, unless a peer reaches the target: while half of the
+/// peers have answered, and however many have.
+pub const DECISION_TIMES: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(150)];
 
 /// Time that peers have to answer, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 300;
@@ -54,6 +55,8 @@
     /// Peers that were asked in the last round, and those that have answered.
     asked: usize,
     answered: usize,
+    /// Whether any node was refused a connection.
+    pub(crate) is_refused: bool,
     accepted_early: bool,
     /// When the target first accepted a connection that may be one of another start.
     accepted_late_at: Option<TimeMs>,
@@ -76,6 +79,7 @@
             round_at: None,
             asked: 0,
             answered: 0,
+            is_refused: false,
             accepted_early: false,
             accepted_late_at: None,
             listing: Listing::Unknown,
@@ -90,7 +94,7 @@
     pub(crate) fn record_own(&mut self, now: TimeMs, finding: Finding, is_broken: bool) {
         self.is_broken |= is_broken;
         // A lost path does not take back what was found before.
-        if finding != Finding::Unreachable {
+        if finding.is_telling() {
             self.own = finding;
         }
         self.record(now, finding);
@@ -99,10 +103,11 @@
     /// Records what a peer has found; `None` if it has not answered.
     pub(crate) fn record_peer(&mut self, now: TimeMs, node: &NodeName, finding: Option<Finding>) {
         self.answered += 1;
-        if let Some(finding) = finding.filter(|finding| *finding != Finding::Unreachable) {
+        let Some(finding) = finding else { return };
+        if finding.is_telling() {
             self.peers.insert(node.clone(), finding);
-            self.record(now, finding);
         }
+        self.record(now, finding);
     }
 
     fn record(&mut self, now: TimeMs, finding: Finding) {
@@ -112,6 +117,7 @@
             self.accepted_late_at.get_or_insert(now);
         }
         self.has_restarted |= finding == Finding::Restarted;
+        self.is_refused |= finding.is_refusal();
     }
 
     pub(crate) fn record_listing(&mut self, now: TimeMs, listing: Listing) {
@@ -145,13 +151,13 @@
         self.asked = peers;
     }
 
-    /// Whether the process may have ended as far as nodes have found, and its check began within
-    /// `within_ms`.
+    /// Whether the process refuses connections and may have ended, and its check began within `within_ms`.
     pub(crate) fn may_have_ended(&self, now: TimeMs, within_ms: u64) -> bool {
         let is_settled = self.decided.is_some_and(|(_, verdict)| !verdict.is_by_refusal());
         let is_reached = self.accepted_early || self.accepted_late_at.is_some();
         let is_listed = matches!(self.listing, Listing::Same | Listing::Unknown);
-        !is_settled && !is_reached && is_listed && now.since(self.began_at) < within_ms
+        let may_have_ended = self.is_refused && is_listed && !is_reached && !is_settled;
+        may_have_ended && now.since(self.began_at) < within_ms
     }
 
     /// Takes a decision back that refusals alone have brought about, as those of many targets at once
@@ -210,7 +216,10 @@
         let round_ms = now.since(self.round_at?);
         let is_round_over = self.answered >= self.asked || round_ms >= ANSWER_TIMEOUT_MS;
         let is_refused_to_peer = self.peers.values().any(|found| *found == Finding::Refused);
-        let has_waited = is_round_over || round_ms >= CONTRADICTION_TIME.as_millis() as u64;
+        let [half_ms, any_ms] = DECISION_TIMES.map(|time| time.as_millis() as u64);
+        let is_half_answered = 2 * self.answered >= self.asked;
+        let has_waited =
+            is_round_over || round_ms >= any_ms || (round_ms >= half_ms && is_half_answered);
         if is_refused_to_peer && has_waited && !is_doubtful {
             return Some(EndVerdict::Ended(Evidence::RefusedToPeer));
         }
--- a/crates/ends/src/end_checks.rs
+++ b/crates/ends/src/end_checks.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndChecks {
     checks: BTreeMap<TargetProcess, EndCheck>,
-    /// Processes that other nodes check, and when they last asked.
+    /// Processes that other nodes check and were refused by, and when they first asked.
     heard: BTreeMap<TargetProcess, TimeMs>,
     /// Processes that may have ended together, and when that was found.
     in_doubt: BTreeMap<TargetProcess, TimeMs>,
@@ -72,7 +72,7 @@
         true
     }
 
-    /// Records that another node checks a process.
+    /// Records that another node checks a process, which has refused it a connection.
     pub fn heard(&mut self, now: TimeMs, process: &TargetProcess) {
         if self.heard.len() < CHECKS_MAX {
             self.heard.entry(process.clone()).or_insert(now);
@@ -175,6 +175,11 @@
         self.checks.contains_key(process)
     }
 
+    /// Whether a node was refused a connection to a process that is checked.
+    pub fn is_refused(&self, process: &TargetProcess) -> bool {
+        self.checks.get(process).is_some_and(|check| check.is_refused)
+    }
+
     /// Whether no check is under way, here or at another node.
     pub fn is_empty(&self) -> bool {
         self.checks.is_empty() && self.heard.is_empty()
--- a/crates/ends/src/finding.rs
+++ b/crates/ends/src/finding.rs
@@ -8,9 +8,23 @@
         Accepted,
         /// The target refuses connections, while the node reaches another one.
         Refused,
+        /// The target refuses connections, and so do others: the node may have lost its links.
+        RefusedByAll,
         /// The platform lists another start of the target.
         Restarted,
-        /// The node has no path to the target, or to any.
+        /// No connection is opened or refused in time.
         Unreachable,
     }
 }
+
+impl Finding {
+    /// Whether a connection was refused, by the target or on the way.
+    pub const fn is_refusal(self) -> bool {
+        matches!(self, Self::Refused | Self::RefusedByAll)
+    }
+
+    /// Whether it says anything about the target.
+    pub(crate) const fn is_telling(self) -> bool {
+        !matches!(self, Self::RefusedByAll | Self::Unreachable)
+    }
+}
--- a/crates/ends/src/lib.rs
+++ b/crates/ends/src/lib.rs
@@ -25,7 +25,7 @@
 mod target_process;
 mod verdict;
 
-pub use end_check::CONTRADICTION_TIME;
+pub use end_check::DECISION_TIMES;
 pub use end_checks::EndChecks;
 pub use evidence::Evidence;
 pub use finding::Finding;
--- a/crates/gateway/src/control/ends.rs
+++ b/crates/gateway/src/control/ends.rs
@@ -5,9 +5,7 @@
 
 use async_channel::Sender;
 use celeryhaven_derives::data;
-use celeryhaven_ends::{
-    CONTRADICTION_TIME, EndChecks, EndVerdict, Finding, Listing, TargetProcess,
-};
+use celeryhaven_ends::{DECISION_TIMES, EndChecks, EndVerdict, Finding, Listing, TargetProcess};
 use celeryhaven_fleet::FleetView;
 use celeryhaven_quarantine::{CauseDigest, CrashRecord, Hold, UnsettledEnds};
 use celeryhaven_types::{NodeName, TimeMs};
@@ -55,6 +53,8 @@
     pub(crate) struct AskedEnd {
         pub(crate) process: TargetProcess,
         pub(crate) contents: Vec<CauseDigest>,
+        /// Whether it has refused a connection.
+        pub(crate) is_refused: bool,
     }
 
     /// What a node has found of the ends that it was asked about, in their order.
@@ -166,6 +166,7 @@
             let ends = due.iter().map(|(process, _)| AskedEnd {
                 process: process.clone(),
                 contents: self.ends.contents(process),
+                is_refused: self.ends.checks.is_refused(process),
             });
             let is_first = due.iter().all(|(_, is_repeated)| !is_repeated);
             let (unsettled_ms, find_ms) = match is_first {
@@ -175,12 +176,14 @@
             let question = EndQuestion { ends: ends.collect(), unsettled_ms, find_ms };
             peers.iter().for_each(|(node, peer)| self.ask_peer(node, peer, &question));
         }
-        let events = self.parts.events.0.clone();
-        let wake = async move {
-            Timer::after(CONTRADICTION_TIME).await;
-            events.send(ControlEvent::EndsDue).await.unwrap_or_default();
-        };
-        self.executor.spawn(wake).detach();
+        for time in DECISION_TIMES {
+            let events = self.parts.events.0.clone();
+            let wake = async move {
+                Timer::after(time).await;
+                events.send(ControlEvent::EndsDue).await.unwrap_or_default();
+            };
+            self.executor.spawn(wake).detach();
+        }
     }
 
     fn ask_peer(&self, node: &NodeName, peer: &PeerAddress, question: &EndQuestion) {
@@ -284,8 +287,11 @@
     ) {
         let until = now.after(question.unsettled_ms.min(ASKED_AGAIN_MS));
         let mut finds = Vec::new();
-        for AskedEnd { process, contents } in question.ends.into_iter().take(ENDS_PER_QUESTION) {
-            self.ends.checks.heard(now, &process);
+        for asked in question.ends.into_iter().take(ENDS_PER_QUESTION) {
+            let AskedEnd { process, contents, is_refused } = asked;
+            if is_refused {
+                self.ends.checks.heard(now, &process);
+            }
             for digest in contents.into_iter().take(CONTENTS_PER_END) {
                 self.ends.unsettled.record(digest, process.clone(), until);
             }
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -135,10 +135,12 @@
                     Finding::Accepted
                 }
                 Err(ConnectionError::Connect { source })
-                    if source.kind() == std::io::ErrorKind::ConnectionRefused
-                        && !self.is_isolated(target).await =>
+                    if source.kind() == std::io::ErrorKind::ConnectionRefused =>
                 {
-                    Finding::Refused
+                    match self.is_isolated(target).await {
+                        true => Finding::RefusedByAll,
+                        false => Finding::Refused,
+                    }
                 }
                 Err(_) => Finding::Unreachable,
             }
--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -102,7 +102,7 @@
                 if source.kind() == ErrorKind::ConnectionRefused =>
             {
                 match self.link_check.is_isolated(service, *address, self.now()).await {
-                    true => Finding::Unreachable,
+                    true => Finding::RefusedByAll,
                     false => Finding::Refused,
                 }
             }
