--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -310,8 +310,8 @@
                 self.record_settled(&process);
                 Changes::nodes(true)
             }
-            ControlEvent::CrashesSeen(seen) => {
-                self.learn_crashes(now, seen);
+            ControlEvent::CrashesSeen(seen, reply) => {
+                self.learn_crashes(now, seen, reply);
                 Changes::nodes(true)
             }
             ControlEvent::LimitWritten(write, outcome) => {
--- a/crates/gateway/src/control/ends.rs
+++ b/crates/gateway/src/control/ends.rs
@@ -331,8 +331,13 @@
         self.ends.checks.settle_heard(process);
     }
 
-    /// Applies what another node has seen of causes of crashes.
-    pub(super) fn learn_crashes(&mut self, now: TimeMs, seen: SeenCrashes) {
+    /// Applies what another node has seen of causes of crashes; answers what this one knows of these.
+    pub(super) fn learn_crashes(
+        &mut self,
+        now: TimeMs,
+        seen: SeenCrashes,
+        reply: Option<Sender<SeenCrashes>>,
+    ) {
         for (digest, record) in &seen.records {
             for crash in &record.crashes {
                 let (name, started_at_ms) = (crash.target.clone(), crash.started_at_ms);
@@ -340,6 +345,13 @@
             }
             self.quarantine.learn(now, *digest, record);
         }
+        if let Some(reply) = reply {
+            let digests = seen.records.iter().map(|(digest, _)| *digest);
+            let known =
+                digests.filter_map(|digest| Some((digest, self.quarantine.record(digest)?)));
+            let known = known.take(CRASHES_PER_MESSAGE).collect();
+            reply.try_send(SeenCrashes { records: known }).unwrap_or_default();
+        }
         self.update_standings(now);
     }
 
@@ -351,15 +363,25 @@
         let advertised = self.peers.advertised(now);
         let peers: Vec<_> =
             advertised.map(|(record, _)| PeerAddress::of(record)).take(PEERS_MAX).collect();
-        for records in additions.chunks(CRASHES_PER_MESSAGE) {
+        // What other nodes have seen goes along, as a message between them may have been lost.
+        let known = additions.iter().map(|(digest, addition)| {
+            let known = self.quarantine.record(*digest);
+            (*digest, known.unwrap_or_else(|| addition.clone()))
+        });
+        let known: Vec<_> = known.collect();
+        for records in known.chunks(CRASHES_PER_MESSAGE) {
             let seen = SeenCrashes { records: records.to_vec() };
             for peer in &peers {
                 let connections = self.parts.target_client.connections.clone();
                 let (peer, seen, log) = (peer.clone(), seen.clone(), self.parts.log.clone());
+                let events = self.parts.events.0.clone();
                 let tell = async move {
-                    if !send_crashes(&connections, &peer, &seen).await {
+                    let Some(known) = send_crashes(&connections, &peer, &seen).await else {
                         warn!(log, "peer not told of crashes"; "peer" => peer.address.to_string());
-                    }
+                        return;
+                    };
+                    let learned = ControlEvent::CrashesSeen(known, None);
+                    events.send(learned).await.unwrap_or_default();
                 };
                 self.executor.spawn(tell).detach();
             }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -140,8 +140,8 @@
     EndsDue,
     /// A process that another node has asked about goes on.
     EndSettled(TargetProcess),
-    /// What another node has seen of causes of crashes.
-    CrashesSeen(SeenCrashes),
+    /// What another node has seen of causes of crashes; it may ask what this one knows of these.
+    CrashesSeen(SeenCrashes, Option<Sender<SeenCrashes>>),
     /// Outcome of a write of a quarantine record.
     QuarantineWritten(QuarantineWrite, WriteOutcome<CrashRecord>),
     /// Outcome of a write of a target's limit.
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -63,14 +63,16 @@
     decode(&call_peer(connections, peer, ENDS_PATH, body.into(), FIND_MS).await?)
 }
 
-/// Tells a peer of crashes; returns whether it has answered. The store tells it as well.
+/// Tells a peer of crashes; returns what it knows of their causes, or `None` if there is no valid answer.
+///
+/// There are no retries: the store tells the peer as well.
 pub(crate) async fn send_crashes(
     connections: &ConnectionPool,
     peer: &PeerAddress,
     seen: &SeenCrashes,
-) -> bool {
-    let Some(body) = encode(seen) else { return false };
-    call_peer(connections, peer, CRASHES_PATH, body.into(), 0).await.is_some()
+) -> Option<SeenCrashes> {
+    let body = encode(seen)?;
+    decode(&call_peer(connections, peer, CRASHES_PATH, body.into(), 0).await?)
 }
 
 /// Sends a request to a node that may wait up to `wait_ms` before it answers.
--- a/crates/gateway/src/control/relay/peer_server.rs
+++ b/crates/gateway/src/control/relay/peer_server.rs
@@ -2,6 +2,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
@@ -33,13 +34,13 @@
         return empty_response(StatusCode::OK);
     }
     match request.uri().path() {
-        ENDS_PATH => return answer_ends(events, request).await,
+        ENDS_PATH => {
+            let event = ControlEvent::EndsAsked;
+            return answer_control::<EndQuestion, EndAnswer>(events, request, event).await;
+        }
         CRASHES_PATH => {
-            let Some(seen) = read_body::<SeenCrashes>(request).await else {
-                return empty_response(StatusCode::BAD_REQUEST);
-            };
-            events.send(ControlEvent::CrashesSeen(seen)).await.unwrap_or_default();
-            return empty_response(StatusCode::OK);
+            let event = |seen, reply| ControlEvent::CrashesSeen(seen, Some(reply));
+            return answer_control::<SeenCrashes, SeenCrashes>(events, request, event).await;
         }
         _ => {}
     }
@@ -49,17 +50,18 @@
     }
 }
 
-/// Answers what this node finds of ends of targets.
-async fn answer_ends(
+/// Answers with what the control thread replies to a message.
+async fn answer_control<M: DeserializeOwned, R: Serialize>(
     events: Sender<ControlEvent>,
     request: Request<Incoming>,
+    event: impl FnOnce(M, Sender<R>) -> ControlEvent,
 ) -> Response<AnswerBody> {
-    let Some(question) = read_body::<EndQuestion>(request).await else {
+    let Some(message) = read_body(request).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let (reply, answer) = async_channel::bounded(1);
-    events.send(ControlEvent::EndsAsked(question, reply)).await.unwrap_or_default();
-    match answer.recv().await.ok().and_then(|answer: EndAnswer| encode(&answer)) {
+    events.send(event(message, reply)).await.unwrap_or_default();
+    match answer.recv().await.ok().and_then(|answer| encode(&answer)) {
         Some(bytes) => Response::new(AnswerBody::full(bytes)),
         None => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
