--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -4,7 +4,7 @@
 use celeryhaven_http::ConnectionPool;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use smol::Timer;
 
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
@@ -17,6 +17,9 @@
 /// How long a relay's answer may take beyond the requested wait, in milliseconds.
 const ANSWER_SLACK_MS: u64 = 300;
 
+/// Longest accepted answer of a node, in bytes.
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+
 /// Path for suspicions.
 pub(super) const SUSPICION_PATH: &str = "/v1/suspicion";
 
@@ -97,7 +100,8 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = response.into_body().collect().await.ok()?.to_bytes();
+        let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX).collect().await.ok()?;
+        let body = body.to_bytes();
         if connection.wait_idle().await {
             connections.put(peer.address, connection, None);
         }
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -12,7 +12,7 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::response::Parts;
 use http::{HeaderValue, Method, Request, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use smol::Timer;
 
 use crate::adapter::Adapter;
@@ -35,6 +35,9 @@
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Longest answer to an order or a probe that is read to its end, in bytes.
+const ANSWER_BYTES_MAX: usize = 64 * 1024;
+
 /// Marks the answer to a request of which an earlier copy may have been received.
 #[derive(Clone, Copy, Debug)]
 struct SentTwice;
@@ -259,7 +262,7 @@
         body: hyper::body::Incoming,
     ) {
         let closes = self.adapter.answer_head(head.status, &head.headers).closes_connection;
-        let is_complete = http_body_util::BodyExt::collect(body).await.is_ok();
+        let is_complete = Limited::new(body, ANSWER_BYTES_MAX).collect().await.is_ok();
         if is_complete && !closes && connection.wait_idle().await {
             self.connections.put(address, connection, None);
         }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -5,9 +5,10 @@
 use celeryhaven_http::{Connection, ConnectionError};
 use celeryhaven_types::{TimeMs, Verdict};
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use slog::info;
+use smol::Timer;
 
 use crate::adapter::{Adapter, AnswerHead, TargetRequestHead};
 use crate::traffic::delegation::delegation_refusal;
@@ -21,6 +22,10 @@
 /// milliseconds.
 const FRESH_CONNECTION_MS: u64 = 30;
 
+/// Longest refusal of a peer that is read to its end, and the time that this may take.
+const REFUSAL_BYTES_MAX: usize = 64 * 1024;
+const REFUSAL_REST_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The outcome of one attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptOutcome {
@@ -111,9 +116,13 @@
         let retry_after_ms = head.back_off_ms;
         self.log_end("refused by peer", response.status().as_u16());
         // The rest of the answer only tells callers what the header says.
-        if self.exchange.unless_interrupted(response.into_body().collect()).await.is_ok()
-            && !head.closes_connection
-        {
+        let rest = Limited::new(response.into_body(), REFUSAL_BYTES_MAX).collect();
+        let late = async {
+            Timer::after(REFUSAL_REST_TIMEOUT).await;
+            None
+        };
+        let rest = smol::future::or(async { rest.await.ok() }, late).await;
+        if rest.is_some() && !head.closes_connection {
             self.pool_connection(connection, &head).await;
         }
         AttemptOutcome::PeerRefused(refusal, retry_after_ms)
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -17,7 +17,8 @@
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
 use crate::traffic::{
-    CallerRequest, DestinationName, SharedConfirmation, SharedNotices, TrafficReport, TrafficUpdate,
+    CallerRequest, DestinationName, ReadBuffers, SharedConfirmation, SharedNotices, TrafficReport,
+    TrafficUpdate,
 };
 
 /// Interval between two checks of queues and stalled replicas.
@@ -40,6 +41,8 @@
     pub(crate) config_apply_ms: u64,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) log: Logger,
+    /// Bytes of answers that all requests hold back.
+    pub(crate) read_buffers: ReadBuffers,
     reports: Sender<TrafficReport>,
     first_request_seen: Cell<bool>,
     ticks: Cell<u32>,
@@ -75,6 +78,7 @@
             config_apply_ms: 0,
             metrics,
             log,
+            read_buffers: ReadBuffers::default(),
             reports,
             first_request_seen,
             ticks,
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -3,6 +3,7 @@
 use celeryhaven_types::Verdict;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -18,6 +19,11 @@
 /// arrives.
 const BUFFERED_BYTES_MAX: usize = 64 * 1024;
 
+/// Longest plain answer that is forwarded.
+///
+/// What a faulty target sends may have no end; the caller's time alone would bound it.
+const PLAIN_BYTES_MAX: u64 = 16 * 1024 * 1024;
+
 /// The result of reading from an answer body.
 enum ReadResult {
     Data(Bytes),
@@ -67,6 +73,7 @@
     ) -> AttemptOutcome {
         let mut parts = Some(parts);
         let mut has_started = false;
+        let mut held = self.exchange.dispatcher.read_buffers.part();
         loop {
             let bytes = match self.read(&mut body).await {
                 ReadResult::Data(bytes) => bytes,
@@ -81,18 +88,21 @@
                     return outcome;
                 }
             };
+            let events = self.exchange.splitter.push(&bytes);
+            let is_within_bounds = held.set(self.exchange.splitter.pending_bytes());
+            if !is_within_bounds || self.exchange.splitter.is_too_long() {
+                self.log_end("event too long", StatusCode::OK.as_u16());
+                self.exchange.splitter.drop_pending();
+                return AttemptOutcome::Failed(Verdict::MayHaveRun);
+            }
+            // Bytes that do not end an event are no progress: there may be no end of them.
+            let Some(events) = events else { continue };
             if !has_started {
                 has_started = true;
                 self.exchange.dispatcher.started(self.exchange.ticket, true);
             }
             self.exchange.dispatcher.progressed(&self.destination.name);
             self.record_sound();
-            let Some(events) = self.exchange.splitter.push(&bytes) else {
-                if self.exchange.splitter.is_too_long() {
-                    return AttemptOutcome::Failed(Verdict::MayHaveRun);
-                }
-                continue;
-            };
             self.exchange.unanswered_at = None;
             self.exchange.cancel_second();
             self.send_head(&mut parts).await;
@@ -141,13 +151,25 @@
     /// Buffers a plain answer until it is complete or exceeds the limit.
     async fn forward_plain(&mut self, parts: AnswerParts, mut body: Incoming) -> AttemptOutcome {
         let mut buffered = BytesMut::new();
+        let mut held = self.exchange.dispatcher.read_buffers.part();
+        let length = body.size_hint().exact();
+        let status = parts.status.as_u16();
+        if length.is_some_and(|length| length > PLAIN_BYTES_MAX) {
+            return self.too_long(status);
+        }
         loop {
             match self.read(&mut body).await {
                 ReadResult::Ended(outcome) => return outcome,
                 ReadResult::Complete => break,
                 ReadResult::Data(bytes) => buffered.extend_from_slice(&bytes),
             }
-            if buffered.len() > BUFFERED_BYTES_MAX {
+            let is_within_bounds = held.set(buffered.len());
+            if buffered.len() > BUFFERED_BYTES_MAX || !is_within_bounds {
+                // A failure that does not say how long it is may have no end.
+                if !parts.status.is_success() && length.is_none() {
+                    return self.too_long(status);
+                }
+                drop(held);
                 return self.forward_unbuffered(parts, buffered.freeze(), body).await;
             }
         }
@@ -168,6 +190,12 @@
         AttemptOutcome::Answered
     }
 
+    /// Ends the attempt because its answer is longer than any that is forwarded.
+    fn too_long(&self, status: u16) -> AttemptOutcome {
+        self.log_end("answer too long", status);
+        AttemptOutcome::Failed(Verdict::MayHaveRun)
+    }
+
     async fn forward_unbuffered(
         &mut self,
         parts: AnswerParts,
@@ -179,11 +207,20 @@
         }
         self.exchange.cancel_second();
         self.exchange.dispatcher.started(self.exchange.ticket, false);
+        let status = parts.status.as_u16();
+        let mut forwarded = buffered.len() as u64;
         self.exchange.sink.send_head(parts).await;
         self.exchange.sink.send_chunk(buffered).await;
         loop {
             match self.read(&mut body).await {
-                ReadResult::Data(bytes) => self.exchange.sink.send_chunk(bytes).await,
+                ReadResult::Data(bytes) => {
+                    forwarded += bytes.len() as u64;
+                    if forwarded > PLAIN_BYTES_MAX {
+                        self.exchange.attempts = self.exchange.request.route.attempts_max;
+                        return self.too_long(status);
+                    }
+                    self.exchange.sink.send_chunk(bytes).await;
+                }
                 ReadResult::Complete => {
                     self.exchange.sink.finish().await;
                     return AttemptOutcome::Answered;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod pool;
 mod quarantine_gate;
+mod read_buffers;
 mod running_second;
 mod second_attempts;
 mod sink;
@@ -31,6 +32,7 @@
 pub(crate) use limits::TargetLimitMap;
 pub(crate) use notices::{SharedNotices, TargetNotices};
 pub(crate) use quarantine_gate::Admission;
+pub(crate) use read_buffers::ReadBuffers;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
     CrashReport, Destination, DestinationName, EndQuery, NamedLimit, OfferedLoad, Senders,
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use smol::{LocalExecutor, Task, Timer};
 use snafu::ResultExt;
 
@@ -14,6 +14,9 @@
 use crate::client::error::{ConnectSnafu, ExchangeFailedSnafu};
 use crate::socket::{SmolIo, set_tcp_options};
 
+/// Longest head of an answer, and most bytes that a connection reads ahead.
+const READ_AHEAD_BYTES_MAX: usize = 64 * 1024;
+
 /// A connection to a target, which carries one exchange at a time.
 ///
 /// Dropping it closes the connection at once, which cancels a running request at the target.
@@ -44,7 +47,10 @@
         let connect = async { Async::<TcpStream>::connect(address).await.context(ConnectSnafu) };
         let stream = smol::future::or(connect, timed_out).await?;
         set_tcp_options(stream.get_ref(), tcp_user_timeout).context(ConnectSnafu)?;
-        let (sender, driver) = handshake(SmolIo::new(stream)).await.context(ExchangeFailedSnafu)?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(READ_AHEAD_BYTES_MAX);
+        let handshake = builder.handshake(SmolIo::new(stream));
+        let (sender, driver) = handshake.await.context(ExchangeFailedSnafu)?;
         // The sender reports a connection error: a running exchange fails, an idle sender closes.
         let task = executor.spawn(async move { driver.await.unwrap_or_default() });
         Ok(Self { sender, _driver: task })
--- a/crates/http/src/events/event_splitter.rs
+++ b/crates/http/src/events/event_splitter.rs
@@ -3,6 +3,9 @@
 /// Maximum size of a buffered event, in bytes.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
+/// Length of the longest end of an event, in bytes.
+const END_BYTES_MAX: usize = 4;
+
 /// Splits a stream into complete events, so that another target can resume it after the last one.
 ///
 /// An event that a target sent only in part is not forwarded, because the target that resumes the
@@ -30,8 +33,10 @@
 
     /// Appends bytes and returns all buffered events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        // What was buffered before holds no end, but may hold the beginning of one.
+        let scanned = self.pending.len().saturating_sub(END_BYTES_MAX - 1);
         self.pending.extend_from_slice(bytes);
-        let end = end_of_events(&self.pending)?;
+        let end = scanned + end_of_events(&self.pending[scanned..])?;
         let complete = self.pending.split_to(end).freeze();
         self.record_ids(&complete);
         Some(complete)
@@ -42,6 +47,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the length of the buffered part of an event, in bytes.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether the buffered part of an event exceeds the size limit.
     pub fn is_too_long(&self) -> bool {
         self.pending.len() > EVENT_BYTES_MAX
@@ -49,7 +59,8 @@
 
     /// Discards the buffered part of an event.
     pub fn drop_pending(&mut self) {
-        self.pending.clear();
+        // The memory goes as well.
+        self.pending = BytesMut::new();
     }
 
     /// Removes and returns the buffered bytes.
