--- a/crates/gateway/src/control/suspicions.rs
+++ b/crates/gateway/src/control/suspicions.rs
@@ -4,6 +4,7 @@
 use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_forming::FormingEvent;
 use celeryhaven_types::{DomainName, TimeMs, VmName};
+use slog::info;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
@@ -59,6 +60,7 @@
     /// loss only when the target's entry expires.
     pub(super) fn handle_suspicion(&mut self, now: TimeMs, suspicion: Suspicion) {
         if self.is_isolated() {
+            info!(self.parts.log, "suspicion dropped"; "suspicion" => format!("{suspicion:?}"));
             return;
         }
         let Some(domain) = self.domain_of(&suspicion) else { return };
