--- a/crates/gateway/src/control/ends/checking.rs
+++ b/crates/gateway/src/control/ends/checking.rs
@@ -159,7 +159,6 @@
                 false => watched.waiting.clone(),
             });
             for (reply, _) in waiting {
-                // The request waits for two verdicts at most, which both fit.
                 reply.try_send(verdict).unwrap_or_default();
             }
             if verdict.is_final() {
--- a/crates/gateway/src/traffic/end_check.rs
+++ b/crates/gateway/src/traffic/end_check.rs
@@ -80,7 +80,7 @@
         let is_sound = self.state.borrow().sound_runs.contains(digest);
         let content = (!is_sound).then_some(digest);
         let query = EndQuery { process, found, is_broken, content };
-        let (reply, verdicts) = async_channel::bounded(2);
+        let (reply, verdicts) = async_channel::unbounded();
         self.notify_control(TrafficReport::EndSuspected(query, reply));
         self.await_verdict(&run, found, verdicts).await;
     }
