--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -71,6 +71,7 @@
             view.replicas.values().filter(|replica| replica.domain.as_ref() == Some(&self.domain));
         for replica in own {
             let excluded = self.left.iter().any(|(_, key)| *key == replica.key)
+                || self.all_members_left(replica)
                 || self.dissolving.contains_key(&replica.key)
                 || self.formations.contains_key(&replica.key)
                 || replica.head_state == Some(MemberState::Broken);
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -267,7 +267,7 @@
     }
 
     /// Whether every listed member has left the replica or is unreachable.
-    fn all_members_left(&self, replica: &Replica) -> bool {
+    pub(crate) fn all_members_left(&self, replica: &Replica) -> bool {
         let mut members = replica.members.iter().flatten();
         members.all(|member| {
             self.unreachable.contains_key(member)
