fleet, forming, gateway: targets whose entry is removed while they serve are kept on evidence

Cause: the removal of an entry was taken as the end of its target. Targets that lose the store for some seconds serve on, but their replicas were closed or dissolved; only when entries of more than a fifth of a model's replicas were gone at the same time, a special case let these serve on.

Change: FleetView keeps the entry of a Ready member of a whole serving replica, and of a Ready plain target, with the answers since the removal and their age. Routing and planners read this one account. Two consecutive answers with Connection: close, or a notice, mean that the target leaves; no connection, or a replica that is no longer whole for another reason, removes it as before. A head without an answer for 2.5 s receives no requests. The coordinator probes each unlisted member at once and then every 2 s; a node probes unlisted heads and plain targets to which it sends, within 0.8 s and then every 2 s, unless answers to requests come. Entries that lapse in a store outage are handled as before.

has_many_lapses, is_whole_but_for_lapses and the special case in may_close are removed.

Tests: planner_many_entries_removed allowed one of three replicas to close; unlisted_members_that_answer allows none, also for a single one and with a change of coordinator, and bounds the probes. is_whole_but_for_lapses_members and has_many_lapses_by_share tested removed functions; their cases (not whole before, a member outside, draining) are in unlisted::remove_members_of_whole_replica and remove_members_of_other_replicas, which hold for each replica rather than by share. planner_member_entry_removed and planner_head_cut_off_from_store expected that a target that answers is taken as leaving; they are now planner_member_leaves_unlisted and planner_head_leaves_unlisted, with a target that closes its connections and the same assertions. The close is expected within 1 s rather than 0.5 s, since two answers have to agree.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,4 +23,7 @@
 pub use target::{
     CloseMode, MemberState, Membership, OrderOutcome, TargetEntry, TargetOrder, TargetPhase,
 };
-pub use view::{DomainTargets, Evacuations, FleetView, Replica, ReplicaKey};
+pub use view::{
+    AnswerRun, DomainTargets, Evacuations, FleetView, Replica, ReplicaKey, UnlistedChange,
+    UnlistedEnd, UnlistedTarget,
+};
--- a/crates/fleet/src/view/fleet_view.rs
+++ b/crates/fleet/src/view/fleet_view.rs
@@ -1,10 +1,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use celeryhaven_types::{DomainName, ModelName, ServiceName, Set, TimeMs, VmName};
+use celeryhaven_types::{DomainName, ServiceName, Set, TimeMs, VmName};
 
-use crate::target::{MemberState, TargetEntry, TargetPhase};
-use crate::view::replica_index::ReplicaIndex;
-use crate::view::{DomainTargets, Evacuations, Replica, ReplicaKey};
+use crate::target::{TargetEntry, TargetPhase};
+use crate::view::replica_index::{ReplicaIndex, replica_of};
+use crate::view::{
+    DomainTargets, Evacuations, Replica, ReplicaKey, UnlistedChange, UnlistedTarget,
+};
 
 /// How long a removed entry is retained, in milliseconds.
 ///
@@ -12,15 +14,12 @@
 /// reachable for probes and orders.
 const REMOVED_RETENTION_MS: u64 = 15_000;
 
-/// Lapses in more than this many replicas of a model, and in more than one in this many of them,
-/// show that targets are cut off from the store.
-const LAPSED_REPLICAS_MIN: usize = 2;
-const REPLICAS_PER_LAPSE: usize = 5;
-
 /// All targets that the platform lists.
 ///
 /// After a store outage, lapsed entries of live targets are retained until their owners have had
-/// time to renew them. Replicas and the targets of each domain are updated incrementally.
+/// time to renew them. Otherwise a target that serves when its entry is removed is unlisted: its
+/// entry is retained until evidence shows that the target leaves or is lost. Replicas and the targets
+/// of each domain are updated incrementally.
 ///
 /// ```
 /// use celeryhaven_fleet::FleetView;
@@ -31,11 +30,15 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    targets: BTreeMap<VmName, TargetEntry>,
+    pub(super) targets: BTreeMap<VmName, TargetEntry>,
     lapsed: BTreeMap<VmName, TimeMs>,
+    pub(super) unlisted: BTreeMap<VmName, UnlistedTarget>,
+    pub(super) unlisted_changes: Vec<UnlistedChange>,
+    /// The latest time that was given.
+    pub(super) latest: TimeMs,
     recently_removed: BTreeMap<VmName, (TargetEntry, TimeMs)>,
     lapsed_until: Option<TimeMs>,
-    replicas: ReplicaIndex,
+    pub(super) replicas: ReplicaIndex,
     domains: BTreeMap<ServiceName, BTreeMap<DomainName, DomainTargets>>,
     evacuations: Evacuations,
 }
@@ -53,6 +56,7 @@
 
     /// Applies a complete list; returns true if anything has changed.
     pub fn replace(&mut self, now: TimeMs, entries: Vec<TargetEntry>) -> bool {
+        self.latest = now;
         let listed: Set<VmName> = entries.iter().map(|entry| entry.name.clone()).collect();
         let missing: Vec<_> =
             self.targets.keys().filter(|name| !listed.contains(*name)).cloned().collect();
@@ -68,10 +72,11 @@
         }
         self.lapsed.remove(&name);
         self.recently_removed.remove(&name);
+        let was_unlisted = self.end_by_entry(&entry);
         if let Some(known) = self.targets.get_mut(&name) {
             known.report_number = entry.report_number;
             if *known == entry {
-                return false;
+                return was_unlisted;
             }
         }
         let before = self.targets.insert(name.clone(), entry);
@@ -95,19 +100,25 @@
         })
     }
 
-    /// Removes an entry, or marks it as lapsed during the grace period; returns true if it was
-    /// removed.
+    /// Removes an entry, or marks it as lapsed during the grace period, or its target as unlisted if
+    /// it serves; returns true if the entry was removed or the target has become unlisted.
     pub fn remove(&mut self, now: TimeMs, name: &VmName) -> bool {
+        self.latest = now;
+        if self.unlisted.contains_key(name) {
+            return false;
+        }
         match self.lapsed_until.filter(|&until| now < until) {
             Some(until) if self.targets.contains_key(name) => {
                 self.lapsed.entry(name.clone()).or_insert(until);
                 false
             }
-            _ => self.remove_now(now, name),
+            // The grace period has ended.
+            _ if self.lapsed.contains_key(name) => self.remove_now(now, name),
+            _ => self.keep_unlisted(now, name) || self.remove_now(now, name),
         }
     }
 
-    fn remove_now(&mut self, now: TimeMs, name: &VmName) -> bool {
+    pub(super) fn remove_now(&mut self, now: TimeMs, name: &VmName) -> bool {
         self.lapsed.remove(name);
         let Some(entry) = self.targets.remove(name) else { return false };
         self.update_indexes(name, Some(&entry));
@@ -132,10 +143,14 @@
             let domains = self.domains.entry(entry.service.clone()).or_default();
             domains.entry(domain.clone()).or_default().add(entry);
         }
+        let keys = [before, after].map(|entry| entry.and_then(replica_of));
+        keys.iter().flatten().for_each(|key| self.drop_members_unless_whole(key));
     }
 
-    /// Removes lapsed entries after the grace period; returns true if any were removed.
+    /// Removes lapsed entries after the grace period, and unlisted targets without an answer; returns
+    /// true if anything has changed.
     pub fn expire(&mut self, now: TimeMs) -> bool {
+        self.latest = now;
         let expired: Vec<_> = self
             .lapsed
             .iter()
@@ -146,12 +161,13 @@
             self.remove_now(now, name);
         });
         self.recently_removed.retain(|_, (_, until)| *until > now);
-        !expired.is_empty()
+        self.expire_unlisted(now) || !expired.is_empty()
     }
 
-    /// Whether the entry has lapsed and is retained for the grace period.
+    /// Whether the entry was removed and is retained, for the grace period or because its target is
+    /// unlisted.
     pub fn is_lapsed(&self, name: &VmName) -> bool {
-        self.lapsed.contains_key(name)
+        self.lapsed.contains_key(name) || self.unlisted.contains_key(name)
     }
 
     /// Returns the target with this name.
@@ -174,22 +190,6 @@
         self.replicas.replicas()
     }
 
-    /// Whether entries of members have lapsed in so many serving replicas of a model that their
-    /// targets are cut off from the store rather than lost or leaving.
-    pub fn has_many_lapses(&self, model: &ModelName) -> bool {
-        let serving = self.replicas().values().filter(|replica| {
-            let is_serving =
-                matches!(replica.head_state, Some(MemberState::Open | MemberState::Closing));
-            is_serving && replica.model.as_ref() == Some(model)
-        });
-        let (mut all, mut lapsed) = (0, 0);
-        for replica in serving {
-            all += 1;
-            lapsed += usize::from(!replica.is_complete(replica.formed_size));
-        }
-        lapsed > LAPSED_REPLICAS_MIN && lapsed * REPLICAS_PER_LAPSE > all
-    }
-
     /// Returns the replicas that members report or have reported before, up to a limit.
     pub fn reported_replicas(&self) -> &BTreeSet<ReplicaKey> {
         self.replicas.reported()
--- a/crates/fleet/src/view/replica.rs
+++ b/crates/fleet/src/view/replica.rs
@@ -78,15 +78,6 @@
         self.members.len() == size && self.members.iter().all(Option::is_some)
     }
 
-    /// Whether the replica was whole and no listed member says otherwise, although entries of others
-    /// may have lapsed.
-    pub fn is_whole_but_for_lapses(&self, size: usize) -> bool {
-        self.formed_size == size
-            && self.all_ready
-            && !self.draining
-            && self.head_state == Some(MemberState::Open)
-    }
-
     /// Whether the replica serves with all `size` members.
     ///
     /// The head of a replica that lost a member may accept requests that it cannot answer.
--- a/crates/fleet/src/view/replica_index.rs
+++ b/crates/fleet/src/view/replica_index.rs
@@ -94,7 +94,7 @@
 }
 
 /// Returns the replica that an entry names.
-fn replica_of(entry: &TargetEntry) -> Option<ReplicaKey> {
+pub(crate) fn replica_of(entry: &TargetEntry) -> Option<ReplicaKey> {
     let membership = entry.membership.as_ref().filter(|named| named.rank <= RANK_MAX)?;
     let replica = membership.replica.clone();
     Some(ReplicaKey { replica, generation: membership.generation })
--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -58,6 +58,8 @@
     pub(crate) silent: BTreeMap<VmName, Silence>,
     /// Members whose entry was removed, the time of their next probe, and whether one was answered.
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
+    /// When each unlisted member was last probed.
+    pub(crate) unlisted_probed_at: BTreeMap<VmName, TimeMs>,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
     /// Targets that refused to stage: when they may be asked again, and the pause in milliseconds.
     pub(crate) stage_backoff: BTreeMap<VmName, (TimeMs, u64)>,
@@ -96,6 +98,7 @@
             unreachable: BTreeMap::new(),
             silent: BTreeMap::new(),
             departing: BTreeMap::new(),
+            unlisted_probed_at: BTreeMap::new(),
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -140,6 +143,7 @@
         self.drop_unlisted_state(view);
         self.retract_unlisted_plans(now, view, out);
         self.probe_unreachable(now, out);
+        self.probe_unlisted(now, view, out);
         self.retry_orders(now, out);
         self.release_held_orders(now, out);
         self.evaluate_replicas(now, view, out);
@@ -267,6 +271,7 @@
         self.departing.retain(|name, _| {
             view.fleet.target_or_removed(name).is_some() && view.fleet.target(name).is_none()
         });
+        self.unlisted_probed_at.retain(|name, _| view.fleet.unlisted(name).is_some());
         self.staging.retain(|name, _| view.fleet.target(name).is_some());
         self.stage_backoff.retain(|name, _| view.fleet.target(name).is_some());
         self.left.retain(|(name, key)| {
--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -108,6 +108,34 @@
         None
     }
 
+    /// Probes the unlisted members of the domain's replicas when their next probe is due, and takes those
+    /// as silent that have given no answer.
+    ///
+    /// Answers show whether a target goes on or leaves; see [`FleetView`](celeryhaven_fleet::FleetView).
+    pub(crate) fn probe_unlisted(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        out: &mut Vec<FormingAction>,
+    ) {
+        for (name, unlisted) in view.fleet.unlisted_targets() {
+            let domain = view.fleet.target(name).and_then(|entry| entry.domain.as_ref());
+            // Silent and unreachable targets are probed as such.
+            if domain != Some(&self.domain) || !self.is_reachable(name) {
+                continue;
+            }
+            if unlisted.is_unanswered {
+                self.suspect_silent(now, name, out);
+                continue;
+            }
+            let probed_at = self.unlisted_probed_at.get(name);
+            if probed_at.is_none_or(|&probed_at| unlisted.next_probe_at(probed_at) <= now) {
+                self.unlisted_probed_at.insert(name.clone(), now);
+                out.push(FormingAction::Probe { target: name.clone() });
+            }
+        }
+    }
+
     /// Probes unreachable, silent and departing targets once their next probe is due.
     pub(crate) fn probe_unreachable(&mut self, now: TimeMs, out: &mut Vec<FormingAction>) {
         let departing = self.departing.iter_mut().map(|(target, (at, _))| (target, at));
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -7,9 +7,6 @@
 use crate::interface::{FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
-/// At most one in this many replicas of a model closes at a time for members that count as cut off.
-const REPLICAS_PER_CLOSING: usize = 10;
-
 impl DomainPlanner {
     /// Evaluates each replica of the domain: opens complete ones, dissolves those that lost a
     /// member.
@@ -179,10 +176,7 @@
                 match should_drain {
                     _ if lost => self.dissolve_after_loss(replica, members, out),
                     None => {}
-                    Some(true) if replica.draining || self.may_close(view, replica) => {
-                        self.close(now, replica, "member leaves", out);
-                    }
-                    Some(true) => {}
+                    Some(true) => self.close(now, replica, "member leaves", out),
                     Some(false) if whole => {}
                     Some(false) => self.dissolve_after_loss(replica, members, out),
                 }
@@ -294,28 +288,6 @@
         self.send(head, order, out);
     }
 
-    /// Whether a replica may be closed because the entry of a member that answers is gone.
-    ///
-    /// The member is leaving. If entries of many replicas are gone, they are cut off from the store:
-    /// closing all of them would leave none that serves.
-    fn may_close(&self, view: FormingView<'_>, replica: &Replica) -> bool {
-        let Some(model) = &replica.model else { return true };
-        if !view.fleet.has_many_lapses(model) {
-            return true;
-        }
-        let same_model = view.replicas.values().filter(|other| other.model.as_ref() == Some(model));
-        let (mut serving, mut closing) = (0, 0);
-        for other in same_model {
-            match other.head_state {
-                _ if self.dissolving.contains_key(&other.key) => closing += 1,
-                Some(MemberState::Open) => serving += 1,
-                Some(MemberState::Closing) => closing += 1,
-                _ => {}
-            }
-        }
-        closing < ((serving + closing) / REPLICAS_PER_CLOSING).max(1)
-    }
-
     fn planned_model(&self, key: &ReplicaKey) -> Option<ModelName> {
         self.planned(key).map(|plan| plan.model.clone())
     }
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -37,6 +37,7 @@
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
+use crate::control::unlisted::UnlistedProbes;
 use crate::traffic::{
     Destination, OfferedLoad, SharedConfirmation, TargetLimitMap, TargetNotices, TrafficReport,
     TrafficUpdate,
@@ -116,6 +117,7 @@
     pub(super) nodes_probed_at: TimeMs,
     pub(super) demand: DemandMeter,
     pub(super) shares: ModelShares,
+    pub(super) unlisted_probes: UnlistedProbes,
     calls_logged_at: TimeMs,
 }
 
@@ -164,6 +166,7 @@
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
             shares: ModelShares::new(),
+            unlisted_probes: UnlistedProbes::default(),
             calls_logged_at: BootClock.now(),
         }
     }
@@ -280,6 +283,7 @@
                 Changes::nodes(true)
             }
             ControlEvent::Forming(domain, event) => {
+                self.note_planner_probe(&event);
                 self.handle_forming_event(now, &domain, event);
                 Changes::FORMING
             }
@@ -305,6 +309,9 @@
                 self.record_found(now, &process, finding);
                 Changes::nodes(true)
             }
+            ControlEvent::UnlistedProbed(target, reachability) => {
+                Changes::targets(self.record_unlisted_probe(now, &target, reachability))
+            }
             ControlEvent::EndsDue => Changes::nodes(true),
             ControlEvent::EndSettled(process) => {
                 self.record_settled(&process);
@@ -331,13 +338,14 @@
             }
             ControlEvent::Tick => {
                 self.probe_nodes(now);
+                self.probe_unlisted_heads(now);
                 self.log_store_calls(now);
                 self.update_demand_shares(now);
                 self.write_quarantine(now);
                 self.write_limits(now);
                 self.update_limits(now);
                 self.publish_directory(now);
-                let left = self.apply_departures() | self.expire_evacuations(now);
+                let left = self.apply_departures(now) | self.expire_evacuations(now);
                 let expired = Changes::targets(self.fleet.expire(now) | left);
                 // The passing of time alone can change the state of a node, such as being cut off.
                 expired | Changes::nodes(true) | Changes::FORMING
@@ -375,10 +383,10 @@
 
     /// Updates the state that depends on what has changed.
     fn process_changes(&mut self, changes: Changes) {
+        let answered = self.apply_unlisted_answers(BootClock.now());
+        let changes = changes | Changes::targets(answered);
         if changes.targets {
-            self.destinations = self.find_destinations();
-            self.parts.target_client.link_check.links.set_destinations(self.destinations.clone());
-            self.update_limits(BootClock.now());
+            self.update_destinations();
         }
         if changes.targets || changes.nodes {
             self.update_coordinated_domains();
@@ -390,6 +398,17 @@
             self.execute_planned_actions();
             self.request_loads(BootClock.now());
         }
+        if self.remove_unreachable(BootClock.now()) {
+            self.update_destinations();
+            self.publish();
+        }
+        self.log_unlisted_changes();
+    }
+
+    fn update_destinations(&mut self) {
+        self.destinations = self.find_destinations();
+        self.parts.target_client.link_check.links.set_destinations(self.destinations.clone());
+        self.update_limits(BootClock.now());
     }
 
     fn handle_traffic_report(&mut self, now: TimeMs, report: TrafficReport) -> Changes {
@@ -409,6 +428,7 @@
                 self.handle_suspicion(now, Suspicion::Stalled(replica));
             }
             TrafficReport::LossReported(target) => {
+                self.hasten_unlisted_probe(&target);
                 self.handle_suspicion(now, Suspicion::LossReported(target));
             }
             TrafficReport::Offered(loads) => self.record_offered_load(now, &loads),
--- a/crates/gateway/src/control/departures.rs
+++ b/crates/gateway/src/control/departures.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use celeryhaven_fleet::{TargetEntry, TargetPhase};
+use celeryhaven_types::TimeMs;
 
 use crate::adapter::Adapter;
 use crate::control::Control;
@@ -10,7 +11,7 @@
     /// there are any new ones.
     ///
     /// Their entries may say so later, or not at all.
-    pub(super) fn apply_departures(&mut self) -> bool {
+    pub(super) fn apply_departures(&mut self, now: TimeMs) -> bool {
         let notices = self.parts.target_client.notices.current();
         if Arc::ptr_eq(&notices, &self.notices) {
             return false;
@@ -19,7 +20,12 @@
         let listed = self.fleet.targets().filter(|entry| entry.phase == TargetPhase::Ready);
         let leaving: Vec<_> = listed.filter(|entry| self.is_leaving(entry)).cloned().collect();
         leaving.into_iter().fold(false, |changed, entry| {
-            changed | self.fleet.put(TargetEntry { phase: TargetPhase::Draining, ..entry })
+            let is_unlisted = self.fleet.unlisted(&entry.name).is_some();
+            changed
+                | match is_unlisted {
+                    true => self.fleet.record_leaving(now, &entry.name),
+                    false => self.fleet.put(TargetEntry { phase: TargetPhase::Draining, ..entry }),
+                }
         })
     }
 
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,7 +1,7 @@
 use async_channel::Sender;
 use celeryhaven_ends::{Finding, TargetProcess};
 use celeryhaven_fleet::StoreContact;
-use celeryhaven_forming::FormingEvent;
+use celeryhaven_forming::{FormingEvent, Reachability};
 use celeryhaven_load_quota::{QuotaCall, QuotaReply};
 use celeryhaven_peers::{NodeRecord, ProbeResult, RelayDirectory};
 use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
@@ -9,7 +9,7 @@
 use celeryhaven_sources::Source;
 use celeryhaven_target_limits::{LimitRecord, LimitWrite};
 use celeryhaven_types::store::{Object, ObjectChange, ObjectVersion};
-use celeryhaven_types::{DomainName, NodeName, TimeMs};
+use celeryhaven_types::{DomainName, NodeName, TimeMs, VmName};
 
 use crate::control::counted_store::StoreCallKind;
 use crate::control::directory::StoredDirectory;
@@ -136,6 +136,8 @@
     EndsAnswered(NodeName, Vec<(TargetProcess, Option<Finding>)>),
     /// What this node has found of a process by connecting once more.
     EndFound(TargetProcess, Finding),
+    /// What this node's probe of an unlisted target has found.
+    UnlistedProbed(VmName, Reachability),
     /// A refusal has waited for a contradiction.
     EndsDue,
     /// A process that another node has asked about goes on.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -25,6 +25,7 @@
 mod shared_records;
 mod suspicions;
 mod target_client;
+mod unlisted;
 
 pub(crate) use control_loop::{Control, ControlParts};
 pub(crate) use event::ControlEvent;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -106,6 +106,7 @@
         let targets = fleet.targets().filter(move |entry| entry.service == service.name);
         let ready =
             targets.filter(|entry| entry.phase == TargetPhase::Ready && !fleet.is_evacuated(entry));
+        let ready = ready.filter(|entry| !fleet.is_unanswered(&entry.name));
         ready.map(|entry| Destination {
             name: DestinationName::Plain(entry.name.clone()),
             service: service.name.clone(),
@@ -127,13 +128,13 @@
 ) -> Option<Destination> {
     let engine = config.service(&replica.service)?.engine.as_ref()?;
     let model = engine.model(replica.model.as_ref()?)?;
-    let is_cut_off =
-        || replica.is_whole_but_for_lapses(model.size) && fleet.has_many_lapses(&model.name);
-    let may_serve = replica.is_whole(model.size) || is_cut_off();
-    if !may_serve || fleet.is_replica_evacuated(replica) {
+    if !replica.is_whole(model.size) || fleet.is_replica_evacuated(replica) {
         return None;
     }
     let head = fleet.target(replica.head()?)?;
+    if fleet.is_unanswered(&head.name) {
+        return None;
+    }
     Some(Destination {
         name: DestinationName::Replica(replica.key.clone()),
         service: replica.service.clone(),
--- a/crates/gateway/src/traffic/notices.rs
+++ b/crates/gateway/src/traffic/notices.rs
@@ -1,5 +1,7 @@
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use celeryhaven_fleet::AnswerRun;
 use celeryhaven_target_limits::{BackOffs, Departures};
 use celeryhaven_types::{TimeMs, VmName};
 use slog::info;
@@ -16,10 +18,15 @@
     pub(crate) departures: Departures,
 }
 
+/// Answers of unlisted targets, with the start times of their processes.
+type UnlistedAnswers = BTreeMap<VmName, (Option<u64>, AnswerRun)>;
+
 /// The notices of targets, shared by the threads that call them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SharedNotices {
     notices: Arc<Mutex<Arc<TargetNotices>>>,
+    /// Unlisted targets, and their answers that have not been taken.
+    unlisted: Arc<Mutex<UnlistedAnswers>>,
 }
 
 impl SharedNotices {
@@ -35,6 +42,7 @@
         (target, started_at_ms): (&VmName, Option<u64>),
         head: &AnswerHead,
     ) -> bool {
+        self.observe_unlisted(now, (target, started_at_ms), head);
         let mut notices = self.lock();
         if let Some(pause_ms) = head.back_off_ms {
             let back_offs = &mut Arc::make_mut(&mut notices).back_offs;
@@ -52,6 +60,41 @@
         head.back_off_ms.is_some() || has_returned || leaves
     }
 
+    /// Sets the unlisted targets, with their start times; only their answers are recorded.
+    pub(crate) fn watch_unlisted(&self, targets: BTreeMap<VmName, Option<u64>>) {
+        let mut unlisted = self.unlisted.lock().unwrap_or_else(PoisonError::into_inner);
+        let watched = targets.into_iter().map(|(name, started_at_ms)| {
+            let recorded = unlisted.get(&name).filter(|(recorded, _)| *recorded == started_at_ms);
+            let answers = recorded.map(|(_, answers)| *answers).unwrap_or_default();
+            (name, (started_at_ms, answers))
+        });
+        *unlisted = watched.collect();
+    }
+
+    /// Returns the answers of unlisted targets since the last call, with the targets' start times.
+    pub(crate) fn take_unlisted_answers(&self) -> Vec<(VmName, Option<u64>, AnswerRun)> {
+        let mut unlisted = self.unlisted.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = unlisted.iter_mut().filter(|(_, (_, answers))| answers.last_at().is_some());
+        let taken = taken.map(|(name, (started_at_ms, answers))| {
+            (name.clone(), *started_at_ms, std::mem::take(answers))
+        });
+        taken.collect()
+    }
+
+    fn observe_unlisted(
+        &self,
+        now: TimeMs,
+        (target, started_at_ms): (&VmName, Option<u64>),
+        head: &AnswerHead,
+    ) {
+        let mut unlisted = self.unlisted.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((watched, answers)) = unlisted.get_mut(target)
+            && *watched == started_at_ms
+        {
+            answers.observe(now, head.closes_connection);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Arc<TargetNotices>> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -32,6 +32,8 @@
     pub targets_limited: Gauge,
     /// Targets that have asked this node for a pause.
     pub targets_backing_off: Gauge,
+    /// Targets that are kept without an entry, because they served when it was removed.
+    pub targets_unlisted: Gauge,
     /// Loads from the weights store that were granted to this node.
     pub loads_granted: Counter,
     /// Data centres that are evacuated.
@@ -65,6 +67,7 @@
         let (quarantined, crash_reports) = (Gauge::default(), Counter::default());
         let targets_limited = Gauge::default();
         let targets_backing_off = Gauge::default();
+        let targets_unlisted = Gauge::default();
         let loads_granted = Counter::default();
         let (isolated, delegated) = (Gauge::default(), Family::default());
         let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
@@ -105,6 +108,11 @@
                 "Targets that have asked this node for a pause",
                 targets_backing_off.clone(),
             );
+            registry.register(
+                "targets_unlisted",
+                "Targets that are kept without an entry",
+                targets_unlisted.clone(),
+            );
             registry.register(
                 "loads_granted",
                 "Loads from the weights store that were granted to this node",
@@ -149,6 +157,7 @@
             crash_reports,
             targets_limited,
             targets_backing_off,
+            targets_unlisted,
             loads_granted,
             evacuations,
             evacuating_requests,
