fleet: a closing answer alone does not keep an unlisted head

A head that leaves and gave one closing answer at 0.9 s received requests until 3.4 s after the removal of its entry. The 2.5 s now count from the last answer that left its connection open.

--- a/crates/fleet/src/view/answer_run.rs
+++ b/crates/fleet/src/view/answer_run.rs
@@ -24,8 +24,8 @@
         last_at: Option<TimeMs>,
         /// Answers that closed their connection since the last one that did not.
         closing: u32,
-        /// Whether any answer left its connection open.
-        has_open: bool,
+        /// Time of the last answer that left its connection open.
+        last_open_at: Option<TimeMs>,
     }
 }
 
@@ -34,17 +34,19 @@
     pub fn observe(&mut self, now: TimeMs, closes: bool) {
         self.last_at = self.last_at.max(Some(now));
         self.closing = if closes { self.closing.saturating_add(1) } else { 0 };
-        self.has_open |= !closes;
+        if !closes {
+            self.last_open_at = self.last_open_at.max(Some(now));
+        }
     }
 
     /// Adds answers that came after these.
     pub fn append(&mut self, later: &Self) {
         self.last_at = self.last_at.max(later.last_at);
-        self.closing = match later.has_open {
-            true => later.closing,
-            false => self.closing.saturating_add(later.closing),
+        self.closing = match later.last_open_at {
+            Some(_) => later.closing,
+            None => self.closing.saturating_add(later.closing),
         };
-        self.has_open |= later.has_open;
+        self.last_open_at = self.last_open_at.max(later.last_open_at);
     }
 
     /// Returns the time of the last answer.
@@ -52,6 +54,11 @@
         self.last_at
     }
 
+    /// Returns the time of the last answer that left its connection open.
+    pub fn last_open_at(&self) -> Option<TimeMs> {
+        self.last_open_at
+    }
+
     /// Returns the number of closing answers since the last one that left its connection open.
     pub fn closing(&self) -> u32 {
         self.closing
--- a/crates/fleet/src/view/unlisted_target.rs
+++ b/crates/fleet/src/view/unlisted_target.rs
@@ -3,9 +3,11 @@
 
 use crate::view::AnswerRun;
 
-/// Time without an answer after which an unlisted head receives no requests, in milliseconds.
+/// Time without an answer that left its connection open, after which an unlisted head receives no
+/// requests, in milliseconds.
 ///
-/// Longer than the interval between two probes and the time for an answer.
+/// Longer than the interval between two probes and the time for an answer, and shorter than the 3 s from
+/// which a target that has left receives nothing.
 const UNANSWERED_MAX_MS: u64 = 2_500;
 
 /// Interval between two probes of an unlisted target, in milliseconds.
@@ -34,9 +36,13 @@
         Self { since, answers: AnswerRun::default(), is_unanswered: false }
     }
 
-    /// Returns the time of the last answer, or of the removal if there was none.
+    /// Returns the time of the last answer that shows that the target goes on, or of the removal if there
+    /// was none.
+    ///
+    /// An answer that closed its connection shows nothing alone: a target that leaves must not be kept by
+    /// it for longer than by none.
     pub fn evidence_at(&self) -> TimeMs {
-        self.answers.last_at().unwrap_or(self.since)
+        self.answers.last_open_at().unwrap_or(self.since)
     }
 
     /// Returns when the next probe is due after one that was sent at `probed_at`.
--- a/crates/fleet/tests/unlisted.rs
+++ b/crates/fleet/tests/unlisted.rs
@@ -171,6 +171,16 @@
     assert_eq!(fleet.unlisted_targets().count(), 0);
 }
 
+/// A head that leaves and gives a single answer must get no requests from 3 s after the removal.
+#[test]
+fn expire_head_with_one_closing_answer() {
+    let mut fleet = serving();
+    fleet.remove(NOW, &name(0));
+    answer(&mut fleet, 900, 0, true);
+    assert!(!fleet.expire(NOW.after(2_400)));
+    assert!(fleet.expire(NOW.after(2_500)) && fleet.is_unanswered(&name(0)));
+}
+
 /// A new process under the name of an unlisted target holds none of its state.
 #[test]
 fn put_restarted() {
