forming: failed targets and formations pause; a replica is dissolved once

Cause: a member whose leave failed on the way (its target answers probes and resets orders, or answers no order) still showed the membership in the list. A conversion closed a replica whose members were all unreachable each time its dissolution had ended, as the list still showed it serving. A target whose join failed was free again with the next answered probe, and planned in the next step. Probes had no bound: each suspicion, report of a loss, failed order and timer asked for one.

Change: - A dissolved replica is remembered while it is listed. Members that have not left are ordered again after 0.5, 1, 2, 4, 8 s; there is one log line. It counts for no model and is not converted. If it serves with all its members 1.5 s later and no leave has reached one, it is judged as any other. - A target whose join, stage or probe failed pauses for 0.5 to 8 s. An answered probe ends the first pause; a target that fails again although it answers probes waits for the whole of it. Others are tried first. - A target is planned at most once in 0.5 s; so are the members of a failed formation together. - A target is probed at most once in 0.5 s; a probe asked for earlier is sent at the end of the interval. - A member that has not answered its leave does not count as a target that is about to be free.

--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -137,6 +137,7 @@
             replica.head_state == Some(MemberState::Open)
                 && !replica.draining
                 && !self.dissolving.contains_key(&replica.key)
+                && !self.dissolved.contains_key(&replica.key)
         })
     }
 
--- a/crates/forming/src/domain/dissolving.rs
+++ b/crates/forming/src/domain/dissolving.rs
@@ -11,16 +11,26 @@
     /// The head may be unreachable and its entry lapsed while it still serves callers, so a missing
     /// answer does not prove that it has stopped. It cannot serve without its members, whatever its
     /// own state, so it is enough that they have left.
+    ///
+    /// A member that was ordered to leave before is ordered again only once its pause has ended.
     pub(crate) fn dissolve(
         &mut self,
+        now: TimeMs,
         key: &ReplicaKey,
         members: Vec<VmName>,
         out: &mut Vec<FormingAction>,
     ) {
-        let dissolving =
-            Dissolving { remaining: members.into_iter().collect(), closing_since: None };
+        let members = self.record_dissolved(now, key, members);
+        let earlier = self.dissolving.remove(key).filter(|it| it.closing_since.is_none());
+        let mut remaining = earlier.map(|it| it.remaining).unwrap_or_default();
+        remaining.extend(members.iter().cloned());
+        let dissolving = Dissolving { remaining, closing_since: None };
         self.dissolving.insert(key.clone(), dissolving);
-        self.order_leaves(key, out);
+        let ReplicaKey { replica, generation } = key.clone();
+        for member in members {
+            let order = TargetOrder::Leave { replica: replica.clone(), generation };
+            self.send(member, order, out);
+        }
     }
 
     /// Advances the replicas that are being dissolved.
@@ -38,10 +48,12 @@
     /// Applies the outcome of a leave order.
     pub(crate) fn apply_leave_outcome(
         &mut self,
+        now: TimeMs,
         key: &ReplicaKey,
         member: &VmName,
         outcome: OrderOutcome,
     ) {
+        self.record_leave(now, key, member, outcome);
         match outcome {
             // A refusal means that the target is no longer in this replica.
             OrderOutcome::Accepted | OrderOutcome::AlreadyHeld | OrderOutcome::Refused => {
@@ -73,7 +85,12 @@
         let Some(closing_since) = dissolving.closing_since else {
             if dissolving.remaining.is_empty() {
                 self.dissolving.remove(key);
-                self.log_change(key, "taken apart", None, out);
+                let dissolved = self.dissolved.get_mut(key);
+                let was_logged =
+                    dissolved.is_some_and(|it| std::mem::replace(&mut it.end_logged, true));
+                if !was_logged {
+                    self.log_change(key, "taken apart", None, out);
+                }
             }
             return;
         };
@@ -96,16 +113,7 @@
         };
         if !is_closing {
             let members = dissolving.remaining.iter().cloned().collect();
-            self.dissolve(key, members, out);
-        }
-    }
-
-    fn order_leaves(&mut self, key: &ReplicaKey, out: &mut Vec<FormingAction>) {
-        let Some(dissolving) = self.dissolving.get(key) else { return };
-        let ReplicaKey { replica, generation } = key.clone();
-        for member in dissolving.remaining.clone() {
-            let order = TargetOrder::Leave { replica: replica.clone(), generation };
-            self.send(member, order, out);
+            self.dissolve(now, key, members, out);
         }
     }
 }
--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -3,8 +3,11 @@
 use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
 
+use crate::domain::dissolved::Dissolved;
 use crate::domain::formation::{Dissolving, Formation, PendingOrder, Silence};
 use crate::domain::load_grants::LoadGrants;
+use crate::domain::plan_pauses::PlanPauses;
+use crate::domain::probe_limit::ProbeLimit;
 use crate::domain::unlisted::UnlistedPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
 use crate::record::{DomainRecord, PlannedReplica};
@@ -48,6 +51,8 @@
     pub(crate) record_retry_at: TimeMs,
     pub(crate) formations: BTreeMap<ReplicaKey, Formation>,
     pub(crate) dissolving: BTreeMap<ReplicaKey, Dissolving>,
+    /// Replicas whose members were ordered to leave, for as long as they are listed.
+    pub(crate) dissolved: BTreeMap<ReplicaKey, Dissolved>,
     /// Targets that have left a replica in which the target list still shows them.
     pub(crate) left: BTreeSet<(VmName, ReplicaKey)>,
     /// When another coordinator's unfinished replica was first seen.
@@ -58,6 +63,8 @@
     pub(crate) silent: BTreeMap<VmName, Silence>,
     /// Members whose entry was removed, the time of their next probe, and whether one was answered.
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
+    pub(crate) plan_pauses: PlanPauses,
+    probe_limit: ProbeLimit,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
     /// Targets that refused to stage: when they may be asked again, and the pause in milliseconds.
     pub(crate) stage_backoff: BTreeMap<VmName, (TimeMs, u64)>,
@@ -91,11 +98,14 @@
             record_retry_at: now,
             formations: BTreeMap::new(),
             dissolving: BTreeMap::new(),
+            dissolved: BTreeMap::new(),
             left: BTreeSet::new(),
             unfinished: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             silent: BTreeMap::new(),
             departing: BTreeMap::new(),
+            plan_pauses: PlanPauses::default(),
+            probe_limit: ProbeLimit::default(),
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -132,12 +142,20 @@
 
     /// Evaluates the target list and appends the resulting actions.
     pub fn step(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+        let first = out.len();
+        self.advance(now, view, out);
+        self.probe_limit.apply(now, out, first);
+    }
+
+    fn advance(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
         self.load_grants.begin_step(now);
+        self.plan_pauses.expire(now);
         if self.record == RecordState::Unknown && self.record_retry_at <= now {
             self.record = RecordState::Reading;
             out.push(FormingAction::ReadRecord);
         }
         self.drop_unlisted_state(view);
+        self.expire_dissolved(now, view);
         self.retract_unlisted_plans(now, view, out);
         self.probe_unreachable(now, out);
         self.retry_orders(now, out);
@@ -162,6 +180,18 @@
         view: FormingView<'_>,
         event: FormingEvent,
         out: &mut Vec<FormingAction>,
+    ) {
+        let first = out.len();
+        self.apply_event(now, view, event, out);
+        self.probe_limit.apply(now, out, first);
+    }
+
+    fn apply_event(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        event: FormingEvent,
+        out: &mut Vec<FormingAction>,
     ) {
         match event {
             FormingEvent::RecordRead { record } => self.record_read(now, view, record, out),
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -123,7 +123,7 @@
         match &pending.order {
             TargetOrder::Join { replica, generation, .. } => {
                 let key = key(replica, *generation);
-                self.apply_join_outcome(&key, &pending.target, outcome, out);
+                self.apply_join_outcome(now, &key, &pending.target, outcome, out);
             }
             TargetOrder::Open { replica, generation } => {
                 let key = key(replica, *generation);
@@ -133,9 +133,12 @@
             }
             TargetOrder::Leave { replica, generation } => {
                 let key = key(replica, *generation);
-                self.apply_leave_outcome(&key, &pending.target, outcome);
+                self.apply_leave_outcome(now, &key, &pending.target, outcome);
             }
             TargetOrder::Stage { .. } => {
+                if matches!(outcome, OrderOutcome::TargetRemoved | OrderOutcome::Unanswered) {
+                    self.plan_pauses.record_failure(now, &pending.target);
+                }
                 if outcome == OrderOutcome::Unanswered {
                     self.load_grants.record_late_stage(now, &pending.target);
                 }
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -22,10 +22,15 @@
         out: &mut Vec<FormingAction>,
     ) {
         let mut free = self.free_targets(view);
+        free.retain(|entry| self.plan_pauses.may_plan(now, &entry.name));
         let wanted = self.wanted(view);
         let mut current = self.current_replicas(view);
         let mut plans = Vec::new();
         while let Some((model, members)) = self.next_replica(view, &wanted, &current, &free) {
+            if self.plan_pauses.have_failed_together(now, &members) {
+                free.retain(|entry| !members.contains(&entry.name));
+                continue;
+            }
             let may_load = |planner: &Self, entry: &&TargetEntry| {
                 members.contains(&entry.name) && planner.join_may_load(now, Some(entry), &model)
             };
@@ -73,6 +78,7 @@
             let excluded = self.left.iter().any(|(_, key)| *key == replica.key)
                 || self.all_members_left(replica)
                 || self.dissolving.contains_key(&replica.key)
+                || self.dissolved.contains_key(&replica.key)
                 || self.formations.contains_key(&replica.key)
                 || replica.head_state == Some(MemberState::Broken);
             if let (false, Some(model)) = (excluded, &replica.model) {
@@ -101,7 +107,7 @@
             current.get(&count.model).copied().unwrap_or_default() < count.replicas
         };
         let mut by_preference = wanted.iter().filter(missing).chain(wanted.iter().rev());
-        let warm = by_preference.find_map(|count| select_members(free, count, Warmth::Staged));
+        let warm = by_preference.find_map(|count| self.select_members(free, count, Warmth::Staged));
         if warm.is_some() {
             return warm;
         }
@@ -117,7 +123,7 @@
             .filter(missing)
             .find(|count| current.get(&count.model).copied().unwrap_or_default() == 0);
         let cold = without_replica.or_else(|| wanted.iter().find(missing))?;
-        select_members(free, cold, Warmth::Cold)
+        self.select_members(free, cold, Warmth::Cold)
     }
 
     /// Returns a warm replica of the model with the lowest provision, up to the model's share.
@@ -142,7 +148,7 @@
             let candidates =
                 free.iter().filter(|entry| !is_reserved_for(entry, worse_provisioned)).copied();
             let count = wanted.iter().find(|count| count.model == *model)?;
-            select_members(&candidates.collect::<Vec<_>>(), count, Warmth::Staged)
+            self.select_members(&candidates.collect::<Vec<_>>(), count, Warmth::Staged)
         })
     }
 
@@ -187,6 +193,29 @@
             || self.dissolving.keys().any(|key| key.replica == *name)
             || view.replicas.keys().any(|key| key.replica == *name)
     }
+
+    /// Returns the warmest free targets for a replica; those that have failed lately come last.
+    fn select_members(
+        &self,
+        free: &[&TargetEntry],
+        count: &ModelCount,
+        coldest_allowed: Warmth,
+    ) -> Option<(ModelName, Vec<VmName>)> {
+        let rank = |entry: &&TargetEntry| {
+            let warmth = warmth(entry, &count.model);
+            (warmth == Warmth::Cold, self.plan_pauses.has_failed(&entry.name), warmth)
+        };
+        let is_allowed = |entry: &&&TargetEntry| warmth(entry, &count.model) <= coldest_allowed;
+        let candidates = free.iter().filter(is_allowed);
+        let mut candidates: Vec<_> = candidates.map(|entry| (rank(entry), &entry.name)).collect();
+        candidates.sort();
+        if candidates.len() < count.size {
+            return None;
+        }
+        let members =
+            candidates.into_iter().take(count.size).map(|(_, name)| name.clone()).collect();
+        Some((count.model.clone(), members))
+    }
 }
 
 /// Whether a target last served one of these models and is reserved for it.
@@ -195,21 +224,3 @@
 fn is_reserved_for(entry: &TargetEntry, worse_provisioned: &[&ModelName]) -> bool {
     entry.model.as_ref().is_some_and(|served| worse_provisioned.contains(&served))
 }
-
-fn select_members(
-    free: &[&TargetEntry],
-    count: &ModelCount,
-    coldest_allowed: Warmth,
-) -> Option<(ModelName, Vec<VmName>)> {
-    let mut candidates: Vec<_> = free
-        .iter()
-        .map(|entry| (warmth(entry, &count.model), &entry.name))
-        .filter(|(warmth, _)| *warmth <= coldest_allowed)
-        .collect();
-    candidates.sort();
-    if candidates.len() < count.size {
-        return None;
-    }
-    let members = candidates.into_iter().take(count.size).map(|(_, name)| name.clone()).collect();
-    Some((count.model.clone(), members))
-}
--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -30,6 +30,7 @@
         match reachability {
             Reachability::Answers => {
                 self.unreachable.remove(&target);
+                self.plan_pauses.record_answered_probe(now, &target);
                 if self.silent.remove(&target).is_some() {
                     // If its entry has lapsed meanwhile, it comes back with the next report.
                     let next_probe_at = next_probe_at.after(self.settings.probe_interval_ms);
@@ -45,6 +46,7 @@
                 silence.next_probe_at = next_probe_at;
             }
             Reachability::Gone | Reachability::Silent | Reachability::NoConnection => {
+                self.plan_pauses.record_failed_probe(now, &target);
                 self.departing.remove(&target);
                 self.silent.remove(&target);
                 self.unreachable.insert(target, next_probe_at);
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -24,7 +24,9 @@
             if self.all_members_left(&replica) || self.dissolving.contains_key(&replica.key) {
                 continue;
             }
-            if self.formations.contains_key(&replica.key) {
+            if self.dissolved.contains_key(&replica.key) {
+                self.advance_dissolved(now, view, &replica, out);
+            } else if self.formations.contains_key(&replica.key) {
                 self.advance_formation(view, &replica, out);
             } else {
                 self.evaluate_listed(now, view, &replica, out);
@@ -35,7 +37,7 @@
             was_held || formation.deadline <= now || self.has_lost_member(view, formation)
         });
         let failed: Vec<_> = failed.map(|formation| formation.key.clone()).collect();
-        failed.iter().for_each(|key| self.abandon(key, "formation abandoned", out));
+        failed.iter().for_each(|key| self.abandon(now, key, "formation abandoned", out));
     }
 
     /// Starts to form a replica once its plan is in the record.
@@ -64,6 +66,7 @@
         };
         self.log_change(&key, "planned", plan.members.first(), out);
         self.formations.insert(key.clone(), formation);
+        self.plan_pauses.record_plan(now, &plan.members);
         for member in &plan.members {
             if held.contains(member) {
                 continue;
@@ -94,19 +97,26 @@
     /// Applies the outcome of a join order.
     pub(crate) fn apply_join_outcome(
         &mut self,
+        now: TimeMs,
         key: &ReplicaKey,
         target: &VmName,
         outcome: OrderOutcome,
         out: &mut Vec<FormingAction>,
     ) {
+        match outcome {
+            OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
+                self.plan_pauses.record_success(target);
+            }
+            _ => self.plan_pauses.record_failure(now, target),
+        }
         let Some(formation) = self.formations.get_mut(key) else { return };
         match outcome {
             OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
                 formation.accepted.push(target.clone());
             }
-            OrderOutcome::Refused => self.abandon(key, "join refused", out),
+            OrderOutcome::Refused => self.abandon(now, key, "join refused", out),
             OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {
-                self.abandon(key, "member unreachable", out);
+                self.abandon(now, key, "member unreachable", out);
             }
         }
     }
@@ -149,10 +159,17 @@
         })
     }
 
-    fn abandon(&mut self, key: &ReplicaKey, why: &'static str, out: &mut Vec<FormingAction>) {
+    fn abandon(
+        &mut self,
+        now: TimeMs,
+        key: &ReplicaKey,
+        why: &'static str,
+        out: &mut Vec<FormingAction>,
+    ) {
         let Some(formation) = self.formations.remove(key) else { return };
         self.log_change(key, why, None, out);
-        self.dissolve(key, formation.members, out);
+        self.plan_pauses.record_failed_formation(now, &formation.members);
+        self.dissolve(now, key, formation.members, out);
     }
 
     /// Evaluates a replica that this planner is not forming.
@@ -177,14 +194,14 @@
                 };
                 let whole = complete || size.is_none();
                 match should_drain {
-                    _ if lost => self.dissolve_after_loss(replica, members, out),
+                    _ if lost => self.dissolve_after_loss(now, replica, members, out),
                     None => {}
                     Some(true) if replica.draining || self.may_close(view, replica) => {
                         self.close(now, replica, "member leaves", out);
                     }
                     Some(true) => {}
                     Some(false) if whole => {}
-                    Some(false) => self.dissolve_after_loss(replica, members, out),
+                    Some(false) => self.dissolve_after_loss(now, replica, members, out),
                 }
             }
             Some(MemberState::Broken) => {
@@ -197,25 +214,26 @@
                 if waited && complete && replica.all_ready && !lost && !replica.draining {
                     self.adopt(now, view, replica, out);
                 } else if lost || waited && !(complete && size.is_some()) {
-                    self.dissolve(&replica.key, members, out);
+                    self.dissolve(now, &replica.key, members, out);
                 }
             }
             None => match self.missing_members_answer(now, view, replica, out) {
                 None => {}
                 Some(true) => self.close(now, replica, "member leaves", out),
-                Some(false) => self.dissolve(&replica.key, members, out),
+                Some(false) => self.dissolve(now, &replica.key, members, out),
             },
         }
     }
 
     fn dissolve_after_loss(
         &mut self,
+        now: TimeMs,
         replica: &Replica,
         members: Vec<VmName>,
         out: &mut Vec<FormingAction>,
     ) {
         self.log_change(&replica.key, "member lost", None, out);
-        self.dissolve(&replica.key, members, out);
+        self.dissolve(now, &replica.key, members, out);
     }
 
     /// Whether every member that is no longer listed still answers, or `None` during a probe.
--- a/crates/forming/src/domain/staging.rs
+++ b/crates/forming/src/domain/staging.rs
@@ -80,6 +80,7 @@
             free.iter().any(|free| free.name == entry.name)
                 && !self.staging.contains_key(&entry.name)
                 && self.may_stage(now, &entry.name)
+                && !self.plan_pauses.is_pausing(now, &entry.name)
         };
         let models = &view.profile.models;
         let is_empty = |entry: &&TargetEntry| {
@@ -126,10 +127,14 @@
         (unmet, pool)
     }
 
-    /// Returns the targets that are about to leave a replica.
+    /// Returns the targets that are about to leave a replica, without those that have not answered.
     fn soon_free<'a>(&self, view: FormingView<'a>) -> impl Iterator<Item = &'a TargetEntry> {
         let remaining = self.dissolving.values().flat_map(|dissolving| dissolving.remaining.iter());
-        let reachable = remaining.filter(|name| !self.unreachable.contains_key(*name));
+        let unanswered = self.pending.values().filter(|pending| pending.retry_at.is_some());
+        let unanswered: Vec<&VmName> = unanswered.map(|pending| &pending.target).collect();
+        let reachable = remaining.filter(move |&name| {
+            !self.unreachable.contains_key(name) && !unanswered.contains(&name)
+        });
         let listed = reachable.filter_map(move |name| view.fleet.target(name));
         listed.filter(|entry| entry.phase == TargetPhase::Ready)
     }
--- a/crates/forming/src/domain/unlisted.rs
+++ b/crates/forming/src/domain/unlisted.rs
@@ -60,8 +60,10 @@
             let listed: Vec<VmName> = listed.cloned().collect();
             unresolved.retain(|member| !listed.contains(member));
             if !listed.is_empty() {
-                self.log_change(&key, "plan not seen", None, out);
-                self.dissolve(&key, listed, out);
+                if !self.dissolved.contains_key(&key) {
+                    self.log_change(&key, "plan not seen", None, out);
+                }
+                self.dissolve(now, &key, listed, out);
             }
             match (unresolved.is_empty(), self.unlisted_plans.get_mut(&plan.replica)) {
                 (false, Some(unlisted)) => unlisted.unresolved = unresolved,
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -68,6 +68,14 @@
     recently_listed: BTreeSet<ReplicaKey>,
     /// Number of probes sent.
     pub probes: usize,
+    /// When each target was probed.
+    pub probed_at: BTreeMap<VmName, Vec<TimeMs>>,
+    /// When each target was planned as a member, by confirmed writes of the record.
+    pub planned_at: BTreeMap<VmName, Vec<TimeMs>>,
+    /// Logged changes of replicas.
+    pub changes: Vec<(TimeMs, ReplicaKey, &'static str)>,
+    /// Targets that answer probes and reset every order.
+    pub resets_orders: BTreeSet<VmName>,
     /// Number of reads of the record.
     pub reads: usize,
     listed: FleetView,
@@ -102,6 +110,10 @@
             unlisted: BTreeSet::new(),
             recently_listed: BTreeSet::new(),
             probes: 0,
+            probed_at: BTreeMap::new(),
+            planned_at: BTreeMap::new(),
+            changes: Vec::new(),
+            resets_orders: BTreeSet::new(),
             reads: 0,
             listed: FleetView::new(),
             opened: BTreeMap::new(),
@@ -230,6 +242,52 @@
         }
     }
 
+    /// Ends every target at once, whose entries are removed, and runs until they are gone.
+    pub fn lose_data_centre(&mut self) {
+        for fake in self.targets.values_mut() {
+            fake.alive = false;
+            fake.listed_until = Some(self.now);
+        }
+        self.run_ms(10_000);
+    }
+
+    /// Starts every target again, cold: in no replica, with the models staged that it had.
+    pub fn return_data_centre(&mut self) {
+        for fake in self.targets.values_mut() {
+            let had = fake.entry.model.take();
+            fake.entry.staged.extend(had);
+            fake.entry.staged.dedup();
+            fake.entry.membership = None;
+            fake.entry.started_at_ms = Some(self.now.get());
+            fake.highest_generation = Generation::new(0);
+            (fake.ready_at, fake.open_at, fake.staging) = (None, None, None);
+            (fake.alive, fake.listed_until) = (true, None);
+        }
+    }
+
+    /// Returns the shortest time between two events of the same target, in milliseconds.
+    pub fn shortest_interval_ms(events: &BTreeMap<VmName, Vec<TimeMs>>) -> Option<u64> {
+        let intervals = events.values().flat_map(|times| times.windows(2));
+        intervals.map(|pair| pair[1].since(pair[0])).min()
+    }
+
+    /// Returns how often a change of a replica was logged.
+    pub fn count_changes(&self, replica: &ReplicaKey, change: &str) -> usize {
+        self.changes.iter().filter(|(_, key, logged)| key == replica && *logged == change).count()
+    }
+
+    /// Returns how many orders of a kind to a target are delayed.
+    pub fn orders_delayed(&self, target: &VmName, kind: &str) -> usize {
+        let delayed = self.delayed_orders.iter().filter(|(_, name, _)| name == target);
+        delayed.filter(|(.., order)| order.as_str() == kind).count()
+    }
+
+    /// Returns the replica that a target is listed in.
+    pub fn replica_of(&self, target: &VmName) -> Option<ReplicaKey> {
+        let member = self.targets[target].entry.membership.clone()?;
+        Some(ReplicaKey { replica: member.replica, generation: member.generation })
+    }
+
     /// Runs for `span_ms`.
     pub fn run_ms(&mut self, span_ms: u64) {
         let end = self.now.after(span_ms);
@@ -344,7 +402,7 @@
         let (fleet, recently_listed) = self.list_of(index);
         let profile = self.profile.clone();
         let service = ServiceName::new(SERVICE);
-        let domains: Vec<_> = fleet.domains(&service).map(ListedDomain::new).collect();
+        let domains: Vec<_> = fleet.usable_domains(&service).map(ListedDomain::new).collect();
         let view = FormingView {
             fleet: &fleet,
             replicas: fleet.replicas(),
@@ -374,6 +432,7 @@
                 }
                 FormingAction::Probe { target } => {
                     self.probes += 1;
+                    self.probed_at.entry(target.clone()).or_default().push(self.now);
                     let reachability = match self.targets.get(&target) {
                         _ if self.resetting.contains(&target) => Reachability::Gone,
                         _ if self.stopped.contains_key(&target) => Reachability::Silent,
@@ -383,7 +442,10 @@
                     self.handle(index, FormingEvent::ProbeCompleted { target, reachability });
                 }
                 FormingAction::RecordLoad { outcome, .. } => self.load_outcomes.push(outcome),
-                FormingAction::LogChange { .. } | FormingAction::RecordLoadOrder { .. } => {}
+                FormingAction::LogChange { replica, change, .. } => {
+                    self.changes.push((self.now, replica, change));
+                }
+                FormingAction::RecordLoadOrder { .. } => {}
             }
         }
     }
@@ -409,6 +471,10 @@
             return self.handle(index, FormingEvent::RecordFailed);
         }
         self.revision += 1;
+        let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
+        for member in new.flat_map(|plan| &plan.members) {
+            self.planned_at.entry(member.clone()).or_default().push(self.now);
+        }
         self.record = Some((self.revision, record));
         self.record_versions[index] = Some(self.revision);
         let generation = Generation::new(self.revision);
@@ -416,7 +482,7 @@
     }
 
     fn order(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
-        if self.resetting.contains(target) {
+        if self.resetting.contains(target) || self.resets_orders.contains(target) {
             return OrderOutcome::TargetRemoved;
         }
         if let Some(lying) = self.stopped.get_mut(target) {
--- /dev/null
+++ b/crates/forming/tests/mass_return.rs
@@ -0,0 +1,136 @@
+//! Many targets that are lost or return at once.
+
+mod common;
+
+use celeryhaven_types::{TimeMs, VmName};
+use common::Simulation;
+use common::fake_target::name;
+
+/// Shortest time between two plans, or two probes, of a target.
+const INTERVAL_MIN_MS: u64 = 500;
+
+/// Returns a domain that serves callers, with both models on every target.
+fn serving_domain(targets: usize) -> Simulation {
+    let mut sim = Simulation::new(targets);
+    sim.run_ms(90_000);
+    sim.traffic_seen = true;
+    sim.run_ms(1_000);
+    (sim.planned_at, sim.probed_at) = Default::default();
+    sim
+}
+
+fn shortest(events: &std::collections::BTreeMap<VmName, Vec<TimeMs>>) -> u64 {
+    Simulation::shortest_interval_ms(events).unwrap_or(u64::MAX)
+}
+
+/// A replica whose head answers probes and resets orders was dissolved again in each step.
+#[test]
+fn dissolve_head_resets_orders() {
+    let mut sim = serving_domain(16);
+    let members = sim.members_of("large");
+    let replica = sim.replica_of(&members[0]).expect("the head serves");
+    sim.resets_orders.insert(members[0].clone());
+    sim.kill(&members[2]);
+    sim.suspect(&members[0]);
+    let before = sim.count_orders(&members[1], "leave");
+    sim.run_ms(10_000);
+    assert_eq!(sim.count_changes(&replica, "member lost"), 1);
+    assert_eq!(sim.count_changes(&replica, "taken apart"), 1);
+    assert_eq!(sim.count_orders(&members[1], "leave"), before + 1);
+    // The head learns of it once its path is back.
+    sim.resets_orders.clear();
+    sim.run_ms(10_000);
+    assert_ne!(sim.replica_of(&members[0]), Some(replica));
+}
+
+/// Leaves that are not answered must be sent again with a pause, not in each step.
+#[test]
+fn dissolve_leaves_unanswered() {
+    let mut sim = serving_domain(16);
+    let members = sim.members_of("large");
+    let replica = sim.replica_of(&members[0]).expect("the head serves");
+    sim.kill(&members[2]);
+    sim.suspect(&members[0]);
+    sim.order_delay_ms = Some(60_000);
+    sim.run_ms(20_000);
+    assert_eq!(sim.count_changes(&replica, "member lost"), 1);
+    // Four attempts at first, then one each after pauses of 0.5, 1, 2, 4 and 8 s.
+    let leaves = sim.orders_delayed(&members[1], "leave");
+    assert!(leaves <= 9, "{leaves} leaves in 20 s");
+    sim.order_delay_ms = None;
+    sim.run_ms(10_000);
+    assert_ne!(sim.replica_of(&members[1]), Some(replica));
+}
+
+/// A listed target that resets orders was planned again 5 ms after each failure.
+#[test]
+fn plan_targets_reset_orders() {
+    let mut sim = serving_domain(16);
+    let members = sim.members_of("large");
+    sim.resets_orders.extend(members[2..].iter().cloned());
+    sim.kill(&members[0]);
+    sim.suspect(&members[0]);
+    sim.run_ms(10_000);
+    sim.lose_data_centre();
+    sim.return_data_centre();
+    sim.run_ms(10_000);
+    assert!(shortest(&sim.planned_at) >= INTERVAL_MIN_MS, "{:?}", sim.planned_at);
+    let planned: usize = members[2..].iter().map(|name| sim.planned_at[name].len()).sum();
+    assert!(planned <= 12, "{planned} plans of two targets in ten seconds");
+}
+
+/// A target that answers no probe is not planned before one is answered.
+#[test]
+fn plan_unreachable_until_probe() {
+    let mut sim = serving_domain(16);
+    sim.lose_data_centre();
+    sim.return_data_centre();
+    (0..6).for_each(|number| sim.set_resetting(&name(number), true));
+    sim.run_ms(6_000);
+    let plans = |sim: &Simulation| sim.planned_at.get(&name(0)).map_or(0, Vec::len);
+    assert!(plans(&sim) <= 1, "{:?}", sim.planned_at.get(&name(0)));
+    let served: usize = sim.serving().values().sum();
+    assert!(served >= 3, "{:?}", sim.serving());
+    (0..6).for_each(|number| sim.set_resetting(&name(number), false));
+    sim.run_ms(4_000);
+    assert_eq!(sim.fleet().replicas().values().map(|r| r.members.len()).sum::<usize>(), 16);
+    assert!(shortest(&sim.planned_at) >= INTERVAL_MIN_MS, "{:?}", sim.planned_at);
+}
+
+/// Suspicions of many nodes, lost targets and failed orders together sent 820 probes in 2 s.
+#[test]
+fn probe_targets_many_suspicions() {
+    let mut sim = serving_domain(16);
+    let targets: Vec<VmName> = sim.targets.keys().cloned().collect();
+    sim.set_resetting(&targets[3], true);
+    sim.stop(&targets[7]);
+    sim.kill(&targets[11]);
+    for _ in 0..50 {
+        targets.iter().for_each(|target| sim.suspect(target));
+        sim.run_ms(100);
+    }
+    assert!(shortest(&sim.probed_at) >= INTERVAL_MIN_MS);
+    // A suspicion within the interval is not forgotten.
+    let last = |sim: &Simulation| sim.probed_at[&targets[0]].last().copied();
+    sim.run_ms(1_000);
+    sim.suspect(&targets[0]);
+    sim.suspect(&targets[0]);
+    let before = last(&sim);
+    sim.run_ms(700);
+    assert!(last(&sim) > before, "the second suspicion was not probed");
+}
+
+/// A conversion gave up a replica of lost targets every 300 ms, since the list still showed it serving.
+#[test]
+fn convert_replica_of_lost_targets() {
+    let mut sim = serving_domain(10);
+    let lost = sim.members_of("small");
+    let replica = sim.replica_of(&lost[0]).expect("the head serves");
+    for target in [&sim.members_of("large")[3..], &lost[..]].concat() {
+        sim.kill(&target);
+        sim.suspect(&target);
+    }
+    sim.run_ms(10_000);
+    assert_eq!(sim.count_changes(&replica, "member lost"), 1);
+    assert_eq!(sim.count_changes(&replica, "given up"), 0);
+}
