forming: replicas of a returned data centre form at once; nothing joins after an evacuation; failed formations are counted

Cause: a new coordinator counts each join of a target with a staged model as a load for 20 s, since an earlier one may have ordered another load there. After a data centre has returned, every coordinator of its domains is new, so its replicas waited for grants, one at a time: 0 of 12 in 3 s without grants.

Change: - A node keeps the newest process start of each domain that it has listed. Processes that started later, in a domain that was not listed at the last update, carry out no earlier load: 12 of 12 replicas serve within 3 s without a grant. Processes listed before wait as they did. - A plan whose write ends, or loads that are granted, after an evacuation is known cause no join there; no head is opened and no replica adopted.

--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -130,6 +130,16 @@
         self
     }
 
+    /// Sets the newest start among the processes that the node listed in the domain before it became
+    /// coordinator, in Unix milliseconds.
+    ///
+    /// A later process carries out no load that an earlier coordinator has ordered. Without this, each
+    /// join of a target with a staged model waits for a grant after a data centre has returned.
+    pub const fn with_earlier_start(mut self, started_at_ms: u64) -> Self {
+        self.load_grants.set_earlier_start(started_at_ms);
+        self
+    }
+
     /// Replaces the settings.
     pub const fn set_settings(&mut self, settings: FormingSettings) {
         self.settings = settings;
@@ -200,8 +210,11 @@
                     let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
                     let new: Vec<PlannedReplica> = new.cloned().collect();
                     self.record = RecordState::Known(record.clone().with_version(generation));
-                    new.iter()
-                        .for_each(|plan| self.begin_formation(now, view, plan, generation, out));
+                    // Joins are not sent once the data centre is evacuated: the plans lapse.
+                    let begun = new.iter().filter(|_| !self.is_evacuated(view));
+                    for plan in begun.collect::<Vec<_>>() {
+                        self.begin_formation(now, view, plan, generation, out);
+                    }
                     self.load_grants.end_reservation();
                     self.unconfirmed.clear();
                     self.planned_generation = generation;
@@ -214,8 +227,8 @@
             FormingEvent::LoadsGranted { granted } => {
                 self.load_grants.put(granted);
                 self.load_grants.begin_step(now);
-                self.send_held_joins(now, out);
                 if !self.is_evacuated(view) {
+                    self.send_held_joins(now, out);
                     if matches!(self.record, RecordState::Known(_)) {
                         self.plan(now, view, out);
                     }
@@ -284,7 +297,7 @@
         self.unconfirmed.clear();
         self.planned_generation = newest.unwrap_or_default().max(self.planned_generation);
         self.record = RecordState::Known(record);
-        for plan in &confirmed {
+        for plan in confirmed.iter().filter(|_| !self.is_evacuated(view)).collect::<Vec<_>>() {
             let generation = plan.generation.unwrap_or_default();
             self.begin_formation(now, view, plan, generation, out);
         }
--- a/crates/forming/src/domain/load_grants.rs
+++ b/crates/forming/src/domain/load_grants.rs
@@ -31,6 +31,8 @@
     late_stages: BTreeMap<VmName, TimeMs>,
     /// Until when loads of an earlier coordinator may be under way.
     earlier_loads_until: Option<TimeMs>,
+    /// Processes that started later, in Unix milliseconds, carry out none of these loads.
+    earlier_start_ms: Option<u64>,
 }
 
 /// Whether a load brings targets into service or prepares for losses.
@@ -48,6 +50,7 @@
             needed: LoadNeeds::default(),
             late_stages: BTreeMap::new(),
             earlier_loads_until: None,
+            earlier_start_ms: None,
         }
     }
 
@@ -55,6 +58,19 @@
         self.earlier_loads_until = Some(until);
     }
 
+    pub(crate) const fn set_earlier_start(&mut self, started_at_ms: u64) {
+        self.earlier_start_ms = Some(started_at_ms);
+    }
+
+    /// Whether a load of an earlier coordinator may be under way at a target.
+    fn may_load_for_earlier(&self, now: TimeMs, entry: &TargetEntry) -> bool {
+        let is_later = match (entry.started_at_ms, self.earlier_start_ms) {
+            (Some(started_at_ms), Some(earlier_ms)) => started_at_ms > earlier_ms,
+            _ => false,
+        };
+        !is_later && self.earlier_loads_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn put(&mut self, granted: GrantedLoads) {
         self.granted = Some(granted);
     }
@@ -136,7 +152,7 @@
                 let stages = self.staging.get(&entry.name);
                 stages.is_some_and(|(staged, _)| staged != model)
                     || self.load_grants.late_stages.contains_key(&entry.name)
-                    || self.load_grants.earlier_loads_until.is_some_and(|until| now < until)
+                    || self.load_grants.may_load_for_earlier(now, entry)
             }
         }
     }
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,7 +4,7 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
-use crate::interface::{FormingAction, FormingView};
+use crate::interface::{FormationFailure, FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
 /// At most one in this many replicas of a model closes at a time for members that count as cut off.
@@ -32,12 +32,12 @@
                 self.evaluate_listed(now, view, &replica, out);
             }
         }
-        let failed = self.formations.values().filter(|formation| {
-            let was_held = !formation.held.is_empty() && formation.held_until <= now;
-            was_held || formation.deadline <= now || self.has_lost_member(view, formation)
+        let failed = self.formations.values().filter_map(|formation| {
+            let failure = self.failure_of(now, view, formation)?;
+            Some((formation.key.clone(), failure))
         });
-        let failed: Vec<_> = failed.map(|formation| formation.key.clone()).collect();
-        failed.iter().for_each(|key| self.abandon(now, key, "formation abandoned", out));
+        let failed: Vec<_> = failed.collect();
+        failed.iter().for_each(|(key, failure)| self.abandon(now, key, *failure, out));
     }
 
     /// Starts to form a replica once its plan is in the record.
@@ -114,9 +114,9 @@
             OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
                 formation.accepted.push(target.clone());
             }
-            OrderOutcome::Refused => self.abandon(now, key, "join refused", out),
+            OrderOutcome::Refused => self.abandon(now, key, FormationFailure::JoinRefused, out),
             OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {
-                self.abandon(now, key, "member unreachable", out);
+                self.abandon(now, key, FormationFailure::MemberUnreachable, out);
             }
         }
     }
@@ -131,7 +131,8 @@
         out: &mut Vec<FormingAction>,
     ) {
         let Some(formation) = self.formations.get(&replica.key) else { return };
-        let reachable = formation.members.iter().all(|name| self.is_reachable(name));
+        let reachable = formation.members.iter().all(|name| self.is_reachable(name))
+            && !self.is_evacuated(view);
         let Some(formation) = self.formations.get_mut(&replica.key) else { return };
         if replica.head_state == Some(MemberState::Open) {
             self.formations.remove(&replica.key);
@@ -148,6 +149,22 @@
         }
     }
 
+    /// Returns why a formation is to be abandoned, if it is.
+    fn failure_of(
+        &self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        formation: &Formation,
+    ) -> Option<FormationFailure> {
+        let was_held = !formation.held.is_empty() && formation.held_until <= now;
+        match () {
+            () if self.has_lost_member(view, formation) => Some(FormationFailure::MemberLost),
+            () if was_held => Some(FormationFailure::NoLoadGranted),
+            () if formation.deadline <= now => Some(FormationFailure::TimedOut),
+            () => None,
+        }
+    }
+
     /// Whether a formation has lost a member or one is draining.
     fn has_lost_member(&self, view: FormingView<'_>, formation: &Formation) -> bool {
         formation.members.iter().any(|name| {
@@ -163,11 +180,12 @@
         &mut self,
         now: TimeMs,
         key: &ReplicaKey,
-        why: &'static str,
+        failure: FormationFailure,
         out: &mut Vec<FormingAction>,
     ) {
         let Some(formation) = self.formations.remove(key) else { return };
-        self.log_change(key, why, None, out);
+        out.push(FormingAction::CountFailedFormation { cause: failure });
+        self.log_change(key, failure.change(), None, out);
         self.plan_pauses.record_failed_formation(now, &formation.members);
         self.dissolve(now, key, formation.members, out);
     }
@@ -211,7 +229,8 @@
             Some(MemberState::Joining | MemberState::Ready) => {
                 let since = *self.unfinished.entry(replica.key.clone()).or_insert(now);
                 let waited = now.since(since) >= self.settings.adopt_after_ms;
-                if waited && complete && replica.all_ready && !lost && !replica.draining {
+                let is_usable = !replica.draining && !self.is_evacuated(view);
+                if waited && complete && replica.all_ready && !lost && is_usable {
                     self.adopt(now, view, replica, out);
                 } else if lost || waited && !(complete && size.is_some()) {
                     self.dissolve(now, &replica.key, members, out);
--- a/crates/forming/src/interface/action.rs
+++ b/crates/forming/src/interface/action.rs
@@ -11,6 +11,21 @@
 }
 
 state! {
+    /// Why a formation failed.
+    #[derive(Copy, Eq)]
+    pub enum FormationFailure {
+        /// A member did not answer its join, or nothing listens at its address.
+        MemberUnreachable,
+        /// A member refused its join.
+        JoinRefused,
+        /// A member was lost or is leaving.
+        MemberLost,
+        /// Joins that may load a model were not granted a load in time.
+        NoLoadGranted,
+        /// The members were not ready in time.
+        TimedOut,
+    }
+
     /// An action that a planner requests from its caller.
     pub enum FormingAction {
         /// Read the domain's record.
@@ -53,6 +68,11 @@
             /// The grant of the load.
             grant: GrantId,
         },
+        /// Count a formation that failed.
+        CountFailedFormation {
+            /// Why it failed.
+            cause: FormationFailure,
+        },
         /// Log a change in the state of a replica.
         LogChange {
             /// The replica.
@@ -64,3 +84,24 @@
         },
     }
 }
+
+impl FormationFailure {
+    /// Returns the name of the cause in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::MemberUnreachable => "member unreachable",
+            Self::JoinRefused => "join refused",
+            Self::MemberLost => "member lost",
+            Self::NoLoadGranted => "no load granted",
+            Self::TimedOut => "timed out",
+        }
+    }
+
+    /// Returns the change that is logged.
+    pub(crate) const fn change(self) -> &'static str {
+        match self {
+            Self::MemberUnreachable | Self::JoinRefused => self.as_str(),
+            Self::MemberLost | Self::NoLoadGranted | Self::TimedOut => "formation abandoned",
+        }
+    }
+}
--- a/crates/forming/src/lib.rs
+++ b/crates/forming/src/lib.rs
@@ -19,7 +19,8 @@
 
 pub use domain::DomainPlanner;
 pub use interface::{
-    FormingAction, FormingEvent, FormingSettings, FormingView, ListedDomain, OrderId, Reachability,
+    FormationFailure, FormingAction, FormingEvent, FormingSettings, FormingView, ListedDomain,
+    OrderId, Reachability,
 };
 pub use mix::{Balance, DomainPosition, ModelCount, wanted_replicas};
 pub use record::{DomainRecord, PlannedReplica};
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use celeryhaven_fleet::{
-    EngineProfile, FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder,
+    EngineProfile, FleetView, MemberState, Membership, OrderOutcome, ReplicaKey, TargetOrder,
 };
 use celeryhaven_forming::{
     DomainPlanner, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
@@ -15,7 +15,8 @@
 };
 use celeryhaven_load_quota::{GrantId, GrantedLoads, LoadOutcome};
 use celeryhaven_types::{
-    DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs, VmName,
+    DataCentreName, DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs,
+    VmName,
 };
 
 use fake_target::{FakeTarget, SERVICE, profile};
@@ -76,6 +77,9 @@
     pub changes: Vec<(TimeMs, ReplicaKey, &'static str)>,
     /// Targets that answer probes and reset every order.
     pub resets_orders: BTreeSet<VmName>,
+    /// Whether writes of the record stay without an outcome until they are released.
+    pub holds_writes: bool,
+    held_writes: Vec<(usize, DomainRecord)>,
     /// Number of reads of the record.
     pub reads: usize,
     listed: FleetView,
@@ -114,6 +118,8 @@
             planned_at: BTreeMap::new(),
             changes: Vec::new(),
             resets_orders: BTreeSet::new(),
+            holds_writes: false,
+            held_writes: Vec::new(),
             reads: 0,
             listed: FleetView::new(),
             opened: BTreeMap::new(),
@@ -265,6 +271,50 @@
         }
     }
 
+    /// Replaces the coordinator by one that had listed the targets before they were lost, and lists
+    /// their new processes from its start.
+    pub fn replace_coordinator_at_return(&mut self, node: &str) {
+        let starts = self.targets.values().filter_map(|fake| fake.entry.started_at_ms);
+        let newest = starts.max().unwrap_or_default();
+        self.return_data_centre();
+        self.replace_coordinator(node);
+        let coordinator = self.coordinators[0].clone();
+        self.coordinators[0] = coordinator.with_earlier_start(newest);
+    }
+
+    /// Lists a replica of another domain, which serves with as many members as its model needs.
+    pub fn add_replica_elsewhere(&mut self, data_centre: &str, model: &str, first: usize) {
+        let size = profile().model(&ModelName::new(model)).map_or(0, |model| model.size);
+        for rank in 0..size {
+            let mut fake = FakeTarget::new(first + rank);
+            fake.entry.data_centre = DataCentreName::new(data_centre);
+            fake.entry.domain = Some(DomainName::new(format!("rack-{data_centre}")));
+            fake.entry.model = Some(ModelName::new(model));
+            let state = if rank == 0 { MemberState::Open } else { MemberState::Ready };
+            let (replica, generation) =
+                (ReplicaName::new(format!("{data_centre}-{first}")), Generation::new(1));
+            fake.entry.membership =
+                Some(Membership { replica, generation, rank: rank as u32, state });
+            self.targets.insert(fake.entry.name.clone(), fake);
+        }
+    }
+
+    /// Evacuates a data centre.
+    pub fn evacuate(&mut self, data_centre: &str) {
+        self.listed.evacuations_mut().begin(self.now, DataCentreName::new(data_centre));
+    }
+
+    /// Returns the number of serving replicas of a model in the coordinators' domain.
+    pub fn serving_here(&self, model: &str) -> usize {
+        let view = self.fleet();
+        let here = view.replicas().values().filter(|replica| {
+            replica.domain == Some(DomainName::new("rack"))
+                && replica.head_state == Some(MemberState::Open)
+                && replica.model == Some(ModelName::new(model))
+        });
+        here.count()
+    }
+
     /// Returns the shortest time between two events of the same target, in milliseconds.
     pub fn shortest_interval_ms(events: &BTreeMap<VmName, Vec<TimeMs>>) -> Option<u64> {
         let intervals = events.values().flat_map(|times| times.windows(2));
@@ -445,7 +495,8 @@
                 FormingAction::LogChange { replica, change, .. } => {
                     self.changes.push((self.now, replica, change));
                 }
-                FormingAction::RecordLoadOrder { .. } => {}
+                FormingAction::RecordLoadOrder { .. }
+                | FormingAction::CountFailedFormation { .. } => {}
             }
         }
     }
@@ -465,7 +516,19 @@
         self.handle(index, FormingEvent::RecordRead { record });
     }
 
+    /// Carries out the writes that were held; returns their number.
+    pub fn release_writes(&mut self) -> usize {
+        self.holds_writes = false;
+        let held = std::mem::take(&mut self.held_writes);
+        let count = held.len();
+        held.into_iter().for_each(|(index, record)| self.write_record(index, record));
+        count
+    }
+
     fn write_record(&mut self, index: usize, record: DomainRecord) {
+        if self.holds_writes {
+            return self.held_writes.push((index, record));
+        }
         let current = self.record.as_ref().map(|(revision, _)| *revision);
         if !self.store_answers || current != self.record_versions[index] {
             return self.handle(index, FormingEvent::RecordFailed);
--- a/crates/forming/tests/mass_return.rs
+++ b/crates/forming/tests/mass_return.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use celeryhaven_types::{TimeMs, VmName};
+use celeryhaven_forming::FormingEvent;
+use celeryhaven_load_quota::{GrantId, GrantedLoads};
+use celeryhaven_types::{DomainName, ModelName, TimeMs, VmName};
 use common::Simulation;
 use common::fake_target::name;
 
@@ -134,3 +136,125 @@
     assert_eq!(sim.count_changes(&replica, "member lost"), 1);
     assert_eq!(sim.count_changes(&replica, "given up"), 0);
 }
+
+/// After a data centre had returned, one replica was planned in five seconds: behind a new coordinator,
+/// each join of a target with a staged model waited for a load to be granted.
+#[test]
+fn return_cold_forms_at_once() {
+    let mut sim = serving_domain(32);
+    let before = sim.serving();
+    sim.lose_data_centre();
+    sim.grants_loads = false;
+    sim.replace_coordinator_at_return("entry-2");
+    sim.run_ms(3_000);
+    assert_eq!(sim.serving(), before);
+    assert!(shortest(&sim.planned_at) >= INTERVAL_MIN_MS, "{:?}", sim.planned_at);
+}
+
+/// The model that other data centres serve least must come first.
+#[test]
+fn return_cold_least_provision_first() {
+    let mut sim = serving_domain(8);
+    sim.lose_data_centre();
+    sim.replace_coordinator_at_return("entry-2");
+    (0..3).for_each(|number| sim.add_replica_elsewhere("b", "large", 40 + 4 * number));
+    sim.run_ms(3_000);
+    assert_eq!((sim.serving_here("small"), sim.serving_here("large")), (4, 0));
+}
+
+/// Behind a new coordinator, a process that was listed before may carry out a load of the earlier one.
+#[test]
+fn return_of_earlier_processes_waits() {
+    let mut sim = serving_domain(8);
+    sim.lose_data_centre();
+    sim.grants_loads = false;
+    sim.replace_coordinator_at_return("entry-2");
+    for fake in sim.targets.values_mut() {
+        fake.entry.started_at_ms = Some(1);
+    }
+    sim.run_ms(3_000);
+    assert_eq!(sim.planned_at.len(), 0, "joins may load that were not granted");
+}
+
+/// The replicas that an evacuation takes away must be formed elsewhere from when it is known.
+#[test]
+fn evacuation_forms_what_is_missing() {
+    let mut sim = serving_domain(16);
+    (0..2).for_each(|number| sim.add_replica_elsewhere("b", "large", 40 + 4 * number));
+    let run = |sim: &mut Simulation, span_ms: u64| {
+        for _ in 0..span_ms / 100 {
+            sim.run_ms(100);
+            sim.finish_all_requests();
+        }
+    };
+    run(&mut sim, 20_000);
+    assert_eq!((sim.serving_here("large"), sim.serving_here("small")), (1, 6));
+    sim.evacuate("b");
+    run(&mut sim, 5_000);
+    assert_eq!((sim.serving_here("large"), sim.serving_here("small")), (2, 4));
+    let orders = (40..48).map(|number| sim.targets[&name(number)].orders.len()).sum::<usize>();
+    assert_eq!(orders, 0, "orders to the evacuated data centre");
+}
+
+/// Free targets must form a replica of a model that is served in an evacuated data centre only.
+#[test]
+fn evacuation_uses_free_targets() {
+    let mut sim = serving_domain(8);
+    sim.add_replica_elsewhere("b", "large", 40);
+    sim.add_replica_elsewhere("b", "small", 44);
+    (20..24).for_each(|number| {
+        sim.add(number);
+        let fake = sim.targets.get_mut(&name(number)).expect("it was added");
+        fake.entry.staged = vec![ModelName::new("large")];
+    });
+    sim.grants_loads = false;
+    sim.run_ms(1_000);
+    assert_eq!(sim.serving_here("large"), 1);
+    sim.evacuate("b");
+    sim.run_ms(3_000);
+    assert_eq!(sim.serving_here("large"), 2);
+}
+
+/// Nothing is planned, joined or staged in an evacuated data centre.
+#[test]
+fn evacuated_domain_orders_nothing() {
+    let mut sim = serving_domain(16);
+    let lost = sim.members_of("large");
+    sim.evacuate("a");
+    sim.kill(&lost[3]);
+    sim.suspect(&lost[3]);
+    (20..24).for_each(|number| sim.add(number));
+    let before = (sim.join_orders(), sim.stage_orders());
+    for _ in 0..50 {
+        sim.run_ms(100);
+        let granted = GrantedLoads {
+            grant: GrantId::new("late"),
+            domain: DomainName::new("rack"),
+            loads: 4,
+            send_by: sim.now.after(500),
+        };
+        sim.handle(0, FormingEvent::LoadsGranted { granted });
+    }
+    assert_eq!((sim.join_orders(), sim.stage_orders()), before);
+}
+
+/// A plan whose write ends after the evacuation is known must not be joined.
+#[test]
+fn evacuated_domain_while_plan_is_written() {
+    let mut sim = serving_domain(16);
+    let lost = sim.members_of("large");
+    sim.holds_writes = true;
+    sim.kill(&lost[3]);
+    sim.suspect(&lost[3]);
+    (20..24).for_each(|number| {
+        sim.add(number);
+        let fake = sim.targets.get_mut(&name(number)).expect("it was added");
+        fake.entry.staged = vec![ModelName::new("large")];
+    });
+    sim.run_ms(2_000);
+    sim.evacuate("a");
+    let before = sim.join_orders();
+    assert_eq!(sim.release_writes(), 1);
+    sim.run_ms(5_000);
+    assert_eq!(sim.join_orders(), before);
+}
--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -36,6 +36,10 @@
                         "target" => target.as_str(), "order" => order, "grant" => grant.as_str(),
                         "callers_served" => self.callers_served());
                 }
+                FormingAction::CountFailedFormation { cause } => {
+                    let label = OutcomeLabel { call: "form", outcome: cause.as_str() };
+                    self.parts.metrics.formations_failed.get_or_create(&label).inc();
+                }
                 FormingAction::LogChange { replica, change, target } => {
                     info!(self.parts.log, "replica"; "replica" => replica.replica.as_str(),
                         "generation" => replica.generation.get(), "change" => change,
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -2,7 +2,7 @@
 
 use celeryhaven_clock::BootClock;
 use celeryhaven_demand::FleetSize;
-use celeryhaven_fleet::{EngineProfile, FleetView, RouteTable};
+use celeryhaven_fleet::{DomainTargets, EngineProfile, FleetView, RouteTable};
 use celeryhaven_forming::{FormingEvent, FormingSettings, FormingView, ListedDomain};
 use celeryhaven_peers::NodeRecord;
 use celeryhaven_types::{DomainName, NodeName, ServiceName, TimeMs};
@@ -60,7 +60,14 @@
         let coordinated: BTreeSet<DomainName> = coordinated.map(|&domain| domain.clone()).collect();
         let settings = FormingSettings::default().with_concurrent_loads(profile.concurrent_loads);
         let before: BTreeSet<_> = self.coordinators.domains.keys().cloned().collect();
-        if self.coordinators.set_domains(now, &self.parts.settings.node, &coordinated, settings) {
+        let newest = |targets: &DomainTargets| {
+            let entries = targets.names().iter().filter_map(|name| self.fleet.target(name));
+            entries.filter_map(|entry| entry.started_at_ms).max()
+        };
+        let starts = self.fleet.domains(service).map(|(name, targets)| (name, newest(targets)));
+        let earlier = self.coordinators.record_starts(&starts.collect());
+        let node = &self.parts.settings.node;
+        if self.coordinators.set_domains(now, node, &coordinated, &earlier, settings) {
             self.parts.metrics.domains.set(coordinated.len() as i64);
             coordinated
                 .difference(&before)
--- a/crates/gateway/src/control/coordinators.rs
+++ b/crates/gateway/src/control/coordinators.rs
@@ -22,6 +22,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Coordinators {
     pub(crate) domains: BTreeMap<DomainName, Coordinator>,
+    /// The newest start of a process that was listed in each domain, in Unix milliseconds.
+    newest_starts: BTreeMap<DomainName, u64>,
+    /// Domains that were listed at the last update.
+    listed: BTreeSet<DomainName>,
     /// Instance number of the next coordinator; starts at the boot number to be unique across
     /// restarts.
     next_instance: u64,
@@ -30,15 +34,42 @@
 impl Coordinators {
     /// Creates an empty set; `boot` distinguishes this start of the process from others.
     pub(crate) fn new(boot: u64) -> Self {
-        Self { domains: BTreeMap::new(), next_instance: boot }
+        Self { next_instance: boot, ..Self::default() }
+    }
+
+    /// Records the newest start of a process in each listed domain; returns those listed before now.
+    ///
+    /// In a domain that was not listed at the last update, as its data centre was lost, no process has
+    /// had an order of another coordinator yet.
+    pub(crate) fn record_starts(
+        &mut self,
+        listed: &BTreeMap<&DomainName, Option<u64>>,
+    ) -> BTreeMap<DomainName, u64> {
+        let mut earlier = BTreeMap::new();
+        for (&domain, &newest) in listed {
+            let known = self.newest_starts.get(domain).copied();
+            let was_listed = self.listed.contains(domain);
+            let before = if was_listed { known.max(newest) } else { known };
+            earlier.extend(before.map(|start| (domain.clone(), start)));
+            let newest = known.max(newest);
+            self.newest_starts.extend(newest.map(|start| (domain.clone(), start)));
+        }
+        if !listed.keys().copied().eq(self.listed.iter()) {
+            self.listed = listed.keys().map(|&domain| domain.clone()).collect();
+        }
+        earlier
     }
 
     /// Replaces the set of coordinated domains; returns whether it has changed.
+    ///
+    /// `earlier_starts` are the newest starts of processes that an earlier coordinator may have given
+    /// orders, by domain.
     pub(crate) fn set_domains(
         &mut self,
         now: TimeMs,
         node: &NodeName,
         domains: &BTreeSet<DomainName>,
+        earlier_starts: &BTreeMap<DomainName, u64>,
         settings: FormingSettings,
     ) -> bool {
         let before = self.domains.len();
@@ -52,7 +83,10 @@
             self.domains.entry(domain.clone()).or_insert_with(|| {
                 changed = true;
                 let planner = DomainPlanner::new(now, domain.clone(), node.clone(), settings);
-                let planner = planner.with_instance(self.next_instance);
+                let mut planner = planner.with_instance(self.next_instance);
+                if let Some(&start) = earlier_starts.get(domain) {
+                    planner = planner.with_earlier_start(start);
+                }
                 self.next_instance += 1;
                 Coordinator { planner, version: None }
             });
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -24,6 +24,8 @@
     pub domains: Gauge,
     /// Orders to targets, by kind and outcome.
     pub orders: Family<OutcomeLabel, Counter>,
+    /// Formations of replicas that failed, by cause.
+    pub formations_failed: Family<OutcomeLabel, Counter>,
     /// Requests that are refused because targets ended each time they ran them.
     pub quarantined: Gauge,
     /// Ends of targets that this node has attributed to a request it had sent.
@@ -66,6 +68,7 @@
         let targets_limited = Gauge::default();
         let targets_backing_off = Gauge::default();
         let loads_granted = Counter::default();
+        let formations_failed: Family<OutcomeLabel, Counter> = Family::default();
         let (isolated, delegated) = (Gauge::default(), Family::default());
         let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
@@ -85,6 +88,11 @@
             );
             registry.register("domains", "Fabric domains decided here", domains.clone());
             registry.register("orders", "Orders to targets", orders.clone());
+            registry.register(
+                "formations_failed",
+                "Formations of replicas that failed, by cause",
+                formations_failed.clone(),
+            );
             registry.register(
                 "quarantined",
                 "Requests that are kept away from targets",
@@ -145,6 +153,7 @@
             replicas_whole,
             domains,
             orders,
+            formations_failed,
             quarantined,
             crash_reports,
             targets_limited,
--- a/crates/telemetry/tests/metrics_page.rs
+++ b/crates/telemetry/tests/metrics_page.rs
@@ -58,6 +58,7 @@
     metrics.record_request("answered", 1);
     metrics.orders.get_or_create(&outcome()).inc();
     metrics.delegated.get_or_create(&outcome()).inc();
+    metrics.formations_failed.get_or_create(&outcome()).inc();
     metrics.second_attempts.get_or_create(&outcome()).inc();
     let label = StoreCallLabel { kind: "nodes", call: "list" };
     metrics.store_calls.get_or_create(&label).inc();
