forming: domains that return together form their parts first

Cause: all domains of a returned data centre see the same shortage in the same list, and each formed replicas for the whole of it: six domains of ten targets, lists 300 ms old, formed 6 large and 18 small replicas where 8 and 14 had served (crates/forming/tests/mass_return.rs, return_of_many_domains).

Change: while a quarter of the other domains' targets are free, a domain forms more than its own part of a model only after 1 s, when the list shows what the others form. Now 8 and 14 within 3 s, none given up later.

--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -8,6 +8,7 @@
 use crate::domain::load_grants::LoadGrants;
 use crate::domain::plan_pauses::PlanPauses;
 use crate::domain::probe_limit::ProbeLimit;
+use crate::domain::shared_return::SharedReturn;
 use crate::domain::unlisted::UnlistedPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
 use crate::record::{DomainRecord, PlannedReplica};
@@ -64,6 +65,8 @@
     /// Members whose entry was removed, the time of their next probe, and whether one was answered.
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     pub(crate) plan_pauses: PlanPauses,
+    /// The wait for other domains whose targets return at the same time.
+    pub(crate) shared_return: Option<SharedReturn>,
     probe_limit: ProbeLimit,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
     /// Targets that refused to stage: when they may be asked again, and the pause in milliseconds.
@@ -105,6 +108,7 @@
             silent: BTreeMap::new(),
             departing: BTreeMap::new(),
             plan_pauses: PlanPauses::default(),
+            shared_return: None,
             probe_limit: ProbeLimit::default(),
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
--- a/crates/forming/src/domain/mod.rs
+++ b/crates/forming/src/domain/mod.rs
@@ -15,6 +15,7 @@
 mod probing;
 mod replicas;
 mod second_models;
+mod shared_return;
 mod staging;
 mod unlisted;
 
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -25,8 +25,18 @@
         free.retain(|entry| self.plan_pauses.may_plan(now, &entry.name));
         let wanted = self.wanted(view);
         let mut current = self.current_replicas(view);
-        let mut plans = Vec::new();
-        while let Some((model, members)) = self.next_replica(view, &wanted, &current, &free) {
+        let (mut plans, mut postponed) = (Vec::new(), Vec::new());
+        while let Some((model, members)) =
+            self.next_replica(view, &wanted, &current, &free, &postponed)
+        {
+            let part = wanted.iter().find(|count| count.model == model);
+            let is_beyond = part.is_some_and(|part| {
+                current.get(&model).copied().unwrap_or_default() >= part.replicas
+            });
+            if is_beyond && self.waits_for_other_domains(now, view) {
+                postponed.push(model);
+                continue;
+            }
             if self.plan_pauses.have_failed_together(now, &members) {
                 free.retain(|entry| !members.contains(&entry.name));
                 continue;
@@ -99,9 +109,10 @@
         wanted: &[ModelCount],
         current: &BTreeMap<ModelName, usize>,
         free: &[&TargetEntry],
+        postponed: &[ModelName],
     ) -> Option<(ModelName, Vec<VmName>)> {
         if self.serves_callers(view) == Some(true) {
-            return self.next_by_need(view, wanted, current, free);
+            return self.next_by_need(view, wanted, current, free, postponed);
         }
         let missing = |count: &&ModelCount| {
             current.get(&count.model).copied().unwrap_or_default() < count.replicas
@@ -136,12 +147,16 @@
         wanted: &[ModelCount],
         current: &BTreeMap<ModelName, usize>,
         free: &[&TargetEntry],
+        postponed: &[ModelName],
     ) -> Option<(ModelName, Vec<VmName>)> {
         let balance = self.balance_with(view, current);
         let converting_to = self.converting_to();
         let models: Vec<&ModelName> = balance.by_need().collect();
         models.iter().enumerate().find_map(|(index, &model)| {
-            if balance.missing(model) == 0 || converting_to.is_some_and(|to| to != model) {
+            if balance.missing(model) == 0
+                || postponed.contains(model)
+                || converting_to.is_some_and(|to| to != model)
+            {
                 return None;
             }
             let worse_provisioned = &models[..index];
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -39,6 +39,10 @@
     pub store_answers: bool,
     pub coordinators: Vec<DomainPlanner>,
     record_versions: Vec<Option<u64>>,
+    /// The domain of each coordinator.
+    domains: Vec<DomainName>,
+    /// Records of the domains other than the first.
+    other_records: BTreeMap<DomainName, Option<(u64, DomainRecord)>>,
     /// Age of the target list that each coordinator sees, in milliseconds.
     pub list_lag_ms: Vec<u64>,
     /// Past target lists, the oldest first.
@@ -97,6 +101,8 @@
             store_answers: true,
             coordinators: Vec::new(),
             record_versions: Vec::new(),
+            domains: Vec::new(),
+            other_records: BTreeMap::new(),
             list_lag_ms: Vec::new(),
             history: VecDeque::new(),
             profile: profile(),
@@ -135,8 +141,24 @@
     }
 
     pub fn add_coordinator(&mut self, node: &str) {
+        self.add_coordinator_of("rack", node);
+    }
+
+    /// Adds a domain of empty targets with a coordinator.
+    pub fn add_domain(&mut self, domain: &str, targets: std::ops::Range<usize>) {
+        for number in targets {
+            self.add(number);
+            if let Some(fake) = self.targets.get_mut(&fake_target::name(number)) {
+                fake.entry.domain = Some(DomainName::new(domain));
+            }
+        }
+        self.add_coordinator_of(domain, "entry-1");
+    }
+
+    fn add_coordinator_of(&mut self, domain: &str, node: &str) {
         let settings = FormingSettings::default();
-        let domain = DomainName::new("rack");
+        let domain = DomainName::new(domain);
+        self.domains.push(domain.clone());
         self.coordinators.push(DomainPlanner::new(self.now, domain, NodeName::new(node), settings));
         self.record_versions.push(None);
         self.list_lag_ms.push(0);
@@ -153,6 +175,7 @@
     pub fn remove_coordinator(&mut self, index: usize) {
         self.coordinators.remove(index);
         self.record_versions.remove(index);
+        self.domains.remove(index);
         self.list_lag_ms.remove(index);
     }
 
@@ -273,13 +296,18 @@
 
     /// Replaces the coordinator by one that had listed the targets before they were lost, and lists
     /// their new processes from its start.
-    pub fn replace_coordinator_at_return(&mut self, node: &str) {
+    pub fn replace_coordinators_at_return(&mut self, node: &str) {
         let starts = self.targets.values().filter_map(|fake| fake.entry.started_at_ms);
         let newest = starts.max().unwrap_or_default();
         self.return_data_centre();
-        self.replace_coordinator(node);
-        let coordinator = self.coordinators[0].clone();
-        self.coordinators[0] = coordinator.with_earlier_start(newest);
+        self.listed = FleetView::new();
+        for domain in self.domains.clone() {
+            self.remove_coordinator(0);
+            self.add_coordinator_of(domain.as_str(), node);
+        }
+        for coordinator in &mut self.coordinators {
+            *coordinator = coordinator.clone().with_earlier_start(newest);
+        }
     }
 
     /// Lists a replica of another domain, which serves with as many members as its model needs.
@@ -377,7 +405,7 @@
         }
         let granted = GrantedLoads {
             grant: GrantId::new(format!("grant-{}", self.now.get())),
-            domain: DomainName::new("rack"),
+            domain: self.domains[index].clone(),
             loads,
             send_by: self.now.after(GRANT_MS),
         };
@@ -501,12 +529,19 @@
         }
     }
 
+    fn record_of(&mut self, index: usize) -> &mut Option<(u64, DomainRecord)> {
+        match self.domains[index].as_str() {
+            "rack" => &mut self.record,
+            _ => self.other_records.entry(self.domains[index].clone()).or_default(),
+        }
+    }
+
     fn read_record(&mut self, index: usize) {
         self.reads += 1;
         if !self.store_answers {
             return self.handle(index, FormingEvent::RecordFailed);
         }
-        let (version, record) = match &self.record {
+        let (version, record) = match self.record_of(index) {
             Some((revision, record)) => {
                 (Some(*revision), record.clone().with_version(Generation::new(*revision)))
             }
@@ -529,7 +564,7 @@
         if self.holds_writes {
             return self.held_writes.push((index, record));
         }
-        let current = self.record.as_ref().map(|(revision, _)| *revision);
+        let current = self.record_of(index).as_ref().map(|(revision, _)| *revision);
         if !self.store_answers || current != self.record_versions[index] {
             return self.handle(index, FormingEvent::RecordFailed);
         }
@@ -538,7 +573,8 @@
         for member in new.flat_map(|plan| &plan.members) {
             self.planned_at.entry(member.clone()).or_default().push(self.now);
         }
-        self.record = Some((self.revision, record));
+        let revision = self.revision;
+        *self.record_of(index) = Some((revision, record));
         self.record_versions[index] = Some(self.revision);
         let generation = Generation::new(self.revision);
         self.handle(index, FormingEvent::RecordWritten { generation });
--- a/crates/forming/tests/mass_return.rs
+++ b/crates/forming/tests/mass_return.rs
@@ -145,7 +145,7 @@
     let before = sim.serving();
     sim.lose_data_centre();
     sim.grants_loads = false;
-    sim.replace_coordinator_at_return("entry-2");
+    sim.replace_coordinators_at_return("entry-2");
     sim.run_ms(3_000);
     assert_eq!(sim.serving(), before);
     assert!(shortest(&sim.planned_at) >= INTERVAL_MIN_MS, "{:?}", sim.planned_at);
@@ -156,7 +156,7 @@
 fn return_cold_least_provision_first() {
     let mut sim = serving_domain(8);
     sim.lose_data_centre();
-    sim.replace_coordinator_at_return("entry-2");
+    sim.replace_coordinators_at_return("entry-2");
     (0..3).for_each(|number| sim.add_replica_elsewhere("b", "large", 40 + 4 * number));
     sim.run_ms(3_000);
     assert_eq!((sim.serving_here("small"), sim.serving_here("large")), (4, 0));
@@ -168,7 +168,7 @@
     let mut sim = serving_domain(8);
     sim.lose_data_centre();
     sim.grants_loads = false;
-    sim.replace_coordinator_at_return("entry-2");
+    sim.replace_coordinators_at_return("entry-2");
     for fake in sim.targets.values_mut() {
         fake.entry.started_at_ms = Some(1);
     }
@@ -258,3 +258,26 @@
     sim.run_ms(5_000);
     assert_eq!(sim.join_orders(), before);
 }
+
+/// Domains that return together see the same shortage, and must not all form for it.
+#[test]
+fn return_of_many_domains() {
+    let mut sim = Simulation::new(10);
+    for (index, domain) in ["rack-1", "rack-2", "rack-3", "rack-4", "rack-5"].iter().enumerate() {
+        sim.add_domain(domain, 10 * (index + 1)..10 * (index + 2));
+    }
+    sim.run_ms(120_000);
+    sim.traffic_seen = true;
+    sim.run_ms(10_000);
+    let before = sim.serving();
+    sim.lose_data_centre();
+    sim.grants_loads = false;
+    sim.replace_coordinators_at_return("entry-2");
+    sim.list_lag_ms.fill(300);
+    sim.changes.clear();
+    sim.run_ms(3_300);
+    assert_eq!(sim.serving(), before);
+    sim.run_ms(10_000);
+    let given_up = sim.changes.iter().filter(|(.., change)| *change == "given up").count();
+    assert_eq!((given_up, sim.serving()), (0, before));
+}
