forming: conversions for many missing replicas begin at the same time

Cause: conversions wait 300 ms for each target and 200 ms for each domain before, so that one missing replica is not formed twice. An evacuation takes away many: with 6 domains the last conversion began after 2.4 s (engines of 4 targets; 16 targets wait 4.8 s).

Change: the wait is divided by half of the number of missing replicas.

--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -21,11 +21,19 @@
 /// The list shows a closing head within 100 ms.
 const CONVERSION_DELAY_PER_DOMAIN_MS: u64 = 200;
 
+/// Replicas that a model lacks, over all domains, for each that may be formed at the same time.
+///
+/// An evacuation takes away many at once, whose conversions need not take turns. Half of them leaves
+/// room for those that the list does not show yet.
+const MISSING_PER_CONVERSION: usize = 2;
+
 /// Replicas that could be dissolved to form a replica of another model.
 struct Conversion<'a> {
     converted: Vec<&'a Replica>,
     /// Members of theirs that the new replica needs.
     targets: usize,
+    /// Replicas that the other model lacks over all domains, without those that are converting.
+    missing: usize,
 }
 
 impl DomainPlanner {
@@ -52,7 +60,8 @@
         let position = view.domains.iter().position(|domain| *domain.name == self.domain);
         let wait_ms = CONVERSION_DELAY_PER_TARGET_MS * conversion.targets as u64
             + CONVERSION_DELAY_PER_DOMAIN_MS * position.unwrap_or_default() as u64;
-        if now.since(since) < wait_ms {
+        let at_once = (conversion.missing / MISSING_PER_CONVERSION).max(1) as u64;
+        if now.since(since) < wait_ms / at_once {
             return;
         }
         let converted: Vec<Replica> = conversion.converted.into_iter().cloned().collect();
@@ -95,7 +104,8 @@
             after.is_more_even_than(&balance).then_some(conversion)
         });
         let least = possible.min_by_key(|conversion| conversion.targets)?;
-        Some((to, least))
+        let missing = balance.missing(&to);
+        Some((to, Conversion { missing, ..least }))
     }
 
     /// Returns the first replicas of `from` whose members, with free targets, form a replica of
@@ -124,7 +134,11 @@
                 converted.push(replica);
             }
         }
-        (targets == 0 && needed > 0).then_some(Conversion { converted, targets: needed })
+        (targets == 0 && needed > 0).then_some(Conversion {
+            converted,
+            targets: needed,
+            missing: 0,
+        })
     }
 
     /// Returns the serving replicas of the domain.
--- a/crates/forming/tests/mass_return.rs
+++ b/crates/forming/tests/mass_return.rs
@@ -21,6 +21,13 @@
     sim
 }
 
+fn run_finishing_requests(sim: &mut Simulation, span_ms: u64) {
+    for _ in 0..span_ms / 100 {
+        sim.run_ms(100);
+        sim.finish_all_requests();
+    }
+}
+
 fn shortest(events: &std::collections::BTreeMap<VmName, Vec<TimeMs>>) -> u64 {
     Simulation::shortest_interval_ms(events).unwrap_or(u64::MAX)
 }
@@ -181,16 +188,10 @@
 fn evacuation_forms_what_is_missing() {
     let mut sim = serving_domain(16);
     (0..2).for_each(|number| sim.add_replica_elsewhere("b", "large", 40 + 4 * number));
-    let run = |sim: &mut Simulation, span_ms: u64| {
-        for _ in 0..span_ms / 100 {
-            sim.run_ms(100);
-            sim.finish_all_requests();
-        }
-    };
-    run(&mut sim, 20_000);
+    run_finishing_requests(&mut sim, 20_000);
     assert_eq!((sim.serving_here("large"), sim.serving_here("small")), (1, 6));
     sim.evacuate("b");
-    run(&mut sim, 5_000);
+    run_finishing_requests(&mut sim, 5_000);
     assert_eq!((sim.serving_here("large"), sim.serving_here("small")), (2, 4));
     let orders = (40..48).map(|number| sim.targets[&name(number)].orders.len()).sum::<usize>();
     assert_eq!(orders, 0, "orders to the evacuated data centre");
@@ -281,3 +282,29 @@
     let given_up = sim.changes.iter().filter(|(.., change)| *change == "given up").count();
     assert_eq!((given_up, sim.serving()), (0, before));
 }
+
+/// Conversions for the replicas that an evacuation takes away took turns: the last began after 2.4 s. More
+/// at a time must not exceed what is missing.
+#[test]
+fn evacuation_converts_in_parallel() {
+    for elsewhere in [12, 6] {
+        let mut sim = Simulation::new(10);
+        let others = ["rack-1", "rack-2", "rack-3", "rack-4", "rack-5"];
+        for (index, domain) in others.iter().enumerate() {
+            sim.add_domain(domain, 10 * (index + 1)..10 * (index + 2));
+        }
+        sim.run_ms(120_000);
+        sim.traffic_seen = true;
+        (0..elsewhere).for_each(|number| sim.add_replica_elsewhere("b", "large", 60 + 4 * number));
+        sim.list_lag_ms.fill(100);
+        run_finishing_requests(&mut sim, 120_000);
+        sim.evacuate("b");
+        sim.changes.clear();
+        let start = sim.now;
+        run_finishing_requests(&mut sim, 5_000);
+        let given_up = sim.changes.iter().filter(|(.., change)| *change == "given up");
+        let begun: Vec<u64> = given_up.map(|(at, ..)| at.since(start)).collect();
+        assert!(begun.iter().all(|&at_ms| at_ms <= 1_500), "{begun:?}");
+        assert_eq!((sim.serving()["large"] - elsewhere, sim.serving()["small"]), (8, 14));
+    }
+}
