--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -3,8 +3,12 @@
 use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_types::{DomainName, Generation, ModelName, NodeName, ReplicaName, TimeMs, VmName};
 
+use crate::domain::dissolved::Dissolved;
 use crate::domain::formation::{Dissolving, Formation, PendingOrder, Silence};
 use crate::domain::load_grants::LoadGrants;
+use crate::domain::plan_pauses::PlanPauses;
+use crate::domain::probe_limit::ProbeLimit;
+use crate::domain::shared_return::SharedReturn;
 use crate::domain::unlisted::UnlistedPlan;
 use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
 use crate::record::{DomainRecord, PlannedReplica};
@@ -48,6 +52,8 @@
     pub(crate) record_retry_at: TimeMs,
     pub(crate) formations: BTreeMap<ReplicaKey, Formation>,
     pub(crate) dissolving: BTreeMap<ReplicaKey, Dissolving>,
+    /// Replicas whose members were ordered to leave, for as long as they are listed.
+    pub(crate) dissolved: BTreeMap<ReplicaKey, Dissolved>,
     /// Targets that have left a replica in which the target list still shows them.
     pub(crate) left: BTreeSet<(VmName, ReplicaKey)>,
     /// When another coordinator's unfinished replica was first seen.
@@ -60,6 +66,10 @@
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     /// When each unlisted member was last probed.
     pub(crate) unlisted_probed_at: BTreeMap<VmName, TimeMs>,
+    pub(crate) plan_pauses: PlanPauses,
+    /// The wait for other domains whose targets return at the same time.
+    pub(crate) shared_return: Option<SharedReturn>,
+    probe_limit: ProbeLimit,
     pub(crate) staging: BTreeMap<VmName, (ModelName, TimeMs)>,
     /// Targets that refused to stage: when they may be asked again, and the pause in milliseconds.
     pub(crate) stage_backoff: BTreeMap<VmName, (TimeMs, u64)>,
@@ -93,12 +103,16 @@
             record_retry_at: now,
             formations: BTreeMap::new(),
             dissolving: BTreeMap::new(),
+            dissolved: BTreeMap::new(),
             left: BTreeSet::new(),
             unfinished: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             silent: BTreeMap::new(),
             departing: BTreeMap::new(),
             unlisted_probed_at: BTreeMap::new(),
+            plan_pauses: PlanPauses::default(),
+            shared_return: None,
+            probe_limit: ProbeLimit::default(),
             staging: BTreeMap::new(),
             stage_backoff: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -123,6 +137,16 @@
         self
     }
 
+    /// Sets the newest start among the processes that the node listed in the domain before it became
+    /// coordinator, in Unix milliseconds.
+    ///
+    /// A later process carries out no load that an earlier coordinator has ordered. Without this, each
+    /// join of a target with a staged model waits for a grant after a data centre has returned.
+    pub const fn with_earlier_start(mut self, started_at_ms: u64) -> Self {
+        self.load_grants.set_earlier_start(started_at_ms);
+        self
+    }
+
     /// Replaces the settings.
     pub const fn set_settings(&mut self, settings: FormingSettings) {
         self.settings = settings;
@@ -135,12 +159,20 @@
 
     /// Evaluates the target list and appends the resulting actions.
     pub fn step(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
+        let first = out.len();
+        self.advance(now, view, out);
+        self.probe_limit.apply(now, out, first);
+    }
+
+    fn advance(&mut self, now: TimeMs, view: FormingView<'_>, out: &mut Vec<FormingAction>) {
         self.load_grants.begin_step(now);
+        self.plan_pauses.expire(now);
         if self.record == RecordState::Unknown && self.record_retry_at <= now {
             self.record = RecordState::Reading;
             out.push(FormingAction::ReadRecord);
         }
         self.drop_unlisted_state(view);
+        self.expire_dissolved(now, view);
         self.retract_unlisted_plans(now, view, out);
         self.probe_unreachable(now, out);
         self.probe_unlisted(now, view, out);
@@ -166,6 +198,18 @@
         view: FormingView<'_>,
         event: FormingEvent,
         out: &mut Vec<FormingAction>,
+    ) {
+        let first = out.len();
+        self.apply_event(now, view, event, out);
+        self.probe_limit.apply(now, out, first);
+    }
+
+    fn apply_event(
+        &mut self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        event: FormingEvent,
+        out: &mut Vec<FormingAction>,
     ) {
         match event {
             FormingEvent::RecordRead { record } => self.record_read(now, view, record, out),
@@ -174,8 +218,11 @@
                     let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
                     let new: Vec<PlannedReplica> = new.cloned().collect();
                     self.record = RecordState::Known(record.clone().with_version(generation));
-                    new.iter()
-                        .for_each(|plan| self.begin_formation(now, view, plan, generation, out));
+                    // Joins are not sent once the data centre is evacuated: the plans lapse.
+                    let begun = new.iter().filter(|_| !self.is_evacuated(view));
+                    for plan in begun.collect::<Vec<_>>() {
+                        self.begin_formation(now, view, plan, generation, out);
+                    }
                     self.load_grants.end_reservation();
                     self.unconfirmed.clear();
                     self.planned_generation = generation;
@@ -188,8 +235,8 @@
             FormingEvent::LoadsGranted { granted } => {
                 self.load_grants.put(granted);
                 self.load_grants.begin_step(now);
-                self.send_held_joins(now, out);
                 if !self.is_evacuated(view) {
+                    self.send_held_joins(now, out);
                     if matches!(self.record, RecordState::Known(_)) {
                         self.plan(now, view, out);
                     }
@@ -258,7 +305,7 @@
         self.unconfirmed.clear();
         self.planned_generation = newest.unwrap_or_default().max(self.planned_generation);
         self.record = RecordState::Known(record);
-        for plan in &confirmed {
+        for plan in confirmed.iter().filter(|_| !self.is_evacuated(view)).collect::<Vec<_>>() {
             let generation = plan.generation.unwrap_or_default();
             self.begin_formation(now, view, plan, generation, out);
         }
--- a/crates/forming/src/domain/replicas.rs
+++ b/crates/forming/src/domain/replicas.rs
@@ -4,7 +4,7 @@
 use crate::domain::DomainPlanner;
 use crate::domain::domain_planner::RecordState;
 use crate::domain::formation::{Dissolving, Formation};
-use crate::interface::{FormingAction, FormingView};
+use crate::interface::{FormationFailure, FormingAction, FormingView};
 use crate::record::PlannedReplica;
 
 impl DomainPlanner {
@@ -21,18 +21,20 @@
             if self.all_members_left(&replica) || self.dissolving.contains_key(&replica.key) {
                 continue;
             }
-            if self.formations.contains_key(&replica.key) {
+            if self.dissolved.contains_key(&replica.key) {
+                self.advance_dissolved(now, view, &replica, out);
+            } else if self.formations.contains_key(&replica.key) {
                 self.advance_formation(view, &replica, out);
             } else {
                 self.evaluate_listed(now, view, &replica, out);
             }
         }
-        let failed = self.formations.values().filter(|formation| {
-            let was_held = !formation.held.is_empty() && formation.held_until <= now;
-            was_held || formation.deadline <= now || self.has_lost_member(view, formation)
+        let failed = self.formations.values().filter_map(|formation| {
+            let failure = self.failure_of(now, view, formation)?;
+            Some((formation.key.clone(), failure))
         });
-        let failed: Vec<_> = failed.map(|formation| formation.key.clone()).collect();
-        failed.iter().for_each(|key| self.abandon(key, "formation abandoned", out));
+        let failed: Vec<_> = failed.collect();
+        failed.iter().for_each(|(key, failure)| self.abandon(now, key, *failure, out));
     }
 
     /// Starts to form a replica once its plan is in the record.
@@ -61,6 +63,7 @@
         };
         self.log_change(&key, "planned", plan.members.first(), out);
         self.formations.insert(key.clone(), formation);
+        self.plan_pauses.record_plan(now, &plan.members);
         for member in &plan.members {
             if held.contains(member) {
                 continue;
@@ -91,19 +94,26 @@
     /// Applies the outcome of a join order.
     pub(crate) fn apply_join_outcome(
         &mut self,
+        now: TimeMs,
         key: &ReplicaKey,
         target: &VmName,
         outcome: OrderOutcome,
         out: &mut Vec<FormingAction>,
     ) {
+        match outcome {
+            OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
+                self.plan_pauses.record_success(target);
+            }
+            _ => self.plan_pauses.record_failure(now, target),
+        }
         let Some(formation) = self.formations.get_mut(key) else { return };
         match outcome {
             OrderOutcome::Accepted | OrderOutcome::AlreadyHeld => {
                 formation.accepted.push(target.clone());
             }
-            OrderOutcome::Refused => self.abandon(key, "join refused", out),
+            OrderOutcome::Refused => self.abandon(now, key, FormationFailure::JoinRefused, out),
             OrderOutcome::TargetRemoved | OrderOutcome::Unanswered => {
-                self.abandon(key, "member unreachable", out);
+                self.abandon(now, key, FormationFailure::MemberUnreachable, out);
             }
         }
     }
@@ -118,7 +128,8 @@
         out: &mut Vec<FormingAction>,
     ) {
         let Some(formation) = self.formations.get(&replica.key) else { return };
-        let reachable = formation.members.iter().all(|name| self.is_reachable(name));
+        let reachable = formation.members.iter().all(|name| self.is_reachable(name))
+            && !self.is_evacuated(view);
         let Some(formation) = self.formations.get_mut(&replica.key) else { return };
         if replica.head_state == Some(MemberState::Open) {
             self.formations.remove(&replica.key);
@@ -135,6 +146,22 @@
         }
     }
 
+    /// Returns why a formation is to be abandoned, if it is.
+    fn failure_of(
+        &self,
+        now: TimeMs,
+        view: FormingView<'_>,
+        formation: &Formation,
+    ) -> Option<FormationFailure> {
+        let was_held = !formation.held.is_empty() && formation.held_until <= now;
+        match () {
+            () if self.has_lost_member(view, formation) => Some(FormationFailure::MemberLost),
+            () if was_held => Some(FormationFailure::NoLoadGranted),
+            () if formation.deadline <= now => Some(FormationFailure::TimedOut),
+            () => None,
+        }
+    }
+
     /// Whether a formation has lost a member or one is draining.
     fn has_lost_member(&self, view: FormingView<'_>, formation: &Formation) -> bool {
         formation.members.iter().any(|name| {
@@ -146,10 +173,18 @@
         })
     }
 
-    fn abandon(&mut self, key: &ReplicaKey, why: &'static str, out: &mut Vec<FormingAction>) {
+    fn abandon(
+        &mut self,
+        now: TimeMs,
+        key: &ReplicaKey,
+        failure: FormationFailure,
+        out: &mut Vec<FormingAction>,
+    ) {
         let Some(formation) = self.formations.remove(key) else { return };
-        self.log_change(key, why, None, out);
-        self.dissolve(key, formation.members, out);
+        out.push(FormingAction::CountFailedFormation { cause: failure });
+        self.log_change(key, failure.change(), None, out);
+        self.plan_pauses.record_failed_formation(now, &formation.members);
+        self.dissolve(now, key, formation.members, out);
     }
 
     /// Evaluates a replica that this planner is not forming.
@@ -174,11 +209,11 @@
                 };
                 let whole = complete || size.is_none();
                 match should_drain {
-                    _ if lost => self.dissolve_after_loss(replica, members, out),
+                    _ if lost => self.dissolve_after_loss(now, replica, members, out),
                     None => {}
                     Some(true) => self.close(now, replica, "member leaves", out),
                     Some(false) if whole => {}
-                    Some(false) => self.dissolve_after_loss(replica, members, out),
+                    Some(false) => self.dissolve_after_loss(now, replica, members, out),
                 }
             }
             Some(MemberState::Broken) => {
@@ -188,28 +223,30 @@
             Some(MemberState::Joining | MemberState::Ready) => {
                 let since = *self.unfinished.entry(replica.key.clone()).or_insert(now);
                 let waited = now.since(since) >= self.settings.adopt_after_ms;
-                if waited && complete && replica.all_ready && !lost && !replica.draining {
+                let is_usable = !replica.draining && !self.is_evacuated(view);
+                if waited && complete && replica.all_ready && !lost && is_usable {
                     self.adopt(now, view, replica, out);
                 } else if lost || waited && !(complete && size.is_some()) {
-                    self.dissolve(&replica.key, members, out);
+                    self.dissolve(now, &replica.key, members, out);
                 }
             }
             None => match self.missing_members_answer(now, view, replica, out) {
                 None => {}
                 Some(true) => self.close(now, replica, "member leaves", out),
-                Some(false) => self.dissolve(&replica.key, members, out),
+                Some(false) => self.dissolve(now, &replica.key, members, out),
             },
         }
     }
 
     fn dissolve_after_loss(
         &mut self,
+        now: TimeMs,
         replica: &Replica,
         members: Vec<VmName>,
         out: &mut Vec<FormingAction>,
     ) {
         self.log_change(&replica.key, "member lost", None, out);
-        self.dissolve(&replica.key, members, out);
+        self.dissolve(now, &replica.key, members, out);
     }
 
     /// Whether every member that is no longer listed still answers, or `None` during a probe.
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use celeryhaven_fleet::{
-    AnswerRun, EngineProfile, FleetView, MemberState, OrderOutcome, ReplicaKey, TargetOrder,
+    AnswerRun, EngineProfile, FleetView, MemberState, Membership, OrderOutcome, ReplicaKey,
+    TargetOrder,
 };
 use celeryhaven_forming::{
     DomainPlanner, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
@@ -15,7 +16,8 @@
 };
 use celeryhaven_load_quota::{GrantId, GrantedLoads, LoadOutcome};
 use celeryhaven_types::{
-    DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs, VmName,
+    DataCentreName, DomainName, Generation, ModelName, NodeName, ReplicaName, ServiceName, TimeMs,
+    VmName,
 };
 
 use fake_target::{FakeTarget, SERVICE, profile};
@@ -38,6 +40,10 @@
     pub store_answers: bool,
     pub coordinators: Vec<DomainPlanner>,
     record_versions: Vec<Option<u64>>,
+    /// The domain of each coordinator.
+    domains: Vec<DomainName>,
+    /// Records of the domains other than the first.
+    other_records: BTreeMap<DomainName, Option<(u64, DomainRecord)>>,
     /// Age of the target list that each coordinator sees, in milliseconds.
     pub list_lag_ms: Vec<u64>,
     /// Past target lists, the oldest first.
@@ -70,6 +76,17 @@
     recently_listed: BTreeSet<ReplicaKey>,
     /// Number of probes sent.
     pub probes: usize,
+    /// When each target was probed.
+    pub probed_at: BTreeMap<VmName, Vec<TimeMs>>,
+    /// When each target was planned as a member, by confirmed writes of the record.
+    pub planned_at: BTreeMap<VmName, Vec<TimeMs>>,
+    /// Logged changes of replicas.
+    pub changes: Vec<(TimeMs, ReplicaKey, &'static str)>,
+    /// Targets that answer probes and reset every order.
+    pub resets_orders: BTreeSet<VmName>,
+    /// Whether writes of the record stay without an outcome until they are released.
+    pub holds_writes: bool,
+    held_writes: Vec<(usize, DomainRecord)>,
     /// Number of reads of the record.
     pub reads: usize,
     listed: FleetView,
@@ -87,6 +104,8 @@
             store_answers: true,
             coordinators: Vec::new(),
             record_versions: Vec::new(),
+            domains: Vec::new(),
+            other_records: BTreeMap::new(),
             list_lag_ms: Vec::new(),
             history: VecDeque::new(),
             profile: profile(),
@@ -105,6 +124,12 @@
             leaving: BTreeSet::new(),
             recently_listed: BTreeSet::new(),
             probes: 0,
+            probed_at: BTreeMap::new(),
+            planned_at: BTreeMap::new(),
+            changes: Vec::new(),
+            resets_orders: BTreeSet::new(),
+            holds_writes: false,
+            held_writes: Vec::new(),
             reads: 0,
             listed: FleetView::new(),
             opened: BTreeMap::new(),
@@ -120,8 +145,24 @@
     }
 
     pub fn add_coordinator(&mut self, node: &str) {
+        self.add_coordinator_of("rack", node);
+    }
+
+    /// Adds a domain of empty targets with a coordinator.
+    pub fn add_domain(&mut self, domain: &str, targets: std::ops::Range<usize>) {
+        for number in targets {
+            self.add(number);
+            if let Some(fake) = self.targets.get_mut(&fake_target::name(number)) {
+                fake.entry.domain = Some(DomainName::new(domain));
+            }
+        }
+        self.add_coordinator_of(domain, "entry-1");
+    }
+
+    fn add_coordinator_of(&mut self, domain: &str, node: &str) {
         let settings = FormingSettings::default();
-        let domain = DomainName::new("rack");
+        let domain = DomainName::new(domain);
+        self.domains.push(domain.clone());
         self.coordinators.push(DomainPlanner::new(self.now, domain, NodeName::new(node), settings));
         self.record_versions.push(None);
         self.list_lag_ms.push(0);
@@ -138,6 +179,7 @@
     pub fn remove_coordinator(&mut self, index: usize) {
         self.coordinators.remove(index);
         self.record_versions.remove(index);
+        self.domains.remove(index);
         self.list_lag_ms.remove(index);
     }
 
@@ -240,6 +282,101 @@
         }
     }
 
+    /// Ends every target at once, whose entries are removed, and runs until they are gone.
+    pub fn lose_data_centre(&mut self) {
+        for fake in self.targets.values_mut() {
+            fake.alive = false;
+            fake.listed_until = Some(self.now);
+        }
+        self.run_ms(10_000);
+    }
+
+    /// Starts every target again, cold: in no replica, with the models staged that it had.
+    pub fn return_data_centre(&mut self) {
+        for fake in self.targets.values_mut() {
+            let had = fake.entry.model.take();
+            fake.entry.staged.extend(had);
+            fake.entry.staged.dedup();
+            fake.entry.membership = None;
+            fake.entry.started_at_ms = Some(self.now.get());
+            fake.highest_generation = Generation::new(0);
+            (fake.ready_at, fake.open_at, fake.staging) = (None, None, None);
+            (fake.alive, fake.listed_until) = (true, None);
+        }
+    }
+
+    /// Replaces the coordinator by one that had listed the targets before they were lost, and lists
+    /// their new processes from its start.
+    pub fn replace_coordinators_at_return(&mut self, node: &str) {
+        let starts = self.targets.values().filter_map(|fake| fake.entry.started_at_ms);
+        let newest = starts.max().unwrap_or_default();
+        self.return_data_centre();
+        self.listed = FleetView::new();
+        for domain in self.domains.clone() {
+            self.remove_coordinator(0);
+            self.add_coordinator_of(domain.as_str(), node);
+        }
+        for coordinator in &mut self.coordinators {
+            *coordinator = coordinator.clone().with_earlier_start(newest);
+        }
+    }
+
+    /// Lists a replica of another domain, which serves with as many members as its model needs.
+    pub fn add_replica_elsewhere(&mut self, data_centre: &str, model: &str, first: usize) {
+        let size = profile().model(&ModelName::new(model)).map_or(0, |model| model.size);
+        for rank in 0..size {
+            let mut fake = FakeTarget::new(first + rank);
+            fake.entry.data_centre = DataCentreName::new(data_centre);
+            fake.entry.domain = Some(DomainName::new(format!("rack-{data_centre}")));
+            fake.entry.model = Some(ModelName::new(model));
+            let state = if rank == 0 { MemberState::Open } else { MemberState::Ready };
+            let (replica, generation) =
+                (ReplicaName::new(format!("{data_centre}-{first}")), Generation::new(1));
+            fake.entry.membership =
+                Some(Membership { replica, generation, rank: rank as u32, state });
+            self.targets.insert(fake.entry.name.clone(), fake);
+        }
+    }
+
+    /// Evacuates a data centre.
+    pub fn evacuate(&mut self, data_centre: &str) {
+        self.listed.evacuations_mut().begin(self.now, DataCentreName::new(data_centre));
+    }
+
+    /// Returns the number of serving replicas of a model in the coordinators' domain.
+    pub fn serving_here(&self, model: &str) -> usize {
+        let view = self.fleet();
+        let here = view.replicas().values().filter(|replica| {
+            replica.domain == Some(DomainName::new("rack"))
+                && replica.head_state == Some(MemberState::Open)
+                && replica.model == Some(ModelName::new(model))
+        });
+        here.count()
+    }
+
+    /// Returns the shortest time between two events of the same target, in milliseconds.
+    pub fn shortest_interval_ms(events: &BTreeMap<VmName, Vec<TimeMs>>) -> Option<u64> {
+        let intervals = events.values().flat_map(|times| times.windows(2));
+        intervals.map(|pair| pair[1].since(pair[0])).min()
+    }
+
+    /// Returns how often a change of a replica was logged.
+    pub fn count_changes(&self, replica: &ReplicaKey, change: &str) -> usize {
+        self.changes.iter().filter(|(_, key, logged)| key == replica && *logged == change).count()
+    }
+
+    /// Returns how many orders of a kind to a target are delayed.
+    pub fn orders_delayed(&self, target: &VmName, kind: &str) -> usize {
+        let delayed = self.delayed_orders.iter().filter(|(_, name, _)| name == target);
+        delayed.filter(|(.., order)| order.as_str() == kind).count()
+    }
+
+    /// Returns the replica that a target is listed in.
+    pub fn replica_of(&self, target: &VmName) -> Option<ReplicaKey> {
+        let member = self.targets[target].entry.membership.clone()?;
+        Some(ReplicaKey { replica: member.replica, generation: member.generation })
+    }
+
     /// Runs for `span_ms`.
     pub fn run_ms(&mut self, span_ms: u64) {
         let end = self.now.after(span_ms);
@@ -279,7 +416,7 @@
         }
         let granted = GrantedLoads {
             grant: GrantId::new(format!("grant-{}", self.now.get())),
-            domain: DomainName::new("rack"),
+            domain: self.domains[index].clone(),
             loads,
             send_by: self.now.after(GRANT_MS),
         };
@@ -354,7 +491,7 @@
         let (fleet, recently_listed) = self.list_of(index);
         let profile = self.profile.clone();
         let service = ServiceName::new(SERVICE);
-        let domains: Vec<_> = fleet.domains(&service).map(ListedDomain::new).collect();
+        let domains: Vec<_> = fleet.usable_domains(&service).map(ListedDomain::new).collect();
         let view = FormingView {
             fleet: &fleet,
             replicas: fleet.replicas(),
@@ -384,6 +521,7 @@
                 }
                 FormingAction::Probe { target } => {
                     self.probes += 1;
+                    self.probed_at.entry(target.clone()).or_default().push(self.now);
                     let reachability = match self.targets.get(&target) {
                         _ if self.resetting.contains(&target) => Reachability::Gone,
                         _ if self.stopped.contains_key(&target) => Reachability::Silent,
@@ -397,17 +535,28 @@
                     self.record_probe(&target, reachability);
                 }
                 FormingAction::RecordLoad { outcome, .. } => self.load_outcomes.push(outcome),
-                FormingAction::LogChange { .. } | FormingAction::RecordLoadOrder { .. } => {}
+                FormingAction::LogChange { replica, change, .. } => {
+                    self.changes.push((self.now, replica, change));
+                }
+                FormingAction::RecordLoadOrder { .. }
+                | FormingAction::CountFailedFormation { .. } => {}
             }
         }
     }
 
+    fn record_of(&mut self, index: usize) -> &mut Option<(u64, DomainRecord)> {
+        match self.domains[index].as_str() {
+            "rack" => &mut self.record,
+            _ => self.other_records.entry(self.domains[index].clone()).or_default(),
+        }
+    }
+
     fn read_record(&mut self, index: usize) {
         self.reads += 1;
         if !self.store_answers {
             return self.handle(index, FormingEvent::RecordFailed);
         }
-        let (version, record) = match &self.record {
+        let (version, record) = match self.record_of(index) {
             Some((revision, record)) => {
                 (Some(*revision), record.clone().with_version(Generation::new(*revision)))
             }
@@ -417,13 +566,30 @@
         self.handle(index, FormingEvent::RecordRead { record });
     }
 
+    /// Carries out the writes that were held; returns their number.
+    pub fn release_writes(&mut self) -> usize {
+        self.holds_writes = false;
+        let held = std::mem::take(&mut self.held_writes);
+        let count = held.len();
+        held.into_iter().for_each(|(index, record)| self.write_record(index, record));
+        count
+    }
+
     fn write_record(&mut self, index: usize, record: DomainRecord) {
-        let current = self.record.as_ref().map(|(revision, _)| *revision);
+        if self.holds_writes {
+            return self.held_writes.push((index, record));
+        }
+        let current = self.record_of(index).as_ref().map(|(revision, _)| *revision);
         if !self.store_answers || current != self.record_versions[index] {
             return self.handle(index, FormingEvent::RecordFailed);
         }
         self.revision += 1;
-        self.record = Some((self.revision, record));
+        let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
+        for member in new.flat_map(|plan| &plan.members) {
+            self.planned_at.entry(member.clone()).or_default().push(self.now);
+        }
+        let revision = self.revision;
+        *self.record_of(index) = Some((revision, record));
         self.record_versions[index] = Some(self.revision);
         let generation = Generation::new(self.revision);
         self.handle(index, FormingEvent::RecordWritten { generation });
@@ -446,7 +612,7 @@
     }
 
     fn order(&mut self, target: &VmName, order: &TargetOrder) -> OrderOutcome {
-        if self.resetting.contains(target) {
+        if self.resetting.contains(target) || self.resets_orders.contains(target) {
             return OrderOutcome::TargetRemoved;
         }
         if let Some(lying) = self.stopped.get_mut(target) {
