--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -66,6 +66,8 @@
     pub(crate) departing: BTreeMap<VmName, (TimeMs, bool)>,
     /// When each unlisted member was last probed.
     pub(crate) unlisted_probed_at: BTreeMap<VmName, TimeMs>,
+    /// When targets last answered a probe, if that is recent.
+    pub(crate) answered_at: BTreeMap<VmName, TimeMs>,
     pub(crate) plan_pauses: PlanPauses,
     /// The wait for other domains whose targets return at the same time.
     pub(crate) shared_return: Option<SharedReturn>,
@@ -110,6 +112,7 @@
             silent: BTreeMap::new(),
             departing: BTreeMap::new(),
             unlisted_probed_at: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             plan_pauses: PlanPauses::default(),
             shared_return: None,
             probe_limit: ProbeLimit::default(),
--- a/crates/forming/src/domain/probing.rs
+++ b/crates/forming/src/domain/probing.rs
@@ -5,6 +5,11 @@
 use crate::domain::formation::Silence;
 use crate::interface::{FormingAction, FormingView, Reachability};
 
+/// Age up to which the answer to a probe stands for another one, in milliseconds.
+///
+/// A target is probed at most twice a second, and one that leaves without notice serves for 3 s only.
+const RECENT_ANSWER_MS: u64 = 500;
+
 impl DomainPlanner {
     /// Probes every member of a replica whose requests are stalled.
     pub(crate) fn probe_suspected(
@@ -30,6 +35,7 @@
         match reachability {
             Reachability::Answers => {
                 self.unreachable.remove(&target);
+                self.answered_at.insert(target.clone(), now);
                 self.plan_pauses.record_answered_probe(now, &target);
                 if self.silent.remove(&target).is_some() {
                     // If its entry has lapsed meanwhile, it comes back with the next report.
@@ -105,6 +111,10 @@
             return answered.then_some(true);
         }
         let next_probe_at = now.after(self.settings.probe_interval_ms);
+        if self.answered_at.contains_key(name) {
+            self.departing.insert(name.clone(), (next_probe_at, true));
+            return Some(true);
+        }
         self.departing.insert(name.clone(), (next_probe_at, false));
         out.push(FormingAction::Probe { target: name.clone() });
         None
@@ -120,6 +130,7 @@
         view: FormingView<'_>,
         out: &mut Vec<FormingAction>,
     ) {
+        self.answered_at.retain(|_, at| now.since(*at) < RECENT_ANSWER_MS);
         for (name, unlisted) in view.fleet.unlisted_targets() {
             let domain = view.fleet.target(name).and_then(|entry| entry.domain.as_ref());
             // Silent and unreachable targets are probed as such.
