policy: two bands and a start window under overload control

Under overload, returns took the answers of first tries. With the setting, timely requests come before late ones, late ones wait or are told to return after a quarter to a third of the time left, and a window learnt from the times to the first event bounds the requests in flight.

--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -49,6 +49,9 @@
     /// Queues a request, or refuses it.
     pub(crate) fn enqueue(&mut self, now: TimeMs, ticket: Ticket, out: &mut Vec<Decision>) {
         let Some(request) = self.requests.get(&ticket) else { return };
+        if request.is_governed {
+            return self.enqueue_governed(now, ticket, out);
+        }
         let queue_entry = self.queue_entry(request);
         let class_key = request.class;
         let wait_ms = self.wait_ms(now, class_key, &queue_entry);
@@ -73,6 +76,7 @@
     ) {
         let Some(request) = self.requests.get(&ticket) else { return };
         let (class_key, may_have_run) = (request.class, request.may_have_run);
+        let (is_governed, deadline) = (request.is_governed, request.deadline);
         let senders = self.senders;
         let returns_ms = self.returns_at(class_key).map_or(0, |at| at.since(now));
         let class = &mut self.classes[class_key.get() as usize];
@@ -80,6 +84,8 @@
             Refusal::may_have_run(RefusalCode::AnswerLost)
         } else if class.targets.is_empty() {
             self.no_replica_refusal()
+        } else if is_governed {
+            Refusal::not_run(code).with_retry_after_ms(self.return_after_ms(now, deadline))
         } else {
             let drain_ms = class.drain_ms(now, queue_entry, senders).max(returns_ms as f64);
             let cost_ms = queue_entry.cost_ms as f64 / class.capacity(senders).max(1.0);
@@ -98,12 +104,17 @@
             false => mean_ms + (high_ms - mean_ms) * self.settings.cost_margin,
         };
         let latest_start = TimeMs::new(request.deadline.get().saturating_sub(needed_ms as u64));
+        let send_by = match request.is_late {
+            true => Some(Self::late_until(request)),
+            false => request.send_by,
+        };
         QueueEntry {
             flow: request.flow,
             cost_ms: request.cost.mean_ms.max(1.0) as u64,
-            latest_start: request.send_by.map_or(latest_start, |send_by| send_by.min(latest_start)),
+            latest_start: send_by.map_or(latest_start, |send_by| send_by.min(latest_start)),
             priority: request.priority,
             worth: request.worth,
+            tier: self.tier(request),
         }
     }
 
@@ -148,12 +159,14 @@
             }
             RequestClass::Completion { adapter: None, .. } | RequestClass::Plain { .. } => None,
         };
+        let is_governed = self.is_governed(class, head);
+        let send_within_ms = self.send_within_ms(class, head);
         let mut request = RequestState {
             class,
             flow: self.intern_flow(&head.organisation),
             idempotent: head.idempotency == Idempotency::Idempotent,
             deadline: now.after(head.deadline_in_ms),
-            send_by: self.send_within_ms(class, head).map(|within_ms| now.after(within_ms)),
+            send_by: send_within_ms.map(|within_ms| now.after(within_ms)),
             prompt_tokens: head.prompt_tokens,
             output_tokens_max: head.output_tokens_max,
             adapter,
@@ -161,6 +174,13 @@
             choice_key: head.choice_key,
             priority: head.priority,
             worth: head.worth,
+            is_governed,
+            is_late: is_governed && head.start_within_ms.is_none(),
+            waits_since: now,
+            start_allowed_ms: head
+                .start_within_ms
+                .zip(send_within_ms)
+                .map(|(a, b)| a.saturating_sub(b)),
             cost: Cost { mean_ms: 0.0, high_ms: 0.0 },
             attempts: 0,
             attempts_max: head.attempts_max.unwrap_or(ATTEMPTS_MAX).min(ATTEMPTS_MAX),
@@ -184,7 +204,13 @@
         let times = &self.classes[class.get() as usize].times;
         let first_token_ms =
             times.first_token_ms(ASSUMED_UTILISATION, f64::from(head.prompt_tokens));
-        Some(within_ms.saturating_sub(first_token_ms as u64).max(within_ms / MIN_WAIT_DIVISOR))
+        let wait_ms = within_ms.saturating_sub(first_token_ms as u64);
+        let wait_ms = match self.is_governed(class, head) {
+            // The other half is left for the queue of the engine.
+            true => wait_ms / 2,
+            false => wait_ms,
+        };
+        Some(wait_ms.max(within_ms / MIN_WAIT_DIVISOR))
     }
 
     fn no_replica_refusal(&mut self) -> Refusal {
--- a/crates/policy/src/fair/back_off.rs
+++ b/crates/policy/src/fair/back_off.rs
@@ -51,7 +51,7 @@
         let wait_ms = match returns_ms {
             0 => self.class(class).wait_ms(now, entry, senders),
             // All requests ahead of it wait for the same target.
-            _ => self.class(class).queue.cost_ahead_ms(entry) as f64,
+            _ => self.class(class).queue.tier(entry.tier).cost_ahead_ms(entry) as f64,
         };
         returns_ms as f64 + wait_ms
     }
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -1,19 +1,21 @@
 use std::collections::BTreeSet;
 
-use celeryhaven_queue::{FairQueue, QueueEntry};
+use celeryhaven_queue::{QueueEntry, TieredQueue};
 use celeryhaven_types::{Map, TimeMs};
 
 use crate::affinity::PrefixIndex;
 use crate::estimate::{Mean, OutputTokenEstimates, RecentMean, ServiceTimes};
+use crate::fair::overload::is_late;
 use crate::fair::{AdapterKey, FairSettings};
 use crate::interface::{TargetKey, Ticket};
+use crate::overload::StartWindow;
 use crate::retry::RetrySchedule;
 use crate::targets::{ClassAverage, InFlight, TargetSet};
 
 /// The targets that serve one model or one plain service, and the requests queued for them.
 #[derive(Clone, Debug)]
 pub(crate) struct ClassState {
-    pub(crate) queue: FairQueue<Ticket>,
+    pub(crate) queue: TieredQueue<Ticket>,
     /// Targets that are up.
     pub(crate) targets: BTreeSet<TargetKey>,
     /// Targets that can accept a request of this node now.
@@ -53,6 +55,8 @@
     pooled: bool,
     /// Whether the targets serve a plain service rather than a model.
     pub(crate) is_plain: bool,
+    /// Bounds the requests in flight; `None` without overload control.
+    pub(crate) window: Option<StartWindow>,
 }
 
 /// Limit of a node's requests at pooled targets, relative to its even share, while these have
@@ -69,7 +73,7 @@
 impl ClassState {
     pub(crate) fn new(settings: &FairSettings, is_plain: bool) -> Self {
         Self {
-            queue: FairQueue::new(settings.queue_entries_max),
+            queue: TieredQueue::new(settings.queue_entries_max),
             targets: BTreeSet::new(),
             available: TargetSet::default(),
             healthy: TargetSet::default(),
@@ -97,6 +101,7 @@
             shed_scheduled: false,
             pooled: false,
             is_plain,
+            window: (settings.overload_control && !is_plain).then(StartWindow::new),
         }
     }
 
@@ -120,12 +125,61 @@
             return !self.available.is_empty();
         }
         let share = self.slots / f64::from(senders.max(1));
+        if let Some(window) = &self.window {
+            let counted = self.in_flight.count.saturating_sub(window.late_unstarted());
+            return self.is_below_window(window, counted, share);
+        }
         let is_full = self.reported_utilisation.value() >= FULL_UTILISATION;
         let limit = if is_full { share } else { share * POOLED_SHARE_FACTOR };
         let below_limit = self.in_flight.count < limit.ceil() as u32;
         below_limit && (!self.available.is_empty() || self.can_probe_load())
     }
 
+    /// Whether a target may receive a late request of this node now.
+    ///
+    /// Late requests that wait at the engines don't count against the window of the others, as engines
+    /// admit those first.
+    pub(crate) fn has_late_slot(&self, senders: u32) -> bool {
+        match &self.window {
+            Some(window) if self.pooled => {
+                let share = self.slots / f64::from(senders.max(1));
+                self.is_below_window(window, self.in_flight.count, share)
+            }
+            _ => self.has_free_slot(senders),
+        }
+    }
+
+    /// The engines' own queues see the requests of all nodes, so targets that appear full get requests
+    /// while the window allows.
+    fn is_below_window(&self, window: &StartWindow, in_flight: u32, share: f64) -> bool {
+        let limit = window.limit(share, self.slots).ceil() as u32;
+        in_flight < limit && !(self.available.is_empty() && self.healthy.is_empty())
+    }
+
+    /// Counts overdue first events for the window, and relaxes it if the engines are not full.
+    pub(crate) fn update_window(&mut self, now: TimeMs, senders: u32) {
+        let (use_of, utilisation) = (self.window_use(senders), self.reported_utilisation.value());
+        if let Some(window) = &mut self.window {
+            window.count_overdue(now, use_of);
+            window.relax(now, utilisation);
+        }
+    }
+
+    /// Records the first event of a request for the window.
+    pub(crate) fn record_started(&mut self, now: TimeMs, ticket: Ticket, senders: u32) {
+        let use_of = self.window_use(senders);
+        if let Some(window) = &mut self.window {
+            window.started(now, ticket, use_of);
+        }
+    }
+
+    /// Returns the requests in flight that count for the window, and the even share of the slots.
+    fn window_use(&self, senders: u32) -> (f64, f64) {
+        let late = self.window.as_ref().map_or(0, StartWindow::late_unstarted);
+        let in_flight = self.in_flight.count.saturating_sub(late);
+        (f64::from(in_flight), self.slots / f64::from(senders.max(1)))
+    }
+
     /// Whether one request may be sent although no target shows a free slot.
     ///
     /// Load reports come with answers, so a node without requests in flight would not learn that a
@@ -155,15 +209,20 @@
     /// It waits for the entries ahead of it in its own flow, served at the expected share of the
     /// flow.
     pub(crate) fn wait_ms(&mut self, now: TimeMs, entry: &QueueEntry, senders: u32) -> f64 {
-        if self.queue.is_empty() && self.has_free_slot(senders) {
+        let is_free = match is_late(entry) {
+            true => self.has_late_slot(senders),
+            false => self.has_free_slot(senders),
+        };
+        if self.queue.is_empty() && is_free {
             return 0.0;
         }
         let capacity = self.capacity(senders);
         if capacity <= 0.0 {
             return f64::INFINITY;
         }
-        let ahead_ms = self.queue.cost_ahead_ms(entry) as f64;
-        let queued_ms = ahead_ms / self.expected_share(entry, ahead_ms, capacity);
+        let before_ms = self.queue.cost_before_ms(entry.tier) as f64;
+        let ahead_ms = self.queue.tier(entry.tier).cost_ahead_ms(entry) as f64;
+        let queued_ms = before_ms + ahead_ms / self.expected_share(entry, ahead_ms, capacity);
         self.next_slot_ms(now, queued_ms * self.cost_ratio() / capacity)
     }
 
@@ -172,11 +231,12 @@
     /// Weights alone are inaccurate while other flows come and go. The share observed since the
     /// flow became active is therefore averaged with the nominal share, which weighs as much as one
     /// request per slot.
-    fn expected_share(&self, entry: &QueueEntry, ahead_ms: f64, capacity: f64) -> f64 {
-        let all_queued_ms = self.queue.cost_ms().max(1) as f64;
-        let nominal_share = self.queue.share(entry.flow).max(ahead_ms / all_queued_ms);
-        let (own_ms, all_ms) = self.queue.served_ms(entry.flow);
+    fn expected_share(&mut self, entry: &QueueEntry, ahead_ms: f64, capacity: f64) -> f64 {
         let prior_ms = capacity * self.in_flight.mean_cost_ms().max(1.0);
+        let queue = self.queue.tier(entry.tier);
+        let all_queued_ms = queue.cost_ms().max(1) as f64;
+        let nominal_share = queue.share(entry.flow).max(ahead_ms / all_queued_ms);
+        let (own_ms, all_ms) = queue.served_ms(entry.flow);
         (own_ms as f64 + nominal_share * prior_ms) / (all_ms as f64 + prior_ms)
     }
 
@@ -208,9 +268,10 @@
     }
 
     /// Estimates the time until the queue of this entry's flow is empty.
-    pub(crate) fn drain_ms(&self, now: TimeMs, entry: &QueueEntry, senders: u32) -> f64 {
-        let own_ms = self.queue.flow_cost_ms(entry.flow) as f64 / self.queue.share(entry.flow);
-        (self.in_flight.remaining_ms(now) + own_ms.min(self.queue.cost_ms() as f64))
+    pub(crate) fn drain_ms(&mut self, now: TimeMs, entry: &QueueEntry, senders: u32) -> f64 {
+        let queue = self.queue.tier(entry.tier);
+        let own_ms = queue.flow_cost_ms(entry.flow) as f64 / queue.share(entry.flow);
+        (self.in_flight.remaining_ms(now) + own_ms.min(queue.cost_ms() as f64))
             / self.capacity(senders).max(1.0)
     }
 
--- a/crates/policy/src/fair/dispatch.rs
+++ b/crates/policy/src/fair/dispatch.rs
@@ -1,6 +1,7 @@
 use celeryhaven_queue::QueueEntry;
-use celeryhaven_types::{RefusalCode, TimeMs};
+use celeryhaven_types::TimeMs;
 
+use crate::fair::overload::is_late;
 use crate::fair::policy::Timer;
 use crate::fair::request::{Phase, Pick, RequestState};
 use crate::fair::{ClassKey, FairPolicy};
@@ -25,15 +26,18 @@
     ) {
         let (look_ahead, senders) = (self.settings.look_ahead, self.senders);
         self.refresh_unavailable(now, class_key);
+        self.class(class_key).update_window(now, senders);
         while self.class(class_key).has_free_slot(senders) {
             let next = self.class(class_key).queue.next_entries(look_ahead);
             let Some(&(first, entry)) = next.first() else { return };
             if entry.latest_start < now {
                 self.class(class_key).queue.remove(first);
-                let code = RefusalCode::DeadlineUnreachable;
-                self.refuse_queued(now, first, &entry, code, out);
+                self.resolve_overdue(now, first, &entry, out);
                 continue;
             }
+            if is_late(&entry) && !self.class(class_key).has_late_slot(senders) {
+                return;
+            }
             let Some((ticket, pick)) = self.select_next(now, &next) else { return };
             self.class(class_key).queue.take(ticket);
             self.dispatch(now, ticket, pick, out);
@@ -96,6 +100,7 @@
         };
         self.expect_cached(now, target, &request);
         self.record_sent(now, ticket, target, estimate);
+        self.record_in_window(now, ticket, &request);
         let stuck_at = self.stuck_at(now, &request);
         self.schedule_check(ticket, &mut request, stuck_at);
         out.push(Decision::Dispatch { ticket, target });
@@ -147,6 +152,19 @@
         self.refresh_availability(now, target);
     }
 
+    /// Records a governed request that is sent for the window; a stream that goes on does not count.
+    fn record_in_window(&mut self, now: TimeMs, ticket: Ticket, request: &RequestState) {
+        if !request.is_governed || request.has_begun {
+            return;
+        }
+        let Some(window) = &mut self.classes[request.class.get() as usize].window else { return };
+        match request.start_allowed_ms {
+            _ if request.is_late => window.sent_late(ticket, request.waits_since),
+            Some(allowed_ms) => window.sent_timely(now, ticket, allowed_ms),
+            None => {}
+        }
+    }
+
     /// Records that an attempt at a target has completed.
     pub(crate) fn record_completed(
         &mut self,
@@ -160,6 +178,9 @@
         let class = state.class;
         let (up, empty) = (state.up, state.in_flight.count == 0);
         self.class(class).expected_ends.remove(&(estimate.end_ms(), ticket));
+        if let Some(window) = &mut self.class(class).window {
+            window.ended(ticket);
+        }
         if up {
             self.class(class).in_flight.remove(estimate);
             self.refresh_availability(now, target);
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod limits;
 mod outcomes;
+mod overload;
 mod policy;
 mod request;
 mod running;
--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -33,6 +33,8 @@
             (*target, *uncached_tokens, now.since(*sent_at) as f64);
         let loads_adapter = *loads_adapter;
         let class_key = request.class;
+        let senders = self.senders;
+        self.class(class_key).record_started(now, ticket, senders);
         self.check_remaining(now, ticket, out);
         let class = &mut self.classes[class_key.get() as usize];
         let utilisation =
@@ -83,7 +85,9 @@
             class.actual_ms.add(elapsed_ms);
             class.expected_ms.add(request.cost.mean_ms);
             let excess_ms = (elapsed_ms - request.cost.mean_ms).max(0.0);
-            class.queue.charge(request.flow, excess_ms as u64);
+            let tier = self.tier(&request);
+            let class = &mut self.classes[request.class.get() as usize];
+            class.queue.charge(tier, request.flow, excess_ms as u64);
             self.record_completed(now, ticket, target, estimate);
             let ratio = (elapsed_ms + RATIO_OFFSET_MS) / (expected_ms + RATIO_OFFSET_MS);
             self.evaluate_answer(now, target, ratio, out);
@@ -106,7 +110,10 @@
         if request.partner.is_some() {
             return self.partner_failed(now, ticket, verdict, out);
         }
-        request.send_by = request.send_by.map(|send_by| send_by.max(now.after(RESUME_WINDOW_MS)));
+        if !request.is_governed || request.has_begun {
+            request.send_by =
+                request.send_by.map(|send_by| send_by.max(now.after(RESUME_WINDOW_MS)));
+        }
         let class = request.class;
         let not_run = verdict == Verdict::NotRun;
         request.record_attempt_end(verdict);
--- a/crates/policy/src/fair/request.rs
+++ b/crates/policy/src/fair/request.rs
@@ -67,6 +67,14 @@
         pub(crate) choice_key: Option<u64>,
         pub(crate) priority: Priority,
         pub(crate) worth: u32,
+        /// Whether the overload control applies.
+        pub(crate) is_governed: bool,
+        /// Whether its first event can no longer come within the objective; only if it is governed.
+        pub(crate) is_late: bool,
+        /// When it arrived, or became late.
+        pub(crate) waits_since: TimeMs,
+        /// Time that its target may take to the first event; `None` if it does not count for the window.
+        pub(crate) start_allowed_ms: Option<u64>,
         pub(crate) cost: Cost,
         /// Attempts, without those that a target has refused after the answer had begun.
         pub(crate) attempts: u32,
--- a/crates/policy/src/fair/settings.rs
+++ b/crates/policy/src/fair/settings.rs
@@ -79,6 +79,10 @@
         pub retry_saved_max: f64,
         /// Whether a retry is charged to the budget although no target ran the failed attempt.
         pub charge_refused: bool,
+        /// Whether requests for engines that can begin in time come before those that are late, which
+        /// wait or return, and a window learnt from the times to the first event bounds the requests in
+        /// flight.
+        pub overload_control: bool,
     }
 }
 
@@ -104,6 +108,7 @@
             retry_earned: 0.2,
             retry_saved_max: 100.0,
             charge_refused: false,
+            overload_control: false,
         }
     }
 }
@@ -182,6 +187,12 @@
         self
     }
 
+    /// Sets whether late requests come after those that can begin in time.
+    pub fn with_overload_control(mut self, overload_control: bool) -> Self {
+        self.overload_control = overload_control;
+        self
+    }
+
     /// Sets the initial estimates of service times, in milliseconds.
     pub fn with_times(mut self, base_ms: f64, prefill_ms: f64, decode_ms: f64) -> Self {
         self.base_ms = base_ms;
--- a/crates/policy/src/fair/shed.rs
+++ b/crates/policy/src/fair/shed.rs
@@ -1,6 +1,7 @@
 use celeryhaven_types::{RefusalCode, TimeMs};
 
 use crate::fair::admission::starts_in_time;
+use crate::fair::overload::is_late;
 use crate::fair::policy::Timer;
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::Decision;
@@ -27,18 +28,26 @@
     pub(crate) fn shed(&mut self, now: TimeMs, class_key: ClassKey, out: &mut Vec<Decision>) {
         self.class(class_key).shed_scheduled = false;
         while let Some((ticket, entry)) = self.class(class_key).queue.pop_overdue(now) {
-            let code = RefusalCode::DeadlineUnreachable;
-            self.refuse_queued(now, ticket, &entry, code, out);
+            self.resolve_overdue(now, ticket, &entry, out);
         }
         let flows: Vec<_> = self.class(class_key).queue.active_flows().collect();
-        for flow in flows {
-            while let Some((ticket, entry)) = self.class(class_key).queue.last_entry(flow) {
+        for (tier, flow) in flows {
+            while let Some((ticket, entry)) = self.class(class_key).queue.last_entry(tier, flow) {
+                let is_governed =
+                    self.requests.get(&ticket).is_some_and(|request| request.is_governed);
+                // A timely request waits until it can no longer begin in time, and is late then.
+                if is_governed && !is_late(&entry) {
+                    break;
+                }
                 let wait_ms = self.wait_ms(now, class_key, &entry);
                 if starts_in_time(now, wait_ms, entry.latest_start) {
                     break;
                 }
-                let (ticket, entry) =
-                    self.class(class_key).queue.lowest_density(flow).unwrap_or((ticket, entry));
+                let (ticket, entry) = self
+                    .class(class_key)
+                    .queue
+                    .lowest_density(tier, flow)
+                    .unwrap_or((ticket, entry));
                 self.refuse_queued(now, ticket, &entry, RefusalCode::Overloaded, out);
             }
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod affinity;
 mod estimate;
+mod overload;
 mod retry;
 mod targets;
 
@@ -25,6 +26,7 @@
 pub use interface::{
     Decision, PolicyEvent, RequestPolicy, RetryDenial, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
+pub use overload::UsualLimit;
 pub use retry::SharedRetryBudget;
 pub use stall::StallDetector;
 pub use targets::TargetSubset;
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -3,11 +3,11 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
-    TargetProfile, TargetSubset, Ticket,
+    TargetProfile, TargetSubset, Ticket, UsualLimit,
 };
 use celeryhaven_types::{
     Idempotency, ModelName, OrganisationName, Priority, RequestClass, RequestHead, RequestId,
@@ -28,7 +28,14 @@
 const DEADLINE_MS: u64 = 6_000;
 
 /// Utilisation of the replicas at rate one.
-const UTILISATION: f64 = 0.65;
+pub const UTILISATION: f64 = 0.65;
+
+/// Waiting requests from which a replica refuses more, if its callers are simulated.
+const PLACES: usize = 2 * SLOTS;
+
+/// Time to return of a caller that ignores the one it is given, and how often it tries.
+const HASTY_RETURN_MS: u64 = 100;
+const HASTY_TRIES_MAX: u32 = 4;
 
 const STEP_MS: u64 = 5;
 
@@ -51,20 +58,40 @@
 #[derive(Clone, Debug, Default)]
 struct Replica {
     running: BTreeSet<u64>,
-    waiting: VecDeque<u64>,
+    /// By priority, then in order of arrival.
+    waiting: BTreeSet<(u8, u64, u64)>,
+}
+
+/// How callers behave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Callers {
+    /// They don't return, and wait for any answer.
+    Single,
+    /// They return once, at the given time or at a third of the time left.
+    Obedient,
+    /// They return at once, and more often.
+    Hasty,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Request {
     node: usize,
+    /// When the caller first tried.
     at_ms: u64,
     replica: Option<u32>,
+    /// When the caller leaves.
+    until_ms: u64,
+    tries: u32,
+    /// Whether its node recognised it as a return.
+    is_return: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     FirstToken(u64),
     Completion(u64),
+    Return(u64),
+    Leave(u64),
 }
 
 /// Nodes, replicas and callers.
@@ -81,8 +108,14 @@
     outcomes: Outcomes,
     /// Refusals later than the objective after the request.
     pub refused_late: u32,
+    /// Requests that refused callers sent again, which are not counted as submitted.
+    pub returns: u32,
     /// The replicas that each node uses, if it uses a subset.
     subsets: Option<Vec<BTreeSet<u32>>>,
+    callers: Callers,
+    overload_control: bool,
+    arrivals: u64,
+    limits: Vec<UsualLimit>,
 }
 
 fn class() -> RequestClass {
@@ -92,11 +125,22 @@
 impl Cluster {
     /// Creates nodes and replicas.
     pub fn new(seed: u64, nodes: usize, replicas: u32) -> Self {
+        Self::with_callers(seed, nodes, replicas, (Callers::Single, false))
+    }
+
+    /// Creates nodes and replicas whose callers leave, and return after a refusal.
+    pub fn with_callers(
+        seed: u64,
+        nodes: usize,
+        replicas: u32,
+        (callers, overload_control): (Callers, bool),
+    ) -> Self {
         let policy = |node: usize| {
             let settings = FairSettings::new(seed * 1_000 + node as u64)
                 .with_sharing(Sharing::Pooled)
                 .with_eject_silent(false)
                 .with_cost_margin(0.0)
+                .with_overload_control(overload_control)
                 .with_times(FIRST_TOKEN_MS as f64, 0.0, (SERVICE_MS - FIRST_TOKEN_MS) as f64);
             FairPolicy::new(settings)
         };
@@ -112,7 +156,12 @@
             rng: SmallRng::seed_from_u64(seed),
             outcomes: Outcomes::default(),
             refused_late: 0,
+            returns: 0,
             subsets: None,
+            callers,
+            overload_control,
+            arrivals: 0,
+            limits: vec![UsualLimit::default(); nodes],
         };
         for node in 0..nodes {
             cluster.send_event(node, PolicyEvent::Senders { nodes: nodes as u32 });
@@ -212,6 +261,8 @@
                 match due {
                     Timer::FirstToken(id) => self.first_token(id),
                     Timer::Completion(id) => self.complete(id),
+                    Timer::Return(id) => self.submit(id),
+                    Timer::Leave(id) => self.leave(id),
                 }
             }
             for node in 0..self.nodes.len() {
@@ -232,30 +283,62 @@
             self.pending_arrivals -= 1.0;
             self.next_id += 1;
             let node = self.rng.random_range(0..self.nodes.len());
-            self.requests.insert(self.next_id, Request { node, at_ms: self.now_ms, replica: None });
-            self.outcomes.submitted += 1;
-            let head = RequestHead {
-                id: RequestId::new("request"),
-                organisation: OrganisationName::new("one"),
-                class: class(),
-                priority: Priority::new(0),
-                worth: 1,
-                idempotency: Idempotency::Idempotent,
-                deadline_in_ms: DEADLINE_MS,
-                start_within_ms: Some(OBJECTIVE_MS),
-                attempts_max: None,
-                prompt_tokens: 1,
-                output_tokens_max: 2,
-                prefix_hashes: Vec::new(),
-                choice_key: None,
+            let limit_ms = match self.callers {
+                Callers::Single => DEADLINE_MS,
+                _ => DEADLINE_MS * self.rng.random_range(85..=100) / 100,
+            };
+            let request = Request {
+                node,
+                at_ms: self.now_ms,
+                replica: None,
+                until_ms: self.now_ms + limit_ms,
+                tries: 0,
+                is_return: false,
             };
-            let ticket = Ticket::new(self.next_id);
-            self.send_event(node, PolicyEvent::Arrived { ticket, head: &head });
+            self.requests.insert(self.next_id, request);
+            self.outcomes.submitted += 1;
+            self.submit(self.next_id);
+        }
+    }
+
+    /// Sends a request to its node, for the first time or again.
+    fn submit(&mut self, id: u64) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.tries += 1;
+        if request.tries > 1 {
+            self.returns += 1;
+            request.node = self.rng.random_range(0..self.nodes.len());
         }
+        let (node, left_ms) = (request.node, request.until_ms.saturating_sub(self.now_ms));
+        if left_ms == 0 {
+            self.requests.remove(&id);
+            return;
+        }
+        let is_return = self.limits[node].is_return(Some(left_ms), DEADLINE_MS);
+        request.is_return = self.overload_control && is_return;
+        let start_within_ms = (!request.is_return).then_some(OBJECTIVE_MS);
+        let head = RequestHead {
+            id: RequestId::new("request"),
+            organisation: OrganisationName::new("one"),
+            class: class(),
+            priority: Priority::new(0),
+            worth: 1,
+            idempotency: Idempotency::Idempotent,
+            deadline_in_ms: left_ms,
+            start_within_ms,
+            attempts_max: (self.callers != Callers::Single).then_some(2),
+            prompt_tokens: 1,
+            output_tokens_max: 2,
+            prefix_hashes: Vec::new(),
+            choice_key: None,
+        };
+        let ticket = Ticket::new(id);
+        self.send_event(node, PolicyEvent::Arrived { ticket, head: &head });
     }
 
     fn first_token(&mut self, id: u64) {
-        let Some(&Request { node, at_ms, replica: Some(replica) }) = self.requests.get(&id) else {
+        let Some(&Request { node, at_ms, replica: Some(replica), .. }) = self.requests.get(&id)
+        else {
             return;
         };
         match self.now_ms - at_ms <= OBJECTIVE_MS {
@@ -283,11 +366,41 @@
         self.send_event(node, PolicyEvent::Finished { ticket: Ticket::new(id), output_tokens: 1 });
         let Some(state) = self.replicas.get_mut(&replica) else { return };
         state.running.remove(&id);
-        if let Some(next) = state.waiting.pop_front() {
+        if let Some((_, _, next)) = state.waiting.pop_first() {
             self.start(replica, next);
         }
     }
 
+    /// Ends a request whose caller has waited in vain; an answer that has begun is delivered.
+    fn leave(&mut self, id: u64) {
+        let Some(&Request { node, replica, .. }) = self.requests.get(&id) else { return };
+        if let Some(state) = replica.and_then(|replica| self.replicas.get_mut(&replica)) {
+            if state.running.contains(&id) {
+                return;
+            }
+            state.waiting.retain(|(_, _, waiting)| *waiting != id);
+        }
+        self.requests.remove(&id);
+        self.send_event(node, PolicyEvent::CallerDisconnected { ticket: Ticket::new(id) });
+    }
+
+    /// Lets a refused caller return, unless it does not or has too little time left.
+    fn may_return(&mut self, id: u64, retry_after_ms: u64) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else { return false };
+        let left_ms = request.until_ms.saturating_sub(self.now_ms);
+        let (wait_ms, tries_max) = match self.callers {
+            Callers::Single => return false,
+            Callers::Obedient => (retry_after_ms.min(left_ms / 3), 2),
+            Callers::Hasty => (HASTY_RETURN_MS, HASTY_TRIES_MAX),
+        };
+        let returns = request.tries < tries_max && left_ms > wait_ms;
+        if returns {
+            request.replica = None;
+            self.due.insert((self.now_ms + wait_ms.max(STEP_MS), Timer::Return(id)));
+        }
+        returns
+    }
+
     fn start(&mut self, replica: u32, id: u64) {
         if let Some(state) = self.replicas.get_mut(&replica) {
             state.running.insert(id);
@@ -303,7 +416,11 @@
         for decision in decisions {
             match decision {
                 Decision::Dispatch { ticket, target } => self.dispatch(ticket.get(), target.get()),
-                Decision::Refuse { ticket, .. } => {
+                Decision::Refuse { ticket, refusal } => {
+                    let retry_after_ms = refusal.retry_after_ms.unwrap_or_default();
+                    if self.may_return(ticket.get(), retry_after_ms) {
+                        continue;
+                    }
                     let Some(request) = self.requests.remove(&ticket.get()) else { continue };
                     self.outcomes.refused += 1;
                     let late = self.now_ms - request.at_ms > OBJECTIVE_MS + 100;
@@ -317,11 +434,23 @@
     }
 
     fn dispatch(&mut self, id: u64, replica: u32) {
-        self.requests.entry(id).and_modify(|request| request.replica = Some(replica));
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.replica = Some(replica);
+        let Request { node, at_ms, until_ms, is_return, .. } = *request;
+        let is_late = is_return || self.now_ms - at_ms > OBJECTIVE_MS;
+        let priority = if self.overload_control && is_late { 5 } else { 0 };
         let Some(state) = self.replicas.get_mut(&replica) else { return };
-        match state.running.len() < SLOTS {
-            true => self.start(replica, id),
-            false => state.waiting.push_back(id),
+        if state.running.len() < SLOTS {
+            self.start(replica, id);
+        } else if self.callers == Callers::Single || state.waiting.len() < PLACES {
+            self.arrivals += 1;
+            state.waiting.insert((priority, self.arrivals, id));
+            if self.callers != Callers::Single {
+                self.due.insert((until_ms, Timer::Leave(id)));
+            }
+        } else {
+            let (ticket, verdict) = (Ticket::new(id), Verdict::NotRun);
+            self.send_event(node, PolicyEvent::AttemptFailed { ticket, verdict });
         }
     }
 }
--- a/crates/queue/examples/flood.rs
+++ b/crates/queue/examples/flood.rs
@@ -8,7 +8,7 @@
 const FLOW_NAMES: [&str; 2] = ["flooding", "modest"];
 
 fn entry(flow: FlowKey, latest_start: TimeMs) -> QueueEntry {
-    QueueEntry { flow, cost_ms: 100, latest_start, priority: Priority::new(0), worth: 1 }
+    QueueEntry { flow, cost_ms: 100, latest_start, priority: Priority::new(0), worth: 1, tier: 0 }
 }
 
 fn main() -> Result<(), QueueFull> {
--- a/crates/queue/src/fair_queue.rs
+++ b/crates/queue/src/fair_queue.rs
@@ -29,6 +29,7 @@
 ///     latest_start: TimeMs::new(5_000),
 ///     priority: Priority::new(0),
 ///     worth: 1,
+///     tier: 0,
 /// };
 /// queue.push(7_u64, entry)?;
 /// assert_eq!(queue.pop().map(|(key, _)| key), Some(7));
@@ -161,6 +162,11 @@
         }
     }
 
+    /// The earliest latest start of all entries.
+    pub fn earliest_start(&self) -> Option<TimeMs> {
+        self.overdue.first().map(|&(latest_start, _)| latest_start)
+    }
+
     /// Removes one entry whose latest start has passed.
     pub fn pop_overdue(&mut self, now: TimeMs) -> Option<(K, QueueEntry)> {
         let &(latest_start, key) = self.overdue.first()?;
--- a/crates/queue/src/queue_entry.rs
+++ b/crates/queue/src/queue_entry.rs
@@ -17,6 +17,9 @@
         pub priority: Priority,
         /// Worth of an answer in time.
         pub worth: u32,
+        /// Strict class of a [`TieredQueue`](crate::TieredQueue), the least first; a
+        /// [`FairQueue`](crate::FairQueue) ignores it.
+        pub tier: u8,
     }
 }
 
--- a/crates/queue/tests/fair_queue.rs
+++ b/crates/queue/tests/fair_queue.rs
@@ -11,6 +11,7 @@
         latest_start: TimeMs::new(latest_start_ms),
         priority: Priority::new(0),
         worth: 1,
+        tier: 0,
     }
 }
 
