gateway: first tries and returns, priority of late requests, and times to return

The setting overload_control (default off) recognises returns by the time that callers have left, sends late requests to engines at priorities 5 to 9, and names times to return between a quarter and a third of the time left. The line of an ended request has the band and the window.

--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -157,6 +157,14 @@
     let shared_parts = caller.shared_parts.iter().take(SHARED_PARTS_MAX);
     let shared_parts = shared_parts.map(|id| CauseDigest::of_part(service.as_str(), id)).collect();
     let budget_ms = caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let (is_governed, is_return) = {
+        let mut state = dispatcher.state.borrow_mut();
+        let is_governed = state.is_governed(&route, model.as_ref());
+        // The budget of a delegated request is what another node has left of it.
+        let is_own = delegated.is_none();
+        let is_return = is_governed && is_own && state.is_return(&route, caller.budget_ms);
+        (is_governed, is_return)
+    };
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(AUTHORIZATION);
@@ -177,6 +185,8 @@
         route,
         caller,
         delegated,
+        is_governed,
+        is_return,
     })
 }
 
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -160,7 +160,8 @@
     let (reports, report_receiver) = unbounded();
     let retry_ratio = settings.retry_ratio * RETRY_SHARE;
     let retry_extra = settings.retry_extra * RETRY_SHARE;
-    let state = DispatchState::new(seed, retry_ratio, retry_extra);
+    let state = DispatchState::new(seed, retry_ratio, retry_extra)
+        .with_overload_control(settings.overload_control);
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
     let link_check =
         LinkCheck::new(links, executor.clone(), connections, events.clone(), metrics, log.clone());
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -238,7 +238,11 @@
             budget_ms: left_ms.saturating_sub(ANSWER_TRANSIT_MS).max(1),
             expected: &self.destination.target,
             organisation: caller_request.organisation.as_ref(),
-            rank: caller_request.rank,
+            rank: match self.peer {
+                Some(_) => caller_request.rank,
+                None => caller_request
+                    .target_rank(self.exchange.dispatcher.now(), self.exchange.sink.is_begun()),
+            },
             last_event_id: self.exchange.splitter.last_id(),
         };
         let mut headers = caller_request.headers.clone();
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -13,6 +13,10 @@
 /// Relative worth of a request, used for every route.
 const WORTH: u32 = 1;
 
+/// The least urgent rank of a band at a target, and the first one of the late band.
+const BAND_RANK_LAST: u8 = 4;
+const LATE_RANK_FIRST: u8 = 5;
+
 /// The least urgent rank.
 const RANK_LAST: u8 = 9;
 
@@ -38,6 +42,10 @@
     pub(crate) deadline: TimeMs,
     /// What another node has said of it, if this node runs it for that one.
     pub(crate) delegated: Option<Delegated>,
+    /// Whether the overload control applies.
+    pub(crate) is_governed: bool,
+    /// Whether its caller has been refused before; only if the overload control applies.
+    pub(crate) is_return: bool,
 }
 
 impl CallerRequest {
@@ -74,7 +82,7 @@
             worth: WORTH,
             idempotency,
             deadline_in_ms: self.deadline.since(now),
-            start_within_ms: Some(self.route.objective_ms),
+            start_within_ms: (!self.is_return).then_some(self.route.objective_ms),
             attempts_max: Some(self.route.attempts_max),
             prompt_tokens: self.caller.prompt_tokens,
             output_tokens_max: self.events_allowed(tokens_per_event),
@@ -83,6 +91,31 @@
         }
     }
 
+    /// Returns the rank that a target is told.
+    ///
+    /// Engines admit the more urgent requests first, so that first tries that can be in time come
+    /// before late requests whichever node they are at. An answer that has begun goes on as it began.
+    pub(crate) fn target_rank(&self, now: TimeMs, has_begun: bool) -> u8 {
+        if !self.is_governed {
+            return self.rank;
+        }
+        let rank = self.rank.min(BAND_RANK_LAST);
+        if self.is_late(now) && (self.is_return || !has_begun) {
+            LATE_RANK_FIRST + rank
+        } else {
+            rank
+        }
+    }
+
+    /// Returns the band at a time; `None` if the overload control does not apply.
+    pub(crate) fn band(&self, now: TimeMs) -> Option<&'static str> {
+        self.is_governed.then_some(if self.is_late(now) { "late" } else { "timely" })
+    }
+
+    fn is_late(&self, now: TimeMs) -> bool {
+        self.is_return || now.since(self.arrived_at) > self.route.objective_ms
+    }
+
     /// Returns the number of events that the answer may hold.
     pub(crate) fn events_allowed(&self, tokens_per_event: u32) -> u32 {
         let output = self.caller.output_tokens.unwrap_or(self.caller.output_tokens_max);
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -4,8 +4,10 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_delegation::PeerSet;
-use celeryhaven_fleet::{Evacuations, RouteTable};
-use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
+use celeryhaven_fleet::{Evacuations, Route, RouteTable};
+use celeryhaven_policy::{
+    Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket, UsualLimit, return_after_ms,
+};
 use celeryhaven_quarantine::{CauseDigest, Hold, PendingCrashes, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
     DataCentreName, Map, ModelName, Refusal, RequestClass, ServiceName, TimeMs,
@@ -121,6 +123,9 @@
     retry_earned_per_arrival: f64,
     shared_retries: SharedRetryBudget,
     pub(super) rng: SmallRng,
+    overload_control: bool,
+    /// Usual limits of callers, by route.
+    usual_limits: Map<String, UsualLimit>,
 }
 
 impl DispatchState {
@@ -153,9 +158,41 @@
             seed,
             retry_earned_per_arrival,
             shared_retries: SharedRetryBudget::new(retry_saved_max, node_fraction),
+            overload_control: false,
+            usual_limits: Map::default(),
         }
     }
 
+    /// Sets whether requests for engines that can begin in time come before late ones.
+    pub(crate) fn with_overload_control(self, overload_control: bool) -> Self {
+        Self { overload_control, ..self }
+    }
+
+    /// Whether the overload control applies to requests of a route for a model.
+    pub(crate) fn is_governed(&self, route: &Route, model: Option<&ModelName>) -> bool {
+        self.overload_control && model.is_some() && route.kind.may_repeat()
+    }
+
+    /// Records the budget of a request and returns whether it is a return.
+    pub(crate) fn is_return(&mut self, route: &Route, budget_ms: Option<u64>) -> bool {
+        if !self.usual_limits.contains_key(&route.name) {
+            self.usual_limits.insert(route.name.clone(), UsualLimit::default());
+        }
+        let limit = self.usual_limits.get_mut(&route.name);
+        limit.is_some_and(|limit| limit.is_return(budget_ms, route.timeout_ms))
+    }
+
+    /// Returns the delay after which a caller with this much time left should return.
+    pub(crate) fn return_after_ms(&mut self, left_ms: u64) -> u64 {
+        return_after_ms(left_ms, &mut self.rng)
+    }
+
+    /// Returns the start window of a pool in requests; `None` without overload control.
+    pub(crate) fn start_window(&self, request: &CallerRequest) -> Option<f64> {
+        let key = PoolKey { service: request.service.clone(), model: request.model.clone() };
+        self.pools.get(&key)?.start_window()
+    }
+
     /// Registers a request and lets the policy dispatch or queue it.
     pub(crate) fn register(
         &mut self,
@@ -439,7 +476,8 @@
             None => RequestClass::Plain { service: key.service.clone() },
         };
         self.seed = self.seed.wrapping_add(1);
-        let mut pool = Pool::new(class, self.seed, engine, self.retry_limits(key));
+        let mut pool = Pool::new(class, self.seed, engine, self.retry_limits(key))
+            .with_overload_control(self.overload_control);
         let mut out = Vec::new();
         pool.set_senders(now, self.senders, self.retry_limits(key), &mut out);
         pool.set_limits(now, &self.limits, &mut out);
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -333,6 +333,13 @@
         state.remove(ticket);
     }
 
+    /// Returns the start window of the pool of a request, if the overload control applies to it.
+    pub(crate) fn start_window(&self, request: &CallerRequest) -> Option<f64> {
+        // A dropped exchange may end while the state is borrowed.
+        let state = self.state.try_borrow().ok()?;
+        state.start_window(request).filter(|_| request.is_governed)
+    }
+
     /// Whether the policy knows a request.
     pub(crate) fn is_registered(&self, ticket: Ticket) -> bool {
         self.state.borrow().active_requests.contains_key(&ticket)
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -393,11 +393,21 @@
         let refusal = match self.may_have_run {
             true => Refusal::may_have_run(code),
             false => Refusal::not_run(RefusalCode::Overloaded)
-                .with_retry_after_ms(REFUSED_RETRY_AFTER_MS),
+                .with_retry_after_ms(self.refused_retry_after_ms()),
         };
         self.refuse(refusal).await;
     }
 
+    fn refused_retry_after_ms(&self) -> u64 {
+        match self.request.is_governed {
+            true => {
+                let left_ms = self.time_left().as_millis() as u64;
+                self.dispatcher.state.borrow_mut().return_after_ms(left_ms)
+            }
+            false => REFUSED_RETRY_AFTER_MS,
+        }
+    }
+
     pub(crate) async fn refuse(&mut self, refusal: Refusal) {
         if self.sink.head_sent() {
             // Dropping the sink without an end mark makes the caller see a truncated answer.
@@ -460,6 +470,7 @@
 
     fn log_completed(&self, outcome: &'static str, events: u32) {
         let now = self.dispatcher.now();
+        let window = self.dispatcher.start_window(&self.request);
         self.dispatcher.metrics.record_request(outcome, now.since(self.request.arrived_at));
         info!(self.dispatcher.log, "request ended";
             "request_id" => self.request.id(),
@@ -471,6 +482,9 @@
             "target" => self.target.as_ref().map(VmName::as_str),
             "attempt_end" => self.last_attempt_outcome,
             "no_retry" => self.retry_denial.map(RetryDenial::as_str),
+            "band" => self.request.band(self.delivery.first_at.unwrap_or(now)),
+            "is_return" => self.request.is_governed.then_some(self.request.is_return),
+            "window" => window,
             "prompt_tokens" => self.request.caller.prompt_tokens,
             "shared_parts" => self.request.caller.shared_parts.join(","),
             "output_tokens" => self.request.caller.output_tokens_max,
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -152,6 +152,17 @@
         }
     }
 
+    /// Sets whether requests that can begin in time come before late ones.
+    pub(crate) fn with_overload_control(mut self, overload_control: bool) -> Self {
+        self.policy.set_overload_control(overload_control);
+        self
+    }
+
+    /// Returns the start window in requests; `None` without overload control.
+    pub(crate) fn start_window(&self) -> Option<f64> {
+        self.policy.start_window()
+    }
+
     /// Returns and clears the load that has arrived, in slot milliseconds.
     pub(crate) fn take_offered_slot_ms(&mut self) -> f64 {
         std::mem::take(&mut self.offered_slot_ms)
--- a/crates/policy/src/fair/admission.rs
+++ b/crates/policy/src/fair/admission.rs
@@ -6,6 +6,7 @@
 use crate::fair::request::{Cost, Phase, RequestState};
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::{Decision, Ticket};
+use crate::overload::return_after_ms;
 
 /// Least retry time if no target serves the class; as much again is added as random jitter.
 ///
@@ -85,7 +86,8 @@
         } else if class.targets.is_empty() {
             self.no_replica_refusal()
         } else if is_governed {
-            Refusal::not_run(code).with_retry_after_ms(self.return_after_ms(now, deadline))
+            Refusal::not_run(code)
+                .with_retry_after_ms(return_after_ms(deadline.since(now), &mut self.rng))
         } else {
             let drain_ms = class.drain_ms(now, queue_entry, senders).max(returns_ms as f64);
             let cost_ms = queue_entry.cost_ms as f64 / class.capacity(senders).max(1.0);
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -173,6 +173,12 @@
         }
     }
 
+    /// Returns the requests of this node that may be in flight; `None` without overload control.
+    pub(crate) fn window_limit(&self, senders: u32) -> Option<f64> {
+        let share = self.slots / f64::from(senders.max(1));
+        self.window.as_ref().map(|window| window.limit(share, self.slots))
+    }
+
     /// Returns the requests in flight that count for the window, and the even share of the slots.
     fn window_use(&self, senders: u32) -> (f64, f64) {
         let late = self.window.as_ref().map_or(0, StartWindow::late_unstarted);
--- a/crates/policy/src/fair/overload.rs
+++ b/crates/policy/src/fair/overload.rs
@@ -1,11 +1,11 @@
 use celeryhaven_queue::QueueEntry;
 use celeryhaven_types::{Idempotency, RefusalCode, RequestHead, TimeMs};
-use rand::Rng;
 
 use crate::fair::admission::starts_in_time;
 use crate::fair::request::RequestState;
 use crate::fair::{ClassKey, FairPolicy};
 use crate::interface::{Decision, Ticket};
+use crate::overload::RETURN_DIVISOR_LEAST;
 
 /// The least urgent rank; priorities count the other way.
 const RANK_LAST: u8 = 9;
@@ -16,12 +16,6 @@
 /// Time that a refusal and a return take besides the time that the caller is told to wait.
 const ROUND_TRIP_MS: u64 = 20;
 
-/// Bounds of the time to return, as divisors of the time that the caller has left.
-///
-/// A later return is recognised as one, and callers obey up to a third.
-const RETURN_DIVISOR_LEAST: u64 = 4;
-const RETURN_DIVISOR_MOST: u64 = 3;
-
 impl FairPolicy {
     /// Whether the overload control applies to a request: a repeatable one for an engine.
     pub(crate) fn is_governed(&self, class: ClassKey, head: &RequestHead) -> bool {
@@ -94,13 +88,6 @@
         self.refuse_queued(now, ticket, entry, RefusalCode::Overloaded, out);
     }
 
-    /// Returns the delay after which a refused caller should return, with jitter.
-    pub(crate) fn return_after_ms(&mut self, now: TimeMs, deadline: TimeMs) -> u64 {
-        let left_ms = deadline.since(now);
-        let least_ms = left_ms.div_ceil(RETURN_DIVISOR_LEAST);
-        self.rng.random_range(least_ms..=least_ms.max(left_ms / RETURN_DIVISOR_MOST))
-    }
-
     /// Returns until when it pays a late request to wait rather than to be refused and to return.
     pub(crate) fn late_until(request: &RequestState) -> TimeMs {
         let left_ms = request.deadline.since(request.waits_since);
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Sets whether late requests come after those that can begin in time; for a policy without targets.
+    pub fn set_overload_control(&mut self, overload_control: bool) {
+        self.settings.overload_control = overload_control;
+    }
+
+    /// Returns the start window of the first class that has one, in requests.
+    pub fn start_window(&self) -> Option<f64> {
+        self.classes.iter().find_map(|class| class.window_limit(self.senders))
+    }
+
     /// Returns the number of requests that wait for a target.
     pub fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,7 +26,7 @@
 pub use interface::{
     Decision, PolicyEvent, RequestPolicy, RetryDenial, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
-pub use overload::UsualLimit;
+pub use overload::{UsualLimit, return_after_ms};
 pub use retry::SharedRetryBudget;
 pub use stall::StallDetector;
 pub use targets::TargetSubset;
--- a/crates/settings/src/field/kind.rs
+++ b/crates/settings/src/field/kind.rs
@@ -37,6 +37,9 @@
 }
 
 impl Kind {
+    /// A switch that is off by default.
+    pub const SWITCH: Self = Self::Choice { words: &["false", "true"], default: "false" };
+
     /// Creates a [`Kind::Number`].
     pub const fn number(min: u64, max: u64, default: u64) -> Self {
         Self::Number { min, max, default }
--- a/crates/settings/src/field/value.rs
+++ b/crates/settings/src/field/value.rs
@@ -38,6 +38,12 @@
     }
 }
 
+impl FromNode for bool {
+    fn from_node(node: &Node, _kind: &Kind) -> Option<Self> {
+        node.as_text()?.parse().ok()
+    }
+}
+
 impl FromNode for SocketAddr {
     fn from_node(node: &Node, _kind: &Kind) -> Option<Self> {
         node.as_text()?.parse().ok()
