--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -165,6 +165,9 @@
         let is_return = is_governed && is_own && state.is_return(&route, caller.budget_ms);
         (is_governed, is_return)
     };
+    if is_return {
+        dispatcher.metrics.record_return(route.rank);
+    }
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(AUTHORIZATION);
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -384,9 +384,18 @@
     /// Completes a request whose caller has the complete answer.
     pub(crate) fn answered(&mut self) {
         self.dispatcher.completed(self.ticket, self.splitter.event_count(), &self.request);
+        self.record_answer();
         self.complete("answered", self.splitter.event_count());
     }
 
+    fn record_answer(&self) {
+        let began_at = self.delivery.first_at.unwrap_or_else(|| self.dispatcher.now());
+        let (route, arrived_at) = (&self.request.route, self.request.arrived_at);
+        let is_in_time =
+            !self.request.is_return && began_at.since(arrived_at) <= route.objective_ms;
+        self.dispatcher.metrics.record_answer(route.rank, is_in_time);
+    }
+
     /// Ends a request that no target will answer.
     pub(crate) async fn fail(&mut self, code: RefusalCode) {
         self.dispatcher.abandoned(self.ticket);
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -2,8 +2,10 @@
 
 mod cluster;
 
-use celeryhaven_policy::UsualLimit;
+use celeryhaven_policy::{UsualLimit, return_after_ms};
 use cluster::{Callers, Cluster, Outcomes, UTILISATION};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 /// Answers in time as a fraction of those at capacity that a surge must keep.
 const IN_TIME_MIN: f64 = 0.9;
@@ -78,6 +80,21 @@
     check(30, Callers::Hasty);
 }
 
+/// A return time that is too early is not recognised as a return, and callers don't obey a later one.
+#[test]
+fn return_after_quarter_to_third() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    for left_ms in [3, 100, 5_000, 8_000] {
+        let times: Vec<u64> = (0..200).map(|_| return_after_ms(left_ms, &mut rng)).collect();
+        assert!(
+            times.iter().all(|ms| ms * 4 >= left_ms && *ms <= (left_ms / 3).max(1)),
+            "{left_ms}"
+        );
+        let spread = times.iter().max().unwrap() - times.iter().min().unwrap();
+        assert!(spread * 15 >= left_ms || left_ms < 100, "{left_ms}: {spread}");
+    }
+}
+
 /// Callers keep their limits when the configured one is raised or lowered; first tries must not be
 /// taken for returns then.
 #[test]
--- a/crates/settings/src/field/kind.rs
+++ b/crates/settings/src/field/kind.rs
@@ -37,14 +37,16 @@
 }
 
 impl Kind {
-    /// A switch that is off by default.
-    pub const SWITCH: Self = Self::Choice { words: &["false", "true"], default: "false" };
-
     /// Creates a [`Kind::Number`].
     pub const fn number(min: u64, max: u64, default: u64) -> Self {
         Self::Number { min, max, default }
     }
 
+    /// Creates a [`Kind::Choice`] of `true` and `false`, by default `false`.
+    pub const fn switch() -> Self {
+        Self::Choice { words: &["true", "false"], default: "false" }
+    }
+
     /// Creates a [`Kind::Decimal`].
     pub const fn decimal(min: f64, max: f64, default: f64) -> Self {
         Self::Decimal { min, max, default }
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -47,7 +47,7 @@
         /// Number of cores that this process may use; may be a fraction.
         cores: f64 = Kind::decimal(0.01, 1_024.0, 1.0);
         /// Whether requests for engines that can begin in time come before late ones and returns.
-        overload_control: bool = Kind::SWITCH;
+        overload_control: bool = Kind::switch();
         /// Minimum severity that is logged.
         log_level: LogLevel = LogLevel::KIND;
     }
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -5,7 +5,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::metrics::buckets::latency_histogram;
-use crate::metrics::{OutcomeLabel, ProcessMetrics, StoreCallLabel};
+use crate::metrics::{OutcomeLabel, ProcessMetrics, RankLabel, RankOutcomeLabel, StoreCallLabel};
 
 /// Metrics of a gateway process.
 #[derive(Clone, Debug)]
@@ -44,6 +44,10 @@
     pub second_attempts: Family<OutcomeLabel, Counter>,
     /// Requests that still run in evacuated data centres.
     pub evacuating_requests: Gauge,
+    /// Answers that began within the objective and after it, by rank of the route.
+    pub answers: Family<RankOutcomeLabel, Counter>,
+    /// Requests of callers that had been refused before, by rank of the route.
+    pub returns: Family<RankLabel, Counter>,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -68,6 +72,8 @@
         let loads_granted = Counter::default();
         let (isolated, delegated) = (Gauge::default(), Family::default());
         let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
+        let answers: Family<RankOutcomeLabel, Counter> = Family::default();
+        let returns: Family<RankLabel, Counter> = Family::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -135,6 +141,16 @@
                 "Second attempts beside those whose targets were silent or slow, by outcome",
                 second_attempts.clone(),
             );
+            registry.register(
+                "answers",
+                "Answers that began within and after the objective, by rank of the route",
+                answers.clone(),
+            );
+            registry.register(
+                "returns",
+                "Requests of callers that had been refused before, by rank of the route",
+                returns.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -155,10 +171,23 @@
             isolated,
             delegated,
             second_attempts,
+            answers,
+            returns,
             store_calls,
         }
     }
 
+    /// Records an answer, and whether it began within the objective of its route.
+    pub fn record_answer(&self, rank: u8, is_in_time: bool) {
+        let outcome = if is_in_time { "within objective" } else { "after objective" };
+        self.answers.get_or_create(&RankOutcomeLabel { rank: u32::from(rank), outcome }).inc();
+    }
+
+    /// Records a request of a caller that had been refused before.
+    pub fn record_return(&self, rank: u8) {
+        self.returns.get_or_create(&RankLabel { rank: u32::from(rank) }).inc();
+    }
+
     /// Records a completed request.
     pub fn record_request(&self, outcome: &'static str, took_ms: u64) {
         let label = OutcomeLabel { call: "request", outcome };
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -34,6 +34,22 @@
     pub outcome: &'static str,
 }
 
+/// Labels of requests by the rank of their route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RankLabel {
+    /// Rank of the route; 0 is the most urgent.
+    pub rank: u32,
+}
+
+/// Labels of answers by the rank of their route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RankOutcomeLabel {
+    /// Rank of the route; 0 is the most urgent.
+    pub rank: u32,
+    /// The outcome.
+    pub outcome: &'static str,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabel {
