--- a/crates/policy/src/overload/start_window.rs
+++ b/crates/policy/src/overload/start_window.rs
@@ -14,8 +14,8 @@
 /// Requests in flight, in even shares, from which a node sends no late ones.
 ///
 /// At the whole share, late requests left no free slot to the first tries of other nodes: of those at the
-/// usual load after a surge, 0.84 were in time rather than 0.90.
-const LATE_SHARES: f64 = 0.8;
+/// usual load after a surge, 0.84 were in time rather than 0.92.
+const LATE_SHARES: f64 = 0.7;
 
 /// Factor by which a window of at most the even share shrinks.
 const SHRINK_FACTOR: f64 = 0.85;
@@ -23,10 +23,10 @@
 /// Growth for each timely start while the window is in use, in requests: below the even share, and above
 /// it for each share.
 ///
-/// Below the share it recovers within 2 s of a surge. Above it, 1.0 instead of 0.35 lost a tenth of the
+/// Below the share it recovers within 2 s of a surge. Above it, 1.0 lost a tenth of the
 /// answers in time in a surge of three times the capacity.
 const RECOVERY_PER_START: f64 = 2.0;
-const GROWTH_PER_START: f64 = 0.35;
+const GROWTH_PER_START: f64 = 0.25;
 
 /// One in this many recent starts may be late before the window shrinks.
 const LATE_STARTS_ONE_IN: usize = 10;
@@ -38,7 +38,10 @@
 const RECENT_STARTS: usize = 20;
 const RECENT_MS: u64 = 2_000;
 
-/// Time without a late start after which an unused window is relaxed, in milliseconds.
+/// Least window in even shares after that time without late starts, also while engines are full.
+const CALM_SHARES: f64 = 1.15;
+
+/// Time since the window shrank after which it is relaxed, in milliseconds.
 const RELAX_AFTER_MS: u64 = 1_000;
 
 /// Reported utilisation below which the window is relaxed.
@@ -137,11 +140,12 @@
         }
     }
 
-    /// Relaxes the window if no recent start was late and the engines are not full.
+    /// Relaxes the window if it has not shrunk lately, the more if the engines are not full.
     pub(crate) fn relax(&mut self, now: TimeMs, utilisation: f64) {
         let is_calm = self.shrunk_at.is_none_or(|at| now.since(at) >= RELAX_AFTER_MS);
-        if is_calm && utilisation < RELAX_UTILISATION {
-            self.shares = self.shares.max(RELAXED_SHARES);
+        if is_calm {
+            let is_full = utilisation >= RELAX_UTILISATION;
+            self.shares = self.shares.max(if is_full { CALM_SHARES } else { RELAXED_SHARES });
         }
     }
 
