--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -207,6 +207,12 @@
         self.send_event(node, PolicyEvent::TargetUp { target, profile });
     }
 
+    /// Start windows of all nodes together, in slots of all replicas.
+    pub fn windows(&self) -> f64 {
+        let windows: f64 = self.nodes.iter().filter_map(FairPolicy::start_window).sum();
+        windows / (self.replicas.len() * SLOTS) as f64
+    }
+
     /// Sets the request rate; at one, the replicas are at [`UTILISATION`].
     pub fn set_rate(&mut self, rate: f64) {
         self.rate = rate;
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -80,6 +80,38 @@
     check(30, Callers::Hasty);
 }
 
+/// A window that follows reports shrinks a second into a surge, when first tries already wait at engines.
+#[test]
+fn window_shrinks_and_recovers() {
+    for seed in 0..3 {
+        let mut cluster = Cluster::with_callers(seed, 30, 20, (Callers::Obedient, true));
+        cluster.run(6_000);
+        let before = cluster.windows();
+        cluster.set_rate(3.0 / UTILISATION);
+        cluster.run(500);
+        let half_second = cluster.windows();
+        cluster.run(500);
+        let second = cluster.windows();
+        cluster.run(3_000);
+        cluster.set_rate(1.0);
+        cluster.run(2_000);
+        let after = cluster.windows();
+        println!("seed {seed}: {before:.2} {half_second:.2} {second:.2} {after:.2}");
+        assert!(half_second < before * 0.75, "seed {seed}: {before} to {half_second}");
+        assert!(second < 1.2, "seed {seed}: {second}");
+        assert!(after > 1.1, "seed {seed}: {after}");
+    }
+}
+
+/// At about one request a second, a node's window must neither starve nor grow without bound.
+#[test]
+fn window_rare_requests() {
+    let mut cluster = Cluster::with_callers(1, 200, 20, (Callers::Obedient, true));
+    let outcomes = cluster.run(60_000);
+    assert!(outcomes.in_time() > 0.9, "{outcomes:?}");
+    assert!((0.5..=4.0).contains(&cluster.windows()), "{}", cluster.windows());
+}
+
 /// A return time that is too early is not recognised as a return, and callers don't obey a later one.
 #[test]
 fn return_after_quarter_to_third() {
