--- a/crates/telemetry/tests/metrics_page.rs
+++ b/crates/telemetry/tests/metrics_page.rs
@@ -56,6 +56,8 @@
 fn populated_gateway() -> GatewayMetrics {
     let metrics = GatewayMetrics::new();
     metrics.record_request("answered", 1);
+    metrics.record_answer(0, true);
+    metrics.record_return(0);
     metrics.orders.get_or_create(&outcome()).inc();
     metrics.delegated.get_or_create(&outcome()).inc();
     metrics.second_attempts.get_or_create(&outcome()).inc();
