--- a/crates/policy/src/fair/outcomes.rs
+++ b/crates/policy/src/fair/outcomes.rs
@@ -114,6 +114,9 @@
             request.send_by =
                 request.send_by.map(|send_by| send_by.max(now.after(RESUME_WINDOW_MS)));
         }
+        // An answer that has begun would be broken off by a refusal, however late it began.
+        request.is_late &= !request.has_begun;
+        request.waits_since = now;
         let class = request.class;
         let not_run = verdict == Verdict::NotRun;
         request.record_attempt_end(verdict);
