demand: short-term demand and the share of the slots that follows from it

A node's share of pooled slots becomes its part of the demand, which callers change within a second. The policy accepts the share as an event; nothing sends it yet.

--- a/crates/demand/src/demand.rs
+++ b/crates/demand/src/demand.rs
@@ -3,6 +3,8 @@
 use celeryhaven_derives::data;
 use celeryhaven_types::ModelName;
 
+use crate::RecentDemand;
+
 data! {
     /// Recently offered load of one node, or the sum of several nodes.
     ///
@@ -11,8 +13,9 @@
     /// use celeryhaven_types::ModelName;
     ///
     /// let model = ModelName::new("small");
-    /// let mut all = Demand { nodes: 1, busy_slots: [(model.clone(), 2.0)].into() };
-    /// all.add(&Demand { nodes: 1, busy_slots: [(model.clone(), 3.0)].into() });
+    /// let slots = |slots: f64| [(model.clone(), slots)].into();
+    /// let mut all = Demand { nodes: 1, busy_slots: slots(2.0), recent: None };
+    /// all.add(&Demand { nodes: 1, busy_slots: slots(3.0), recent: None });
     /// assert_eq!((all.nodes, all.busy_slots[&model]), (2, 5.0));
     /// ```
     #[derive(Default)]
@@ -21,11 +24,17 @@
         pub nodes: u32,
         /// Slots that the offered load of each model would keep busy.
         pub busy_slots: BTreeMap<ModelName, f64>,
+        /// Short-term demand, if it is measured.
+        ///
+        /// It is the last field of each message and left out if absent, so that nodes of older
+        /// versions read the messages as well.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub recent: Option<RecentDemand>,
     }
 }
 
 impl Demand {
-    /// Adds the demand of other nodes.
+    /// Adds the demand of other nodes, without their short-term demand.
     pub fn add(&mut self, other: &Self) {
         self.nodes += other.nodes;
         for (model, slots) in &other.busy_slots {
@@ -38,6 +47,6 @@
         let factor = f64::from(nodes) / f64::from(self.nodes.max(1));
         let busy_slots =
             self.busy_slots.iter().map(|(model, slots)| (model.clone(), slots * factor));
-        Self { nodes, busy_slots: busy_slots.collect() }
+        Self { nodes, busy_slots: busy_slots.collect(), recent: None }
     }
 }
--- a/crates/demand/src/lib.rs
+++ b/crates/demand/src/lib.rs
@@ -10,14 +10,22 @@
 //! | [`DemandMeter`] | measures the load offered to one node |
 //! | [`Demand`] | the offered load of one node or of several |
 //! | [`DemandTree`] | sums the reports of followers and stores the demand of the fleet |
+//! | [`RecentDemand`], [`RecentMeter`] | the short-term demand and its measurement at one node |
+//! | [`SlotShare`] | a node's share of the slots by its part of the demand |
 //! | [`ModelShares`] | the share of the targets that each model should have |
 
 mod demand;
 mod meter;
+mod recent;
+mod recent_meter;
 mod shares;
+mod slot_share;
 mod tree;
 
 pub use demand::Demand;
 pub use meter::DemandMeter;
+pub use recent::{RECENT_AGE_MS_MAX, RecentDemand};
+pub use recent_meter::RecentMeter;
 pub use shares::{FleetSize, ModelShares};
-pub use tree::DemandTree;
+pub use slot_share::{FleetDemand, SlotShare};
+pub use tree::{DemandTree, ReportFault};
--- a/crates/demand/src/meter.rs
+++ b/crates/demand/src/meter.rs
@@ -59,7 +59,7 @@
         let filled = 1.0 - (-(now.since(first_at) as f64) / self.window_ms).exp();
         let span_ms = (self.window_ms * filled).max(1.0);
         let busy = |(model, work_ms): (&ModelName, &f64)| (model.clone(), work_ms / span_ms);
-        Demand { nodes: 1, busy_slots: self.work_ms.iter().map(busy).collect() }
+        Demand { nodes: 1, busy_slots: self.work_ms.iter().map(busy).collect(), recent: None }
     }
 
     fn decay(&mut self, now: TimeMs) {
--- /dev/null
+++ b/crates/demand/src/slot_share.rs
@@ -0,0 +1,134 @@
+use std::collections::VecDeque;
+
+use celeryhaven_derives::state;
+use celeryhaven_types::TimeMs;
+
+use crate::{RECENT_AGE_MS_MAX, RecentMeter};
+
+/// Interval between two entries of the history of a node's own demand, in milliseconds.
+const HISTORY_INTERVAL_MS: u64 = 50;
+
+/// Utilisation from which the share shrinks towards the one that leaves no slot to two nodes.
+const UTILISATION_HIGH: f64 = 0.9;
+
+/// Share relative to the part of the demand, while the targets report free slots.
+///
+/// The requests of a node vary by the square root of their number, so a share that equals the mean
+/// would refuse some of them.
+const SLACK_FACTOR: f64 = 2.0;
+
+/// The total is known only if it includes at least one in this many of the live nodes.
+const KNOWN_NODES_DIVISOR: u32 = 2;
+
+state! {
+    /// Demand of the fleet for one model, as known to one node.
+    #[derive(Copy)]
+    pub struct FleetDemand {
+        /// Slots that the offered load would keep busy.
+        pub busy_slots: f64,
+        /// Number of nodes included.
+        pub nodes: u32,
+        /// When the demand was measured, on average.
+        pub measured_at: TimeMs,
+    }
+}
+
+/// A node's share of the slots of one model, by its part of the demand.
+///
+/// Callers move between nodes within a second, faster than reports of demand travel. The own demand
+/// is current, and the total is a second old. Two ratios follow from them:
+///
+/// - *Settled*: the own demand at the time of the total, divided by the total. The settled shares of
+///   all nodes sum up to one, also in a surge of all callers.
+/// - *Current*: the current demand, divided by the smallest total of the last seconds. It is right at
+///   once when callers move or nodes fail, because the total does not change then. The reports of
+///   failed nodes remain in the total for some time after their callers are counted elsewhere; the
+///   smallest recent total counts no caller twice. In a surge these shares sum up to more than one.
+///
+/// The reported utilisation of the targets tells a move from a surge: the share is the settled one
+/// while the targets are full, and grows to the current one when they have free slots.
+#[derive(Clone, Debug, Default)]
+pub struct SlotShare {
+    own: RecentMeter,
+    /// Own demand over time, oldest first.
+    history: VecDeque<(TimeMs, f64)>,
+    /// Totals by the time at which they became known, oldest first.
+    totals: VecDeque<(TimeMs, FleetDemand)>,
+}
+
+impl SlotShare {
+    /// Creates a share without demand.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds work that a caller has offered, in milliseconds of a slot.
+    pub fn add(&mut self, now: TimeMs, work_ms: f64) {
+        self.record_own(now);
+        self.own.add(now, work_ms);
+    }
+
+    /// Applies the demand of the fleet.
+    pub fn apply_total(&mut self, now: TimeMs, total: FleetDemand) {
+        let newest = self.totals.back().map(|(_, total)| total.measured_at);
+        if newest.is_some_and(|newest| newest > total.measured_at) {
+            return;
+        }
+        self.totals.push_back((now, total));
+        while self.totals.front().is_some_and(|(at, _)| now.since(*at) >= RECENT_AGE_MS_MAX) {
+            self.totals.pop_front();
+        }
+    }
+
+    /// Returns the age of the known total, in milliseconds.
+    pub fn total_age_ms(&self, now: TimeMs) -> Option<u64> {
+        self.totals.back().map(|(_, total)| now.since(total.measured_at))
+    }
+
+    /// Returns this node's share of all slots; `None` if the demand is unknown and shares are even.
+    ///
+    /// `utilisation` is the fraction of their slots that the targets report as in use.
+    pub fn fraction(&mut self, now: TimeMs, live_nodes: u32, utilisation: f64) -> Option<f64> {
+        self.record_own(now);
+        let &(_, newest) = self.totals.back()?;
+        let age_ms = now.since(newest.measured_at);
+        if age_ms >= RECENT_AGE_MS_MAX || newest.nodes * KNOWN_NODES_DIVISOR < live_nodes {
+            return None;
+        }
+        let total = scaled(newest, live_nodes);
+        let recent = self.totals.iter().filter(|(at, _)| now.since(*at) < RECENT_AGE_MS_MAX);
+        let least = recent.map(|(_, total)| scaled(*total, live_nodes)).fold(total, f64::min);
+        let own = self.own.busy_slots(now);
+        if own <= 0.0 || total <= 0.0 {
+            return None;
+        }
+        let settled = self.own_at(newest.measured_at) / total;
+        let current = own / least.max(own);
+        let room = ((1.0 - utilisation) / (1.0 - UTILISATION_HIGH)).clamp(0.0, 1.0);
+        let upper = (current * SLACK_FACTOR).max(settled);
+        Some((settled + (upper - settled) * room).clamp(0.0, 1.0))
+    }
+
+    fn record_own(&mut self, now: TimeMs) {
+        if self.history.back().is_some_and(|(at, _)| now.since(*at) < HISTORY_INTERVAL_MS) {
+            return;
+        }
+        self.history.push_back((now, self.own.busy_slots(now)));
+        while self.history.front().is_some_and(|(at, _)| now.since(*at) > RECENT_AGE_MS_MAX) {
+            self.history.pop_front();
+        }
+    }
+
+    /// Returns the own demand at a time in the past.
+    fn own_at(&self, time: TimeMs) -> f64 {
+        let mut earlier = self.history.iter().rev().filter(|(at, _)| *at <= time);
+        earlier.next().map_or(0.0, |(_, own)| *own)
+    }
+}
+
+/// Extrapolates a total to all live nodes.
+///
+/// A part of the fleet that is cut off would otherwise take all slots, and so would the other part.
+fn scaled(total: FleetDemand, live_nodes: u32) -> f64 {
+    total.busy_slots * (f64::from(live_nodes) / f64::from(total.nodes.max(1))).max(1.0)
+}
--- a/crates/demand/tests/shares.rs
+++ b/crates/demand/tests/shares.rs
@@ -22,7 +22,7 @@
 
 fn demand(busy_slots: &[(&str, f64)]) -> Demand {
     let busy_slots = busy_slots.iter().map(|&(model, slots)| (ModelName::new(model), slots));
-    Demand { nodes: 10, busy_slots: busy_slots.collect() }
+    Demand { nodes: 10, busy_slots: busy_slots.collect(), recent: None }
 }
 
 fn shares(shares: &ModelShares, models: &[ModelProfile]) -> Vec<f64> {
--- a/crates/demand/tests/tree.rs
+++ b/crates/demand/tests/tree.rs
@@ -4,7 +4,7 @@
 use celeryhaven_types::{ModelName, NodeName, TimeMs};
 
 fn demand(slots: f64) -> Demand {
-    Demand { nodes: 1, busy_slots: [(ModelName::new("small"), slots)].into() }
+    Demand { nodes: 1, busy_slots: [(ModelName::new("small"), slots)].into(), recent: None }
 }
 
 fn busy(demand: &Demand) -> f64 {
@@ -18,12 +18,12 @@
     root.set_own(demand(1.0));
     relay.set_own(demand(2.0));
     node.set_own(demand(4.0));
-    relay.apply_report(now, NodeName::new("node"), node.sum(now));
-    root.apply_report(now, NodeName::new("relay"), relay.sum(now));
+    relay.apply_report(now, NodeName::new("node"), node.sum(now)).unwrap();
+    root.apply_report(now, NodeName::new("relay"), relay.sum(now)).unwrap();
     let fleet = root.fleet_demand(now);
     assert_eq!((fleet.nodes, busy(&fleet)), (3, 7.0));
-    relay.apply_fleet_demand(now, fleet.clone());
-    node.apply_fleet_demand(now, relay.fleet_demand(now));
+    relay.apply_fleet_demand(now, fleet.clone()).unwrap();
+    node.apply_fleet_demand(now, relay.fleet_demand(now)).unwrap();
     assert_eq!(node.fleet_demand(now), fleet);
 }
 
@@ -31,7 +31,7 @@
 #[test]
 fn tree_old_report_expires() {
     let mut root = DemandTree::new();
-    root.apply_report(TimeMs::new(0), NodeName::new("node"), demand(4.0));
+    root.apply_report(TimeMs::new(0), NodeName::new("node"), demand(4.0)).unwrap();
     assert_eq!(busy(&root.sum(TimeMs::new(1_000))), 4.0);
     assert_eq!(busy(&root.sum(TimeMs::new(5_000))), 0.0);
 }
--- a/crates/gateway/src/control/relay/codec.rs
+++ b/crates/gateway/src/control/relay/codec.rs
@@ -18,6 +18,8 @@
     if size > MESSAGE_BYTES_MAX {
         return None;
     }
-    let bytes = lz4_flex::decompress_size_prepended(bytes).ok()?;
+    let mut bytes = lz4_flex::decompress_size_prepended(bytes).ok()?;
+    // An optional field at the end is left out if it is absent, and zero stands for `None`.
+    bytes.push(0);
     postcard::from_bytes(&bytes).ok()
 }
--- a/crates/node/tests/common/least_loaded.rs
+++ b/crates/node/tests/common/least_loaded.rs
@@ -183,6 +183,7 @@
             | PolicyEvent::Limited { .. }
             | PolicyEvent::BackOff { .. }
             | PolicyEvent::ChoiceKey { .. }
+            | PolicyEvent::SlotPart { .. }
             | PolicyEvent::Organisations { .. } => {}
         }
         self.dispatch_queued(now, out);
--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -87,7 +87,8 @@
             | PolicyEvent::Organisations { .. }
             | PolicyEvent::Limited { .. }
             | PolicyEvent::BackOff { .. }
-            | PolicyEvent::ChoiceKey { .. } => return,
+            | PolicyEvent::ChoiceKey { .. }
+            | PolicyEvent::SlotPart { .. } => return,
         }
         self.dispatch_queued(out);
     }
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -5,6 +5,7 @@
 
 use crate::affinity::PrefixIndex;
 use crate::estimate::{Mean, OutputTokenEstimates, RecentMean, ServiceTimes};
+use crate::fair::slot_part::SlotPart;
 use crate::fair::{AdapterKey, FairSettings};
 use crate::interface::{TargetKey, Ticket};
 use crate::retry::RetrySchedule;
@@ -37,6 +38,8 @@
     pub(crate) retry_schedule: RetrySchedule,
     /// Slots of the targets that count towards its capacity.
     pub(crate) slots: f64,
+    /// This node's part of the slots, in place of an even one.
+    pub(crate) slot_part: SlotPart,
     /// Requests of this node at the targets.
     pub(crate) in_flight: InFlight,
     /// Expected completion times of the requests at the targets, in milliseconds.
@@ -89,6 +92,7 @@
             output_lengths: OutputTokenEstimates::default(),
             retry_schedule: RetrySchedule::new(),
             slots: 0.0,
+            slot_part: SlotPart::default(),
             in_flight: InFlight::default(),
             expected_ends: BTreeSet::new(),
             ratio_sum: 0.0,
@@ -119,11 +123,25 @@
         if !self.pooled {
             return !self.available.is_empty();
         }
+        let below_limit = self.in_flight.count < self.slots_max(senders);
+        below_limit && (!self.available.is_empty() || self.can_probe_load())
+    }
+
+    /// Maximum number of requests of this node at pooled targets.
+    fn slots_max(&self, senders: u32) -> u32 {
+        if let Some(fraction) = self.slot_part.fraction() {
+            return self.slot_part.round(self.slots * fraction);
+        }
         let share = self.slots / f64::from(senders.max(1));
         let is_full = self.reported_utilisation.value() >= FULL_UTILISATION;
         let limit = if is_full { share } else { share * POOLED_SHARE_FACTOR };
-        let below_limit = self.in_flight.count < limit.ceil() as u32;
-        below_limit && (!self.available.is_empty() || self.can_probe_load())
+        limit.ceil() as u32
+    }
+
+    /// Number of nodes like this one that would use all slots together.
+    pub(crate) fn equal_senders(&self, senders: u32) -> f64 {
+        let fraction = self.slot_part.fraction().filter(|_| self.pooled);
+        fraction.map_or(f64::from(senders.max(1)), |fraction| 1.0 / fraction.max(f64::EPSILON))
     }
 
     /// Whether one request may be sent although no target shows a free slot.
@@ -134,12 +152,12 @@
         self.in_flight.count == 0 && !self.healthy.is_empty()
     }
 
-    /// Slots that serve the queue of this node: its even share, or the slots in use if more.
+    /// Slots that serve the queue of this node: its share, or the slots in use if more.
     pub(crate) fn capacity(&self, senders: u32) -> f64 {
         let healthy_count = self.targets.len().saturating_sub(self.ejected) as f64;
         let healthy_fraction = healthy_count / self.targets.len().max(1) as f64;
-        let even_share = self.slots * healthy_fraction / f64::from(senders.max(1));
-        even_share.max(f64::from(self.in_flight.count))
+        let share = self.slots * healthy_fraction / self.equal_senders(senders);
+        share.max(f64::from(self.in_flight.count))
     }
 
     /// Expected utilisation of the targets for a request that arrives now.
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -97,8 +97,9 @@
             self.timers.remove(&(before, Timer::Silence(target)));
         }
         self.timers.insert((silent_at, Timer::Silence(target)));
-        state.slot_limit = slot_limit(state, total, self.senders, random);
         let class_key = state.class;
+        let senders = self.classes[class_key.get() as usize].equal_senders(self.senders);
+        state.slot_limit = slot_limit(state, total, senders, random);
         let before = state.adapters.clone();
         state.apply_adapters(now, load.age_ms, &adapters);
         let class = &mut self.classes[class_key.get() as usize];
@@ -140,6 +141,21 @@
         }
     }
 
+    /// Sets this node's part of the slots.
+    pub(crate) fn set_slot_part(
+        &mut self,
+        now: TimeMs,
+        fraction: Option<f64>,
+        out: &mut Vec<Decision>,
+    ) {
+        let random: f64 = self.rng.random();
+        self.slot_part.set(now, fraction, random);
+        for index in 0..self.classes.len() {
+            self.classes[index].slot_part = self.slot_part;
+            self.dispatch_queued(now, crate::fair::ClassKey::new(index as u32), out);
+        }
+    }
+
     /// Ejects a target that has stopped reporting while it has requests of this node.
     pub(crate) fn check_silence(
         &mut self,
@@ -223,13 +239,13 @@
 /// The free slots of the report are reduced by the sends of this node since then, times the number of
 /// senders, because in a burst all nodes send alike. The even part is rounded at random. If the
 /// target has more requests than slots, the limit shrinks in proportion.
-fn slot_limit(state: &TargetState, total: u32, senders: u32, random: f64) -> u32 {
-    let unreported = state.sends_since_report().saturating_mul(senders);
+fn slot_limit(state: &TargetState, total: u32, senders: f64, random: f64) -> u32 {
+    let unreported = f64::from(state.sends_since_report()) * senders;
     let limit = if total > state.slots {
         state.in_flight.count * state.slots / total
     } else {
-        let free = (state.slots - total).saturating_sub(unreported);
-        let share = f64::from(free) / f64::from(senders);
+        let free = (f64::from(state.slots - total) - unreported).max(0.0);
+        let share = free / senders;
         state.in_flight.count + share as u32 + u32::from(random < share.fract())
     };
     limit.max(state.share)
--- a/crates/policy/src/fair/mod.rs
+++ b/crates/policy/src/fair/mod.rs
@@ -15,6 +15,7 @@
 mod second_attempt;
 mod settings;
 mod shed;
+mod slot_part;
 
 pub(crate) use keys::{AdapterKey, ClassKey};
 pub use policy::FairPolicy;
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -10,6 +10,7 @@
 
 use crate::fair::class::ClassState;
 use crate::fair::request::{CancelReason, Phase, RequestState};
+use crate::fair::slot_part::SlotPart;
 use crate::fair::{AdapterKey, ClassKey, FairSettings, Sharing};
 use crate::interface::{Decision, PolicyEvent, RequestPolicy, TargetKey, Ticket};
 use crate::retry::RetryBudget;
@@ -48,6 +49,7 @@
     pub(crate) settings: FairSettings,
     pub(crate) rng: SmallRng,
     pub(crate) senders: u32,
+    pub(crate) slot_part: SlotPart,
     pub(crate) classes: Vec<ClassState>,
     pub(crate) targets: Map<TargetKey, TargetState>,
     pub(crate) requests: Map<Ticket, RequestState>,
@@ -72,6 +74,7 @@
             retry_budget: RetryBudget::new(settings.retry_earned, settings.retry_saved_max),
             settings,
             senders: 1,
+            slot_part: SlotPart::default(),
             classes: Vec::new(),
             targets: Map::default(),
             requests: Map::default(),
@@ -110,6 +113,12 @@
         }
     }
 
+    /// Returns the mean fraction of their slots that targets have reported as in use.
+    pub fn reported_utilisation(&self) -> f64 {
+        let reported = self.classes.iter().map(|class| class.reported_utilisation.value());
+        reported.fold(0.0, f64::max)
+    }
+
     /// Returns the number of requests that wait for a target.
     pub fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
@@ -130,6 +139,7 @@
             let is_plain = matches!(serves, RequestClass::Plain { .. });
             let mut class = ClassState::new(&self.settings, is_plain);
             class.set_pooled(self.settings.sharing == Sharing::Pooled);
+            class.slot_part = self.slot_part;
             for (flow, &weight) in self.weights.iter().enumerate() {
                 class.queue.set_weight(FlowKey::new(flow as u32), weight);
             }
@@ -238,6 +248,7 @@
                 self.cache_changed(target, added, removed);
             }
             PolicyEvent::Senders { nodes } => self.set_senders(now, nodes, out),
+            PolicyEvent::SlotPart { fraction } => self.set_slot_part(now, fraction, out),
             PolicyEvent::Organisations { organisations } => self.set_organisations(organisations),
         }
     }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -119,6 +119,14 @@
         /// Number of nodes.
         nodes: u32,
     },
+    /// The part of the slots of its targets that this node may use; `None` for an even part.
+    ///
+    /// It bounds the requests of this node if the slots are pooled, see
+    /// [`Sharing::Pooled`](crate::Sharing::Pooled).
+    SlotPart {
+        /// Fraction of the slots of all targets that this node sends to, from 0 to 1.
+        fraction: Option<f64>,
+    },
     /// The organisations of the active configuration.
     Organisations {
         /// All organisations.
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+mod demand;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use celeryhaven_policy::{
@@ -16,6 +18,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use demand::{DemandLayer, SlotUse};
+
 /// Slots of a replica, and mean time of a request in a slot, in milliseconds.
 const SLOTS: usize = 20;
 const SERVICE_MS: u64 = 1_000;
@@ -83,6 +87,15 @@
     pub refused_late: u32,
     /// The replicas that each node uses, if it uses a subset.
     subsets: Option<Vec<BTreeSet<u32>>>,
+    /// Demand of the nodes, if the slots are shared by it.
+    layer: Option<DemandLayer>,
+    /// Requests that arrive at each node, relative to the others; empty if even.
+    weights: Vec<f64>,
+    /// Nodes that have failed, and of these the ones that the others still count as live.
+    failed: BTreeSet<usize>,
+    counted_live: usize,
+    /// How the slots were used in the last run.
+    pub slot_use: SlotUse,
 }
 
 fn class() -> RequestClass {
@@ -113,6 +126,11 @@
             outcomes: Outcomes::default(),
             refused_late: 0,
             subsets: None,
+            layer: None,
+            weights: Vec::new(),
+            failed: BTreeSet::new(),
+            counted_live: nodes,
+            slot_use: SlotUse::default(),
         };
         for node in 0..nodes {
             cluster.send_event(node, PolicyEvent::Senders { nodes: nodes as u32 });
@@ -134,7 +152,9 @@
         let with_name = |replica: &u32| (*replica, format!("replica-{replica}"));
         let all: Vec<(u32, String)> = self.replicas.keys().map(with_name).collect();
         for (node, current) in subsets.iter_mut().enumerate() {
-            let subset = TargetSubset::new(node, self.nodes.len());
+            let rank =
+                node - self.failed.range(..node).count().min(self.nodes.len() - self.counted_live);
+            let subset = TargetSubset::new(rank, self.counted_live);
             let chosen = subset.choose(&all, |(_, name)| name.as_str());
             let chosen: BTreeSet<u32> = chosen.iter().map(|(replica, _)| *replica).collect();
             for &removed in current.difference(&chosen) {
@@ -144,7 +164,7 @@
                 self.target_up(node, added);
             }
             let nodes =
-                TargetSubset::senders_per_target(self.nodes.len() as u32, chosen.len(), all.len());
+                TargetSubset::senders_per_target(self.counted_live as u32, chosen.len(), all.len());
             self.send_event(node, PolicyEvent::Senders { nodes });
             *current = chosen;
         }
@@ -204,8 +224,11 @@
     /// Advances the time and returns the outcomes of requests that were resolved meanwhile.
     pub fn run(&mut self, duration_ms: u64) -> Outcomes {
         self.outcomes = Outcomes::default();
+        self.slot_use = SlotUse::default();
         for _ in 0..duration_ms / STEP_MS {
             self.now_ms += STEP_MS;
+            let refused_before = self.outcomes.refused;
+            self.step_demand();
             self.submit_requests();
             while let Some(&(at_ms, due)) = self.due.first().filter(|(at, _)| *at <= self.now_ms) {
                 self.due.remove(&(at_ms, due));
@@ -219,6 +242,7 @@
                     self.send_event(node, PolicyEvent::Tick);
                 }
             }
+            self.record_slot_use(self.outcomes.refused - refused_before);
         }
         self.outcomes
     }
@@ -231,7 +255,7 @@
         while self.pending_arrivals >= 1.0 {
             self.pending_arrivals -= 1.0;
             self.next_id += 1;
-            let node = self.rng.random_range(0..self.nodes.len());
+            let node = self.random_node();
             self.requests.insert(self.next_id, Request { node, at_ms: self.now_ms, replica: None });
             self.outcomes.submitted += 1;
             let head = RequestHead {
@@ -250,6 +274,7 @@
                 choice_key: None,
             };
             let ticket = Ticket::new(self.next_id);
+            self.count_demand(node);
             self.send_event(node, PolicyEvent::Arrived { ticket, head: &head });
         }
     }
@@ -298,6 +323,9 @@
     }
 
     fn send_event(&mut self, node: usize, event: PolicyEvent<'_>) {
+        if self.failed.contains(&node) {
+            return;
+        }
         let mut decisions = Vec::new();
         self.nodes[node].handle(TimeMs::new(self.now_ms), event, &mut decisions);
         for decision in decisions {
