--- a/crates/demand/src/recent_meter.rs
+++ b/crates/demand/src/recent_meter.rs
@@ -1,7 +1,7 @@
 use celeryhaven_types::TimeMs;
 
 /// Time constant of the short-term demand, in milliseconds.
-const TIME_CONSTANT_MS: f64 = 700.0;
+const TIME_CONSTANT_MS: f64 = 1_000.0;
 
 /// Least span over which the first requests are averaged, in milliseconds.
 const SPAN_MS_MIN: f64 = 250.0;
--- a/crates/demand/src/slot_share.rs
+++ b/crates/demand/src/slot_share.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use celeryhaven_derives::state;
 use celeryhaven_types::TimeMs;
@@ -8,14 +8,29 @@
 /// Interval between two entries of the history of a node's own demand, in milliseconds.
 const HISTORY_INTERVAL_MS: u64 = 50;
 
-/// Utilisation from which the share shrinks towards the one that leaves no slot to two nodes.
-const UTILISATION_HIGH: f64 = 0.9;
+/// Reported utilisation up to which a node may use its current share, and from which it keeps to the
+/// settled one.
+const UTILISATION_FREE: f64 = 0.9;
+const UTILISATION_FULL: f64 = 1.0;
+
+/// Time constant by which reports of load lose weight, in milliseconds.
+///
+/// In a surge, the free slots fill up within half a second.
+const LOAD_TIME_MS: f64 = 500.0;
+
+/// Weight of the utilisation that follows from the total, in slots of a report.
+///
+/// A node without recent reports has no other estimate.
+const EXPECTED_LOAD_SLOTS: f64 = 1.0;
 
 /// Share relative to the part of the demand, while the targets report free slots.
 ///
 /// The requests of a node vary by the square root of their number, so a share that equals the mean
 /// would refuse some of them.
-const SLACK_FACTOR: f64 = 2.0;
+const SLACK_FACTOR: f64 = 1.5;
+
+/// Share relative to the settled part of the demand; the sum over all nodes must be under 1.1.
+const SETTLED_FACTOR: f64 = 1.05;
 
 /// The total is known only if it includes at least one in this many of the live nodes.
 const KNOWN_NODES_DIVISOR: u32 = 2;
@@ -33,6 +48,16 @@
     }
 }
 
+state! {
+    /// Load of a target, as reported to this node.
+    #[derive(Copy)]
+    struct ReportedLoad {
+        reported_at: TimeMs,
+        requests: f64,
+        slots: f64,
+    }
+}
+
 /// A node's share of the slots of one model, by its part of the demand.
 ///
 /// Callers move between nodes within a second, faster than reports of demand travel. The own demand
@@ -54,6 +79,8 @@
     history: VecDeque<(TimeMs, f64)>,
     /// Totals by the time at which they became known, oldest first.
     totals: VecDeque<(TimeMs, FleetDemand)>,
+    /// Last load of each target, by a key of the target.
+    loads: BTreeMap<u64, ReportedLoad>,
 }
 
 impl SlotShare {
@@ -68,6 +95,13 @@
         self.own.add(now, work_ms);
     }
 
+    /// Records the requests that run and wait at a target, and its slots.
+    pub fn load_reported(&mut self, now: TimeMs, target: u64, requests: u32, slots: u32) {
+        let (requests, slots) = (f64::from(requests), f64::from(slots));
+        self.loads.insert(target, ReportedLoad { reported_at: now, requests, slots });
+        self.loads.retain(|_, load| now.since(load.reported_at) < RECENT_AGE_MS_MAX);
+    }
+
     /// Applies the demand of the fleet.
     pub fn apply_total(&mut self, now: TimeMs, total: FleetDemand) {
         let newest = self.totals.back().map(|(_, total)| total.measured_at);
@@ -85,10 +119,8 @@
         self.totals.back().map(|(_, total)| now.since(total.measured_at))
     }
 
-    /// Returns this node's share of all slots; `None` if the demand is unknown and shares are even.
-    ///
-    /// `utilisation` is the fraction of their slots that the targets report as in use.
-    pub fn fraction(&mut self, now: TimeMs, live_nodes: u32, utilisation: f64) -> Option<f64> {
+    /// Returns this node's share of all `slots`; `None` if the demand is unknown and shares are even.
+    pub fn fraction(&mut self, now: TimeMs, live_nodes: u32, slots: f64) -> Option<f64> {
         self.record_own(now);
         let &(_, newest) = self.totals.back()?;
         let age_ms = now.since(newest.measured_at);
@@ -102,11 +134,24 @@
         if own <= 0.0 || total <= 0.0 {
             return None;
         }
-        let settled = self.own_at(newest.measured_at) / total;
+        let settled = self.own_at(newest.measured_at) / total * SETTLED_FACTOR;
         let current = own / least.max(own);
-        let room = ((1.0 - utilisation) / (1.0 - UTILISATION_HIGH)).clamp(0.0, 1.0);
+        let utilisation = self.utilisation(now, total / slots.max(1.0));
+        let room = (UTILISATION_FULL - utilisation) / (UTILISATION_FULL - UTILISATION_FREE);
         let upper = (current * SLACK_FACTOR).max(settled);
-        Some((settled + (upper - settled) * room).clamp(0.0, 1.0))
+        Some((settled + (upper - settled) * room.clamp(0.0, 1.0)).clamp(0.0, 1.0))
+    }
+
+    /// Estimates the fraction of their slots that the targets have in use.
+    fn utilisation(&self, now: TimeMs, expected: f64) -> f64 {
+        let mut requests = EXPECTED_LOAD_SLOTS * expected.min(1.0);
+        let mut slots = EXPECTED_LOAD_SLOTS;
+        for load in self.loads.values() {
+            let weight = (-(now.since(load.reported_at) as f64) / LOAD_TIME_MS).exp();
+            requests += load.requests * weight;
+            slots += load.slots * weight;
+        }
+        requests / slots
     }
 
     fn record_own(&mut self, now: TimeMs) {
--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -129,8 +129,8 @@
 
     /// Maximum number of requests of this node at pooled targets.
     fn slots_max(&self, senders: u32) -> u32 {
-        if let Some(fraction) = self.slot_part.fraction() {
-            return self.slot_part.round(self.slots * fraction);
+        if let Some(slots_max) = self.slot_part.slots_max(self.slots) {
+            return slots_max;
         }
         let share = self.slots / f64::from(senders.max(1));
         let is_full = self.reported_utilisation.value() >= FULL_UTILISATION;
@@ -156,7 +156,9 @@
     pub(crate) fn capacity(&self, senders: u32) -> f64 {
         let healthy_count = self.targets.len().saturating_sub(self.ejected) as f64;
         let healthy_fraction = healthy_count / self.targets.len().max(1) as f64;
-        let share = self.slots * healthy_fraction / self.equal_senders(senders);
+        let even = 1.0 / f64::from(senders.max(1));
+        let part = self.slot_part.expected_fraction().filter(|_| self.pooled).unwrap_or(even);
+        let share = self.slots * healthy_fraction * part;
         share.max(f64::from(self.in_flight.count))
     }
 
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -148,10 +148,10 @@
         fraction: Option<f64>,
         out: &mut Vec<Decision>,
     ) {
-        let random: f64 = self.rng.random();
-        self.slot_part.set(now, fraction, random);
+        self.slot_fraction = fraction;
         for index in 0..self.classes.len() {
-            self.classes[index].slot_part = self.slot_part;
+            let class = &mut self.classes[index];
+            class.slot_part.set(now, fraction, class.slots, class.in_flight.count);
             self.dispatch_queued(now, crate::fair::ClassKey::new(index as u32), out);
         }
     }
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -10,7 +10,6 @@
 
 use crate::fair::class::ClassState;
 use crate::fair::request::{CancelReason, Phase, RequestState};
-use crate::fair::slot_part::SlotPart;
 use crate::fair::{AdapterKey, ClassKey, FairSettings, Sharing};
 use crate::interface::{Decision, PolicyEvent, RequestPolicy, TargetKey, Ticket};
 use crate::retry::RetryBudget;
@@ -49,7 +48,7 @@
     pub(crate) settings: FairSettings,
     pub(crate) rng: SmallRng,
     pub(crate) senders: u32,
-    pub(crate) slot_part: SlotPart,
+    pub(crate) slot_fraction: Option<f64>,
     pub(crate) classes: Vec<ClassState>,
     pub(crate) targets: Map<TargetKey, TargetState>,
     pub(crate) requests: Map<Ticket, RequestState>,
@@ -74,7 +73,7 @@
             retry_budget: RetryBudget::new(settings.retry_earned, settings.retry_saved_max),
             settings,
             senders: 1,
-            slot_part: SlotPart::default(),
+            slot_fraction: None,
             classes: Vec::new(),
             targets: Map::default(),
             requests: Map::default(),
@@ -113,12 +112,6 @@
         }
     }
 
-    /// Returns the mean fraction of their slots that targets have reported as in use.
-    pub fn reported_utilisation(&self) -> f64 {
-        let reported = self.classes.iter().map(|class| class.reported_utilisation.value());
-        reported.fold(0.0, f64::max)
-    }
-
     /// Returns the number of requests that wait for a target.
     pub fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
@@ -139,7 +132,6 @@
             let is_plain = matches!(serves, RequestClass::Plain { .. });
             let mut class = ClassState::new(&self.settings, is_plain);
             class.set_pooled(self.settings.sharing == Sharing::Pooled);
-            class.slot_part = self.slot_part;
             for (flow, &weight) in self.weights.iter().enumerate() {
                 class.queue.set_weight(FlowKey::new(flow as u32), weight);
             }
--- a/crates/policy/tests/cluster/demand.rs
+++ b/crates/policy/tests/cluster/demand.rs
@@ -130,10 +130,11 @@
         &mut self,
         now: TimeMs,
         node: usize,
-        (live, utilisation): (u32, f64),
+        live: u32,
         (subset, all): (usize, usize),
     ) -> Option<f64> {
-        let fraction = self.nodes[node].share.fraction(now, live, utilisation)?;
+        let slots = (all * super::SLOTS) as f64;
+        let fraction = self.nodes[node].share.fraction(now, live, slots)?;
         Some((fraction * all as f64 / subset.max(1) as f64).min(1.0))
     }
 }
@@ -211,6 +212,14 @@
         }
     }
 
+    pub(super) fn report_load(&mut self, node: usize, replica: u32, requests: u32) {
+        let now = TimeMs::new(self.now_ms);
+        if let Some(layer) = &mut self.layer {
+            let share = &mut layer.nodes[node].share;
+            share.load_reported(now, u64::from(replica), requests, super::SLOTS as u32);
+        }
+    }
+
     pub(super) fn step_demand(&mut self) {
         let now = TimeMs::new(self.now_ms);
         let Some(layer) = &mut self.layer else { return };
@@ -222,11 +231,10 @@
 
     fn send_slot_part(&mut self, node: usize) {
         let now = TimeMs::new(self.now_ms);
-        let utilisation = self.nodes[node].reported_utilisation();
         let subset = self.subsets.as_ref().map_or(0, |subsets| subsets[node].len());
         let sizes = (subset, self.replicas.len());
         let Some(layer) = &mut self.layer else { return };
-        let fraction = layer.fraction(now, node, (self.counted_live as u32, utilisation), sizes);
+        let fraction = layer.fraction(now, node, self.counted_live as u32, sizes);
         self.send_event(node, PolicyEvent::SlotPart { fraction });
     }
 
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -297,6 +297,7 @@
             tokens_generated: 0,
             adapters_loaded: Vec::new(),
         };
+        self.report_load(node, replica, load.running + load.waiting);
         self.send_event(node, PolicyEvent::Reported { target: TargetKey::new(replica), load });
         self.send_event(node, PolicyEvent::Started { ticket: Ticket::new(id) });
     }
