gateway: shares of the slots by demand behind demand_shares

The control thread measures the short-term demand, reports it with the target feed and publishes the total to traffic, which computes the share on arrivals.

--- a/crates/demand/src/slot_share.rs
+++ b/crates/demand/src/slot_share.rs
@@ -134,7 +134,7 @@
         if own <= 0.0 || total <= 0.0 {
             return None;
         }
-        let settled = self.own_at(newest.measured_at) / total * SETTLED_FACTOR;
+        let settled = self.own_at(newest.measured_at).unwrap_or(own) / total * SETTLED_FACTOR;
         let current = own / least.max(own);
         let utilisation = self.utilisation(now, total / slots.max(1.0));
         let room = (UTILISATION_FULL - utilisation) / (UTILISATION_FULL - UTILISATION_FREE);
@@ -164,10 +164,11 @@
         }
     }
 
-    /// Returns the own demand at a time in the past.
-    fn own_at(&self, time: TimeMs) -> f64 {
+    /// Returns the own demand at a time in the past; `None` before the start of the process, whose
+    /// first callers are in no total yet.
+    fn own_at(&self, time: TimeMs) -> Option<f64> {
         let mut earlier = self.history.iter().rev().filter(|(at, _)| *at <= time);
-        earlier.next().map_or(0.0, |(_, own)| *own)
+        earlier.next().map(|(_, own)| *own)
     }
 }
 
--- a/crates/demand/src/tree.rs
+++ b/crates/demand/src/tree.rs
@@ -47,10 +47,12 @@
     fleet: Option<(Demand, TimeMs)>,
     /// The short-term demand of the fleet, which can be received when the long-term one is not.
     recent_fleet: Option<(RecentDemand, TimeMs)>,
-    /// Nodes whose reports are their own part of the fleet, beside that of this node.
+    /// Other roots, whose reports are their part of the fleet, beside that of this node.
     roots: BTreeSet<NodeName>,
     /// Slots of the fleet, and the nodes in the records; `None` until they are known.
-    bounds: Option<(f64, BTreeSet<NodeName>)>,
+    bounds: Option<(f64, Option<BTreeSet<NodeName>>)>,
+    /// The last fault of a report since it was taken, its node, and the number of faults.
+    faults: Option<(Option<NodeName>, ReportFault, u32)>,
 }
 
 impl DemandTree {
@@ -64,8 +66,9 @@
         self.own = own;
     }
 
-    /// Sets the slots of the fleet and the nodes in the records, by which reports are checked.
-    pub fn set_bounds(&mut self, fleet_slots: f64, nodes: BTreeSet<NodeName>) {
+    /// Sets the slots of the fleet and the nodes in the records, if these are known, by which reports
+    /// are checked.
+    pub fn set_bounds(&mut self, fleet_slots: f64, nodes: Option<BTreeSet<NodeName>>) {
         self.bounds = Some((fleet_slots, nodes));
     }
 
@@ -82,7 +85,8 @@
         mut demand: Demand,
     ) -> Result<(), ReportFault> {
         let fault = demand.recent.as_ref().and_then(|recent| self.fault(Some(&node), recent));
-        if fault.is_some() {
+        if let Some(fault) = fault {
+            self.record_fault(Some(node.clone()), fault);
             // The last valid short-term demand stays until it expires.
             let before = self.reports.get(&node).and_then(|(before, at)| {
                 let mut recent = before.recent.clone()?;
@@ -105,6 +109,7 @@
         self.fleet = Some((fleet, now));
         let Some(recent) = recent else { return Ok(()) };
         if let Some(fault) = self.fault(None, &recent) {
+            self.record_fault(None, fault);
             return Err(fault);
         }
         self.recent_fleet = Some((recent, now));
@@ -158,6 +163,17 @@
         }
     }
 
+    /// Returns the last fault of a report, its node if it was a follower, and the number of faults
+    /// since the last call.
+    pub fn take_faults(&mut self) -> Option<(Option<NodeName>, ReportFault, u32)> {
+        self.faults.take()
+    }
+
+    fn record_fault(&mut self, node: Option<NodeName>, fault: ReportFault) {
+        let before = self.faults.as_ref().map_or(0, |(.., count)| *count);
+        self.faults = Some((node, fault, before + 1));
+    }
+
     fn fault(&self, node: Option<&NodeName>, recent: &RecentDemand) -> Option<ReportFault> {
         let (slots, nodes) = self.bounds.as_ref()?;
         if !recent.is_plausible(*slots) {
@@ -166,7 +182,9 @@
         if recent.is_old() {
             return Some(ReportFault::Old);
         }
-        node.is_some_and(|node| !nodes.contains(node)).then_some(ReportFault::UnknownNode)
+        let is_unknown =
+            |nodes: &BTreeSet<NodeName>| node.is_some_and(|node| !nodes.contains(node));
+        nodes.as_ref().is_some_and(is_unknown).then_some(ReportFault::UnknownNode)
     }
 }
 
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -28,6 +28,7 @@
 use crate::control::changes::Changes;
 use crate::control::coordinators::Coordinators;
 use crate::control::counted_store::CountedStore;
+use crate::control::demand_shares::DemandShares;
 use crate::control::directory::DirectoryState;
 use crate::control::ends::Ends;
 use crate::control::event::{ControlEvent, FeedKind};
@@ -116,6 +117,7 @@
     pub(super) nodes_probed_at: TimeMs,
     pub(super) demand: DemandMeter,
     pub(super) shares: ModelShares,
+    pub(super) demand_shares: DemandShares,
     calls_logged_at: TimeMs,
 }
 
@@ -164,6 +166,7 @@
             nodes_probed_at: TimeMs::new(0),
             demand: DemandMeter::new(DEMAND_TIME_CONSTANT_MS),
             shares: ModelShares::new(),
+            demand_shares: DemandShares::default(),
             calls_logged_at: BootClock.now(),
         }
     }
@@ -364,6 +367,9 @@
     /// Records the load that callers have offered to this node.
     fn record_offered_load(&mut self, now: TimeMs, loads: &[OfferedLoad]) {
         loads.iter().for_each(|load| self.demand.add(now, &load.model, load.slot_ms));
+        if self.parts.settings.demand_shares {
+            self.demand_shares.add(now, loads);
+        }
     }
 
     fn log_store_calls(&mut self, now: TimeMs) {
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use celeryhaven_clock::BootClock;
-use celeryhaven_demand::FleetSize;
+use celeryhaven_demand::{Demand, FleetSize};
 use celeryhaven_fleet::{EngineProfile, FleetView, RouteTable};
 use celeryhaven_forming::{FormingEvent, FormingSettings, FormingView, ListedDomain};
 use celeryhaven_peers::NodeRecord;
@@ -100,12 +100,17 @@
 
     /// Updates the model shares from the demand of the fleet.
     pub(super) fn update_demand_shares(&mut self, now: TimeMs) {
-        let mut demand_tree = self.relay.demand.borrow_mut();
-        demand_tree.set_own(self.demand.sample(now));
+        let is_shared = self.parts.settings.demand_shares;
+        let recent = is_shared.then(|| self.demand_shares.sample(now));
+        let own = Demand { recent, ..self.demand.sample(now) };
+        self.relay.demand.borrow_mut().set_own(own);
         let Some(routes) = self.routes.clone() else { return };
         let Some((service, profile)) = engine_service(&routes) else { return };
         let targets = self.fleet.usable_domains(service).map(|(_, targets)| targets.ready()).sum();
-        let fleet = demand_tree.fleet_demand(now);
+        if is_shared {
+            self.share_by_demand(now, targets as f64 * f64::from(profile.slots));
+        }
+        let fleet = self.relay.demand.borrow_mut().fleet_demand(now);
         let size = FleetSize { nodes: self.peers.live_count() as u32 + 1, targets };
         if self.shares.update(&profile.models, profile.slots, size, &fleet) {
             for (model, share) in profile.models.iter().zip(self.shares.as_slice()) {
--- a/crates/gateway/src/control/feed/poller.rs
+++ b/crates/gateway/src/control/feed/poller.rs
@@ -125,7 +125,9 @@
         let sent_at = BootClock.now();
         let reply = poll_relay(&self.connections, &address, &call, report.as_ref()).await;
         let Some(reply) = reply else { return Polled::Failed };
-        self.relay.demand.borrow_mut().apply_fleet_demand(BootClock.now(), reply.demand);
+        let applied =
+            self.relay.demand.borrow_mut().apply_fleet_demand(BootClock.now(), reply.demand);
+        applied.unwrap_or_default();
         let (version, objects, contact) = match reply.answer {
             RelayAnswer::Listed { version, objects, store } => {
                 (version, PolledObjects::All(objects), store)
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod coordination;
 mod coordinators;
 mod counted_store;
+mod demand_shares;
 mod departures;
 mod directory;
 mod ends;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -39,6 +39,7 @@
             destinations: self.destinations.clone(),
             addresses: self.addresses(),
             senders: self.senders(),
+            demand: self.demand_shares.known.clone(),
             peers: self.delegation_peers(),
             ready: self.is_ready(),
             cut_off_until: self.cut_off_until,
--- a/crates/gateway/src/control/relay/relay_state.rs
+++ b/crates/gateway/src/control/relay/relay_state.rs
@@ -102,7 +102,9 @@
         report: Option<DemandReport>,
     ) -> Response<AnswerBody> {
         if let Some(DemandReport { node, demand }) = report {
-            self.demand.borrow_mut().apply_report(BootClock.now(), node, demand);
+            // The tree counts a fault, and the control thread logs it.
+            let applied = self.demand.borrow_mut().apply_report(BootClock.now(), node, demand);
+            applied.unwrap_or_default();
         }
         let log = self.log(request.kind);
         let answer = smol::future::or(log.answer(&request, &self.is_lost), async {
@@ -110,7 +112,9 @@
             log.unchanged(&request)
         });
         let answer = answer.await;
-        let demand = self.demand.borrow_mut().fleet_demand(BootClock.now());
+        let mut demand = self.demand.borrow_mut().fleet_demand(BootClock.now());
+        // One feed in five brings the short-term demand, as one reports it.
+        demand.recent = demand.recent.filter(|_| request.kind == FeedKind::Targets);
         match encode(&RelayReply { answer, demand }) {
             Some(bytes) => Response::new(AnswerBody::full(bytes)),
             None => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -4,6 +4,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_delegation::PeerSet;
+use celeryhaven_demand::FleetDemand;
 use celeryhaven_fleet::{Evacuations, RouteTable};
 use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{CauseDigest, Hold, PendingCrashes, SoundRuns, Standing, Standings};
@@ -16,8 +17,8 @@
 use crate::traffic::pool::{Pool, RetryLimits};
 use crate::traffic::second_attempts::SecondAttempt;
 use crate::traffic::{
-    CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, Senders, TargetLimitMap,
-    TargetNotices,
+    CallerRequest, CrashReport, Destination, DestinationName, KnownDemand, OfferedLoad, Senders,
+    TargetLimitMap, TargetNotices,
 };
 
 /// Identifies a pool: the service, and the model if the service has engines.
@@ -48,6 +49,9 @@
 /// Instructions that may wait for an exchange.
 const INSTRUCTIONS_MAX: usize = 8;
 
+/// Interval between two updates of the parts of the slots without waiting requests, in milliseconds.
+const SLOT_PARTS_INTERVAL_MS: u64 = 100;
+
 /// Creates the channel of the instructions for an attempt.
 pub(crate) fn instruction_channel() -> (Sender<Instruction>, Receiver<Instruction>) {
     async_channel::bounded(INSTRUCTIONS_MAX)
@@ -114,6 +118,9 @@
     back_off_ends_at: Option<TimeMs>,
     pub(super) pools: Map<PoolKey, Pool>,
     senders: Senders,
+    demand: Option<Arc<KnownDemand>>,
+    /// When the parts of the slots were last updated.
+    parts_updated_at: TimeMs,
     next_ticket: Ticket,
     /// Requests that the policy has reported as slow since the last tick.
     slow: Vec<Ticket>,
@@ -148,6 +155,8 @@
             back_off_ends_at: None,
             pools: Map::default(),
             senders: Senders { nodes: 1, rank: 0 },
+            demand: None,
+            parts_updated_at: TimeMs::new(0),
             next_ticket: Ticket::default(),
             slow: Vec::new(),
             seed,
@@ -286,6 +295,53 @@
         }
     }
 
+    /// Sets the short-term demand of the fleet.
+    pub(crate) fn set_demand(&mut self, now: TimeMs, demand: Option<Arc<KnownDemand>>) {
+        let is_same = match (&self.demand, &demand) {
+            (Some(before), Some(after)) => Arc::ptr_eq(before, after),
+            (before, after) => before.is_none() && after.is_none(),
+        };
+        if is_same {
+            return;
+        }
+        self.demand = demand;
+        for key in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let total = self.pool_demand(&key);
+            let mut out = Vec::new();
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.set_demand(now, total, &mut out);
+            }
+            self.execute(&key, out);
+        }
+    }
+
+    /// Returns the demand of the fleet for the model of a pool.
+    fn pool_demand(&self, key: &PoolKey) -> Option<FleetDemand> {
+        let (known, model) = (self.demand.as_ref()?, key.model.as_ref()?);
+        let KnownDemand { measured_at, demand } = known.as_ref();
+        let busy_slots = demand.busy_slots.get(model).copied().unwrap_or_default();
+        let busy_slots = f64::from(busy_slots);
+        Some(FleetDemand { busy_slots, nodes: demand.nodes, measured_at: *measured_at })
+    }
+
+    /// Updates this node's parts of the slots: with requests that wait at each call, as their
+    /// deadlines are short.
+    fn update_slot_parts(&mut self, now: TimeMs) {
+        let all = now.since(self.parts_updated_at) >= SLOT_PARTS_INTERVAL_MS;
+        if all {
+            self.parts_updated_at = now;
+        }
+        let pools = self.pools.iter().filter(|(_, pool)| pool.shares_by_demand());
+        let due = pools.filter(|(_, pool)| all || pool.queued() > 0);
+        for key in due.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            let mut out = Vec::new();
+            if let Some(pool) = self.pools.get_mut(&key) {
+                pool.update_slot_part(now, &mut out);
+            }
+            self.execute(&key, out);
+        }
+    }
+
     /// Suspects the destinations that have stalled and returns them, moves their requests, and
     /// processes timers that are due.
     ///
@@ -313,6 +369,7 @@
             }
             self.execute(&key, out);
         }
+        self.update_slot_parts(now);
         let slow = std::mem::take(&mut self.slow);
         self.start_seconds(now, slow);
         stalled
@@ -442,6 +499,9 @@
         let mut pool = Pool::new(class, self.seed, engine, self.retry_limits(key));
         let mut out = Vec::new();
         pool.set_senders(now, self.senders, self.retry_limits(key), &mut out);
+        if let Some(total) = self.pool_demand(key) {
+            pool.set_demand(now, Some(total), &mut out);
+        }
         pool.set_limits(now, &self.limits, &mut out);
         pool.set_notices(now, &self.notices, &mut out);
         pool.set_targets(now, &self.eligible_destinations(now, key), &mut out);
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -8,7 +8,7 @@
 use celeryhaven_clock::BootClock;
 use celeryhaven_http::ConnectionPool;
 use celeryhaven_policy::{RetryDenial, Ticket};
-use celeryhaven_telemetry::GatewayMetrics;
+use celeryhaven_telemetry::{GatewayMetrics, ModelLabel};
 use celeryhaven_types::{ServiceName, TimeMs, Verdict};
 use slog::{Logger, info};
 use smol::LocalExecutor;
@@ -141,6 +141,7 @@
             }
             state.peers.set_peers(update.peers);
             state.set_senders(now, update.senders);
+            state.set_demand(now, update.demand);
             // A target that comes up must not receive the queue before its limit is known.
             state.set_limits(now, update.limits);
             state.set_destinations(now, update.destinations);
@@ -210,11 +211,32 @@
             return;
         }
         let offered = self.state.borrow_mut().take_offered_load();
+        self.report_demand_shares();
         if !offered.is_empty() {
             self.notify_control(TrafficReport::Offered(offered));
         }
     }
 
+    /// Reports and logs this node's shares of the slots.
+    fn report_demand_shares(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        for (key, pool) in &mut state.pools {
+            let Some(model) = &key.model else { continue };
+            if let Some((before, after)) = pool.take_share_change(now) {
+                let text = |share: Option<f64>| {
+                    share.map_or("even".to_owned(), |share| format!("{share:.4}"))
+                };
+                info!(self.log, "share of slots"; "model" => model.as_str(),
+                    "before" => text(before), "now" => text(after));
+            }
+            let (share, age_ms) = pool.demand_share(now).unwrap_or_default();
+            let label = ModelLabel { model: model.to_string() };
+            self.metrics.slot_share_permille.get_or_create(&label).set((share * 1e3) as i64);
+            self.metrics.demand_age_ms.set(age_ms as i64);
+        }
+    }
+
     /// Returns a ticket for a request that is not registered yet.
     pub(crate) fn reserve_ticket(&self) -> Ticket {
         if !self.first_request_seen.replace(true) {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod confirmation;
 mod delegation;
 mod delivery_times;
+mod demand_part;
 mod dispatch_state;
 mod dispatcher;
 mod end_check;
@@ -36,6 +37,6 @@
 pub(crate) use read_buffers::ReadBuffers;
 pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
 pub(crate) use update::{
-    CrashReport, Destination, DestinationName, EndQuery, NamedLimit, OfferedLoad, Senders,
-    TrafficReport, TrafficUpdate,
+    CrashReport, Destination, DestinationName, EndQuery, KnownDemand, NamedLimit, OfferedLoad,
+    Senders, TrafficReport, TrafficUpdate,
 };
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use celeryhaven_demand::FleetDemand;
 use celeryhaven_fleet::{EngineProfile, ModelProfile};
 use celeryhaven_policy::{
     Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
@@ -9,6 +10,7 @@
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
 use crate::adapter::ReportedLoad;
+use crate::traffic::demand_part::DemandPart;
 use crate::traffic::{Destination, DestinationName, Senders, TargetLimitMap, TargetNotices};
 
 /// Initial estimate of the time for a plain answer, in milliseconds.
@@ -53,6 +55,10 @@
     /// Targets that are in a pause.
     backing_off: BTreeSet<VmName>,
     senders: u32,
+    /// Slots of the targets that this node uses, and of all.
+    slots: (f64, f64),
+    /// This node's part by demand; `None` if slots are not shared by it.
+    demand_part: Option<DemandPart>,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
     /// Estimated times of a request, used for the offered load.
@@ -145,6 +151,8 @@
             notices: Arc::default(),
             backing_off: BTreeSet::new(),
             senders: 1,
+            slots: (0.0, 0.0),
+            demand_part: None,
             tokens_per_event,
             request_times,
             output: OutputFraction::default(),
@@ -182,6 +190,7 @@
             _ => all.iter().collect(),
         };
         let senders = TargetSubset::senders_per_target(self.senders, selected.len(), all.len());
+        let (all_slots, slots) = (slots_of(&all), slots_of(selected.iter().copied()));
         self.policy.set_sharing(sharing);
         self.policy.handle(now, PolicyEvent::Senders { nodes: senders }, out);
         let current: Map<&DestinationName, &Destination> =
@@ -205,6 +214,62 @@
         }
         self.all_destinations = all;
         self.apply_limits(now, out);
+        self.slots = (slots, all_slots);
+        self.send_slot_part(now, out);
+    }
+
+    /// Sets the demand of the fleet; `None` if it is not known any more.
+    pub(crate) fn set_demand(
+        &mut self,
+        now: TimeMs,
+        total: Option<FleetDemand>,
+        out: &mut Vec<Decision>,
+    ) {
+        // Without newer totals the last one becomes too old.
+        if let Some(total) = total {
+            let part = self.demand_part.get_or_insert_with(DemandPart::default);
+            part.apply_total(now, total);
+        }
+        self.update_slot_part(now, out);
+    }
+
+    /// Whether this node's part of the slots follows the demand.
+    pub(crate) fn shares_by_demand(&self) -> bool {
+        self.demand_part.is_some()
+    }
+
+    /// Updates this node's part of the slots, and the number of targets that it needs for it.
+    pub(crate) fn update_slot_part(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
+        let Some(part) = &mut self.demand_part else { return };
+        part.update(now, self.senders, self.slots.1);
+        let (targets, changed) = part.subset_targets(self.all_destinations.len());
+        match changed {
+            true => {
+                self.subset = self.subset.with_targets(targets);
+                self.update_targets(now, out);
+            }
+            false => self.send_slot_part(now, out),
+        }
+    }
+
+    fn send_slot_part(&mut self, now: TimeMs, out: &mut Vec<Decision>) {
+        let Some(part) = &self.demand_part else { return };
+        let (slots, all_slots) = self.slots;
+        // The policy knows only the targets of the subset.
+        let fraction = part.fraction.filter(|_| slots > 0.0);
+        let fraction = fraction.map(|fraction| (fraction * all_slots / slots).min(1.0));
+        self.policy.handle(now, PolicyEvent::SlotPart { fraction }, out);
+    }
+
+    /// Returns the share of all slots by demand, and the age of the total.
+    pub(crate) fn demand_share(&self, now: TimeMs) -> Option<(f64, u64)> {
+        let part = self.demand_part.as_ref()?;
+        Some((part.fraction?, part.share.total_age_ms(now)?))
+    }
+
+    /// Returns the share of all slots before and now, if that has changed enough for a log line.
+    pub(crate) fn take_share_change(&mut self, now: TimeMs) -> Option<(Option<f64>, Option<f64>)> {
+        self.demand_part.as_mut()?.take_change(now)
     }
 
     /// Chooses the targets that this node sends to: of the limited ones, those that it has a part
@@ -316,7 +381,10 @@
         out: &mut Vec<Decision>,
     ) {
         self.senders = senders.nodes.max(1);
-        self.subset = TargetSubset::new(senders.rank as usize, senders.nodes as usize);
+        let targets = self.demand_part.as_mut();
+        let targets = targets.map_or(0, |part| part.subset_targets(self.all_destinations.len()).0);
+        let subset = TargetSubset::new(senders.rank as usize, senders.nodes as usize);
+        self.subset = subset.with_targets(targets);
         self.policy.set_retry_saved_max(retries.saved_max);
         self.update_targets(now, out);
     }
@@ -331,7 +399,12 @@
         out: &mut Vec<Decision>,
     ) {
         if !is_counted {
-            self.offered_slot_ms += self.request_times.request_ms(head, self.output);
+            let work_ms = self.request_times.request_ms(head, self.output);
+            self.offered_slot_ms += work_ms;
+            if let Some(part) = &mut self.demand_part {
+                part.share.add(now, work_ms);
+            }
+            self.update_slot_part(now, out);
         }
         self.policy.handle(now, PolicyEvent::Arrived { ticket, head }, out);
     }
@@ -395,6 +468,11 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(&target) = self.target_keys.get(name) else { return };
+        let slots = self.destinations.get(&target).map_or(0, |destination| destination.slots);
+        if let Some(part) = &mut self.demand_part {
+            let requests = load.running.saturating_add(load.waiting);
+            part.share.load_reported(now, u64::from(target.get()), requests, slots);
+        }
         let load = TargetLoad {
             age_ms: REPORTED_LOAD_AGE_MS,
             running: load.running,
@@ -421,3 +499,7 @@
         self.policy.queued()
     }
 }
+
+fn slots_of<'a>(destinations: impl IntoIterator<Item = &'a Destination>) -> f64 {
+    destinations.into_iter().map(|destination| f64::from(destination.slots)).sum()
+}
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -4,6 +4,7 @@
 
 use async_channel::Sender;
 use celeryhaven_delegation::Peer;
+use celeryhaven_demand::RecentDemand;
 use celeryhaven_derives::state;
 use celeryhaven_ends::{EndVerdict, Finding, TargetProcess};
 use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
@@ -56,6 +57,14 @@
         pub(crate) rank: u32,
     }
 
+    /// The short-term demand of the fleet.
+    pub(crate) struct KnownDemand {
+        /// When it was measured, on average.
+        pub(crate) measured_at: TimeMs,
+        /// The demand.
+        pub(crate) demand: RecentDemand,
+    }
+
     /// The limit that an answer of a target has named.
     pub(crate) struct NamedLimit {
         /// The target.
@@ -112,6 +121,8 @@
     pub(crate) addresses: Vec<SocketAddr>,
     /// The live nodes that send to the same targets.
     pub(crate) senders: Senders,
+    /// Short-term demand of the fleet; `None` if it is unknown or slots are not shared by it.
+    pub(crate) demand: Option<Arc<KnownDemand>>,
     /// Nodes that can run requests for this one.
     pub(crate) peers: Arc<[Peer]>,
     /// Whether this node accepts requests.
@@ -140,7 +151,12 @@
             (Some(own), Some(others)) => Arc::ptr_eq(own, others),
             (own, others) => own.is_none() && others.is_none(),
         };
+        let demand = match (&self.demand, &other.demand) {
+            (Some(own), Some(others)) => Arc::ptr_eq(own, others),
+            (own, others) => own.is_none() && others.is_none(),
+        };
         routes
+            && demand
             && Arc::ptr_eq(&self.destinations, &other.destinations)
             && self.addresses == other.addresses
             && self.senders == other.senders
--- a/crates/peers/src/fleet/peers.rs
+++ b/crates/peers/src/fleet/peers.rs
@@ -297,6 +297,11 @@
         self.store_access_count > 0
     }
 
+    /// Returns the names of the other nodes that have a record.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeName> {
+        self.nodes.keys()
+    }
+
     /// Returns the record of a node.
     pub fn record(&self, node: &NodeName) -> Option<&NodeRecord> {
         self.nodes.get(node).map(|state| &state.record)
--- a/crates/policy/src/targets/subset.rs
+++ b/crates/policy/src/targets/subset.rs
@@ -27,13 +27,21 @@
 pub struct TargetSubset {
     rank: usize,
     nodes: usize,
+    targets: usize,
 }
 
 impl TargetSubset {
     /// Creates the subset of the node with this rank among all nodes; the first has rank 0.
     pub fn new(rank: usize, nodes: usize) -> Self {
         let nodes = nodes.max(1);
-        Self { rank: rank.min(nodes - 1), nodes }
+        Self { rank: rank.min(nodes - 1), nodes, targets: SUBSET_TARGETS }
+    }
+
+    /// Sets the number of targets, if it is larger than the default.
+    ///
+    /// A node with most of the callers needs more slots than a few targets have.
+    pub fn with_targets(self, targets: usize) -> Self {
+        Self { targets: targets.max(SUBSET_TARGETS), ..self }
     }
 
     /// Selects the targets that this node sends to, by their names.
@@ -44,7 +52,7 @@
         });
         let start = self.rank * ring.len() / self.nodes;
         ring.rotate_left(start);
-        ring.truncate(SUBSET_TARGETS);
+        ring.truncate(self.targets);
         ring
     }
 
--- a/crates/settings/src/field/kind.rs
+++ b/crates/settings/src/field/kind.rs
@@ -42,6 +42,11 @@
         Self::Number { min, max, default }
     }
 
+    /// Creates a [`Kind::Choice`] of `true` and `false`, by default `false`.
+    pub const fn switch() -> Self {
+        Self::Choice { words: &["true", "false"], default: "false" }
+    }
+
     /// Creates a [`Kind::Decimal`].
     pub const fn decimal(min: f64, max: f64, default: f64) -> Self {
         Self::Decimal { min, max, default }
--- a/crates/settings/src/field/value.rs
+++ b/crates/settings/src/field/value.rs
@@ -31,6 +31,12 @@
     }
 }
 
+impl FromNode for bool {
+    fn from_node(node: &Node, _kind: &Kind) -> Option<Self> {
+        node.as_text()?.parse().ok()
+    }
+}
+
 impl FromNode for f64 {
     fn from_node(node: &Node, kind: &Kind) -> Option<Self> {
         let Kind::Decimal { min, max, .. } = kind else { return None };
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -46,6 +46,8 @@
         watch_wait_ms: u64 = Kind::number(100, 30_000, 2_500);
         /// Number of cores that this process may use; may be a fraction.
         cores: f64 = Kind::decimal(0.01, 1_024.0, 1.0);
+        /// Whether a node's share of pooled slots follows the demand of its callers.
+        demand_shares: bool = Kind::switch();
         /// Minimum severity that is logged.
         log_level: LogLevel = LogLevel::KIND;
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod metrics;
 
 pub use log::{LogGuard, RequestRecord, open_log};
-pub use metrics::{ControllerMetrics, EntryMetrics, GatewayMetrics, ProcessMetrics, RequestLabels};
+pub use metrics::{
+    ControllerMetrics, EntryMetrics, GatewayMetrics, ModelLabel, ProcessMetrics, RequestLabels,
+};
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -5,7 +5,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::metrics::buckets::latency_histogram;
-use crate::metrics::{OutcomeLabel, ProcessMetrics, StoreCallLabel};
+use crate::metrics::{ModelLabel, OutcomeLabel, ProcessMetrics, StoreCallLabel};
 
 /// Metrics of a gateway process.
 #[derive(Clone, Debug)]
@@ -44,6 +44,10 @@
     pub second_attempts: Family<OutcomeLabel, Counter>,
     /// Requests that still run in evacuated data centres.
     pub evacuating_requests: Gauge,
+    /// Share of the slots that this node may use by the demand of its callers, by model, in thousandths.
+    pub slot_share_permille: Family<ModelLabel, Gauge>,
+    /// Age of the known demand of the fleet, in milliseconds.
+    pub demand_age_ms: Gauge,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -69,6 +73,8 @@
         let (isolated, delegated) = (Gauge::default(), Family::default());
         let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
+        let slot_share_permille: Family<ModelLabel, Gauge> = Family::default();
+        let demand_age_ms = Gauge::default();
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -135,6 +141,16 @@
                 "Second attempts beside those whose targets were silent or slow, by outcome",
                 second_attempts.clone(),
             );
+            registry.register(
+                "slot_share_permille",
+                "Share of the slots by the demand of this node's callers, by model",
+                slot_share_permille.clone(),
+            );
+            registry.register(
+                "demand_age_ms",
+                "Age of the known demand of the fleet",
+                demand_age_ms.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -155,6 +171,8 @@
             isolated,
             delegated,
             second_attempts,
+            slot_share_permille,
+            demand_age_ms,
             store_calls,
         }
     }
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -18,6 +18,13 @@
     pub deployment: String,
 }
 
+/// Label of a metric per model.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ModelLabel {
+    /// The model.
+    pub model: String,
+}
+
 /// Label of network traffic by direction.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DirectionLabel {
