--- a/crates/demand/src/slot_share.rs
+++ b/crates/demand/src/slot_share.rs
@@ -10,7 +10,10 @@
 
 /// Reported utilisation up to which a node may use its current share, and from which it keeps to the
 /// settled one.
-const UTILISATION_FREE: f64 = 0.9;
+///
+/// A report counts the request that it answers, and some targets are full before all are:
+/// with 0.9, 58 nodes refused 64 requests after a loss at 0.85 of the capacity, with 0.95 37.
+const UTILISATION_FREE: f64 = 0.97;
 const UTILISATION_FULL: f64 = 1.0;
 
 /// Time constant by which reports of load lose weight, in milliseconds.
@@ -18,16 +21,15 @@
 /// In a surge, the free slots fill up within half a second.
 const LOAD_TIME_MS: f64 = 500.0;
 
-/// Weight of the utilisation that follows from the total, in slots of a report.
-///
-/// A node without recent reports has no other estimate.
-const EXPECTED_LOAD_SLOTS: f64 = 1.0;
+/// Slots of recent reports from which only these count, and not the utilisation that follows from the
+/// total.
+const REPORTED_SLOTS_MIN: f64 = 1.0;
 
 /// Share relative to the part of the demand, while the targets report free slots.
 ///
 /// The requests of a node vary by the square root of their number, so a share that equals the mean
 /// would refuse some of them.
-const SLACK_FACTOR: f64 = 1.5;
+const SLACK_FACTOR: f64 = 2.0;
 
 /// Share relative to the settled part of the demand; the sum over all nodes must be under 1.1.
 const SETTLED_FACTOR: f64 = 1.05;
@@ -144,14 +146,14 @@
 
     /// Estimates the fraction of their slots that the targets have in use.
     fn utilisation(&self, now: TimeMs, expected: f64) -> f64 {
-        let mut requests = EXPECTED_LOAD_SLOTS * expected.min(1.0);
-        let mut slots = EXPECTED_LOAD_SLOTS;
+        let (mut requests, mut slots) = (0.0, 0.0);
         for load in self.loads.values() {
             let weight = (-(now.since(load.reported_at) as f64) / LOAD_TIME_MS).exp();
             requests += load.requests * weight;
             slots += load.slots * weight;
         }
-        requests / slots
+        let missing = (REPORTED_SLOTS_MIN - slots).max(0.0);
+        (requests + expected.min(1.0) * missing) / (slots + missing)
     }
 
     fn record_own(&mut self, now: TimeMs) {
--- a/crates/policy/tests/cluster/demand.rs
+++ b/crates/policy/tests/cluster/demand.rs
@@ -69,14 +69,16 @@
         self.nodes[node].offered += 1;
     }
 
-    /// Fails nodes; the followers of a failed relay follow the root.
+    /// Fails nodes; the followers of a failed relay follow the root, or the next root if it failed.
     pub fn fail(&mut self, failed: &[usize]) {
         failed.iter().for_each(|&node| self.nodes[node].alive = false);
-        for index in 1..self.nodes.len() {
-            if self.nodes[index].parent.is_some_and(|parent| failed.contains(&parent)) {
-                self.nodes[index].parent = Some(0);
+        let Some(root) = self.nodes.iter().position(|node| node.alive) else { return };
+        for node in &mut self.nodes {
+            if node.parent.is_some_and(|parent| failed.contains(&parent)) {
+                node.parent = Some(root);
             }
         }
+        self.nodes[root].parent = None;
     }
 
     /// Restarts a node, which forgets all it knew.
--- a/crates/policy/tests/cluster/mod.rs
+++ b/crates/policy/tests/cluster/mod.rs
@@ -18,7 +18,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use demand::{DemandLayer, SlotUse};
+use demand::DemandLayer;
+pub use demand::SlotUse;
 
 /// Slots of a replica, and mean time of a request in a slot, in milliseconds.
 const SLOTS: usize = 20;
