--- a/crates/policy/src/fair/class.rs
+++ b/crates/policy/src/fair/class.rs
@@ -6,6 +6,7 @@
 use crate::affinity::PrefixIndex;
 use crate::estimate::{Mean, OutputTokenEstimates, RecentMean, ServiceTimes};
 use crate::fair::overload::is_late;
+use crate::fair::slot_part::SlotPart;
 use crate::fair::{AdapterKey, FairSettings};
 use crate::interface::{TargetKey, Ticket};
 use crate::overload::StartWindow;
@@ -39,6 +40,8 @@
     pub(crate) retry_schedule: RetrySchedule,
     /// Slots of the targets that count towards its capacity.
     pub(crate) slots: f64,
+    /// This node's part of the slots, in place of an even one.
+    pub(crate) slot_part: SlotPart,
     /// Requests of this node at the targets.
     pub(crate) in_flight: InFlight,
     /// Expected completion times of the requests at the targets, in milliseconds.
@@ -93,6 +96,7 @@
             output_lengths: OutputTokenEstimates::default(),
             retry_schedule: RetrySchedule::new(),
             slots: 0.0,
+            slot_part: SlotPart::default(),
             in_flight: InFlight::default(),
             expected_ends: BTreeSet::new(),
             ratio_sum: 0.0,
@@ -119,9 +123,15 @@
         self.pooled = pooled;
     }
 
-    /// Part of this node of the slots.
+    /// Share of this node of the slots: by demand if that is known, or an even one.
     fn even_share(&self, senders: u32) -> f64 {
-        self.slots / f64::from(senders.max(1))
+        self.slots / self.equal_senders(senders)
+    }
+
+    /// The smaller of a limit of the window and of the part of the slots that this node may use.
+    fn bounded_by_part(&self, limit: f64) -> f64 {
+        let slots_max = self.slot_part.slots_max(self.slots).filter(|_| self.pooled);
+        slots_max.map_or(limit, |slots_max| limit.min(f64::from(slots_max)))
     }
 
     /// Whether a target may receive a request of this node now.
@@ -129,15 +139,30 @@
         if !self.pooled {
             return !self.available.is_empty();
         }
-        let share = self.even_share(senders);
         if let Some(window) = &self.window {
             let counted = self.in_flight.count.saturating_sub(window.late_unstarted());
-            return self.is_below(window.limit(share, self.slots), counted);
+            let limit = window.limit(self.even_share(senders), self.slots);
+            return self.is_below(self.bounded_by_part(limit), counted);
         }
+        let below_limit = self.in_flight.count < self.slots_max(senders);
+        below_limit && (!self.available.is_empty() || self.can_probe_load())
+    }
+
+    /// Maximum number of requests of this node at pooled targets, without overload control.
+    fn slots_max(&self, senders: u32) -> u32 {
+        if let Some(slots_max) = self.slot_part.slots_max(self.slots) {
+            return slots_max;
+        }
+        let share = self.even_share(senders);
         let is_full = self.reported_utilisation.value() >= FULL_UTILISATION;
         let limit = if is_full { share } else { share * POOLED_SHARE_FACTOR };
-        let below_limit = self.in_flight.count < limit.ceil() as u32;
-        below_limit && (!self.available.is_empty() || self.can_probe_load())
+        limit.ceil() as u32
+    }
+
+    /// Number of nodes like this one that would use all slots together.
+    pub(crate) fn equal_senders(&self, senders: u32) -> f64 {
+        let fraction = self.slot_part.fraction().filter(|_| self.pooled);
+        fraction.map_or(f64::from(senders.max(1)), |fraction| 1.0 / fraction.max(f64::EPSILON))
     }
 
     /// Whether a target may receive a late request of this node now.
@@ -149,7 +174,7 @@
             Some(window) if self.pooled => {
                 let share = self.even_share(senders);
                 let limit = window.late_limit(share, self.slots);
-                self.is_below(limit, self.in_flight.count)
+                self.is_below(self.bounded_by_part(limit), self.in_flight.count)
             }
             _ => self.has_free_slot(senders),
         }
@@ -181,10 +206,11 @@
     /// Returns the requests of this node that may be in flight; `None` without overload control.
     pub(crate) fn window_limit(&self, senders: u32) -> Option<f64> {
         let share = self.even_share(senders);
-        self.window.as_ref().map(|window| window.limit(share, self.slots))
+        let window = self.window.as_ref()?;
+        Some(self.bounded_by_part(window.limit(share, self.slots)))
     }
 
-    /// Returns the requests in flight that count for the window, and the even share of the slots.
+    /// Returns the requests in flight that count for the window, and the share of the slots.
     fn window_use(&self, senders: u32) -> (f64, f64) {
         let late = self.window.as_ref().map_or(0, StartWindow::late_unstarted);
         let in_flight = self.in_flight.count.saturating_sub(late);
@@ -199,12 +225,14 @@
         self.in_flight.count == 0 && !self.healthy.is_empty()
     }
 
-    /// Slots that serve the queue of this node: its even share, or the slots in use if more.
+    /// Slots that serve the queue of this node: its share, or the slots in use if more.
     pub(crate) fn capacity(&self, senders: u32) -> f64 {
         let healthy_count = self.targets.len().saturating_sub(self.ejected) as f64;
         let healthy_fraction = healthy_count / self.targets.len().max(1) as f64;
-        let even_share = self.slots * healthy_fraction / f64::from(senders.max(1));
-        even_share.max(f64::from(self.in_flight.count))
+        let even = 1.0 / f64::from(senders.max(1));
+        let part = self.slot_part.expected_fraction().filter(|_| self.pooled).unwrap_or(even);
+        let share = self.slots * healthy_fraction * part;
+        share.max(f64::from(self.in_flight.count))
     }
 
     /// Expected utilisation of the targets for a request that arrives now.
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -48,6 +48,7 @@
     pub(crate) settings: FairSettings,
     pub(crate) rng: SmallRng,
     pub(crate) senders: u32,
+    pub(crate) slot_fraction: Option<f64>,
     pub(crate) classes: Vec<ClassState>,
     pub(crate) targets: Map<TargetKey, TargetState>,
     pub(crate) requests: Map<Ticket, RequestState>,
@@ -72,6 +73,7 @@
             retry_budget: RetryBudget::new(settings.retry_earned, settings.retry_saved_max),
             settings,
             senders: 1,
+            slot_fraction: None,
             classes: Vec::new(),
             targets: Map::default(),
             requests: Map::default(),
@@ -248,6 +250,7 @@
                 self.cache_changed(target, added, removed);
             }
             PolicyEvent::Senders { nodes } => self.set_senders(now, nodes, out),
+            PolicyEvent::SlotPart { fraction } => self.set_slot_part(now, fraction, out),
             PolicyEvent::Organisations { organisations } => self.set_organisations(organisations),
         }
     }
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -48,6 +48,8 @@
         cores: f64 = Kind::decimal(0.01, 1_024.0, 1.0);
         /// Whether requests for engines that can begin in time come before late ones and returns.
         overload_control: bool = Kind::switch();
+        /// Whether a node's share of pooled slots follows the demand of its callers.
+        demand_shares: bool = Kind::switch();
         /// Minimum severity that is logged.
         log_level: LogLevel = LogLevel::KIND;
     }
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -5,7 +5,9 @@
 use prometheus_client::registry::Unit;
 
 use crate::metrics::buckets::latency_histogram;
-use crate::metrics::{OutcomeLabel, ProcessMetrics, RankLabel, RankOutcomeLabel, StoreCallLabel};
+use crate::metrics::{
+    ModelLabel, OutcomeLabel, ProcessMetrics, RankLabel, RankOutcomeLabel, StoreCallLabel,
+};
 
 /// Metrics of a gateway process.
 #[derive(Clone, Debug)]
@@ -52,6 +54,10 @@
     pub answers: Family<RankOutcomeLabel, Counter>,
     /// Requests of callers that had been refused before, by rank of the route.
     pub returns: Family<RankLabel, Counter>,
+    /// Share of the slots that this node may use by the demand of its callers, by model, in thousandths.
+    pub slot_share_permille: Family<ModelLabel, Gauge>,
+    /// Age of the known demand of the fleet, in milliseconds.
+    pub demand_age_ms: Gauge,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -81,6 +87,8 @@
         let answers: Family<RankOutcomeLabel, Counter> = Family::default();
         let returns: Family<RankLabel, Counter> = Family::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
+        let slot_share_permille: Family<ModelLabel, Gauge> = Family::default();
+        let demand_age_ms = Gauge::default();
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -167,6 +175,16 @@
                 "Requests of callers that had been refused before, by rank of the route",
                 returns.clone(),
             );
+            registry.register(
+                "slot_share_permille",
+                "Share of the slots by the demand of this node's callers, by model",
+                slot_share_permille.clone(),
+            );
+            registry.register(
+                "demand_age_ms",
+                "Age of the known demand of the fleet",
+                demand_age_ms.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -191,6 +209,8 @@
             second_attempts,
             answers,
             returns,
+            slot_share_permille,
+            demand_age_ms,
             store_calls,
         }
     }
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -11,8 +11,8 @@
 pub use entry::EntryMetrics;
 pub use gateway::GatewayMetrics;
 pub use labels::{
-    DeploymentLabel, DirectionLabel, OutcomeLabel, RankLabel, RankOutcomeLabel, RequestLabels,
-    StoreCallLabel,
+    DeploymentLabel, DirectionLabel, ModelLabel, OutcomeLabel, RankLabel, RankOutcomeLabel,
+    RequestLabels, StoreCallLabel,
 };
 pub use process::ProcessMetrics;
 pub use prometheus_client::metrics::gauge::Gauge;
