--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -24,7 +24,8 @@
 /// Replicas that a model lacks, over all domains, for each that may be formed at the same time.
 ///
 /// An evacuation takes away many at once, whose conversions need not take turns. Half of them leaves
-/// room for those that the list does not show yet.
+/// room for those that the list does not show yet. Without one, replicas that lost members are missing
+/// until survivors form others, and conversions that take no turns would take serving ones apart.
 const MISSING_PER_CONVERSION: usize = 2;
 
 /// Replicas that could be dissolved to form a replica of another model.
@@ -60,7 +61,10 @@
         let position = view.domains.iter().position(|domain| *domain.name == self.domain);
         let wait_ms = CONVERSION_DELAY_PER_TARGET_MS * conversion.targets as u64
             + CONVERSION_DELAY_PER_DOMAIN_MS * position.unwrap_or_default() as u64;
-        let at_once = (conversion.missing / MISSING_PER_CONVERSION).max(1) as u64;
+        let at_once = match view.fleet.evacuations().is_empty() {
+            true => 1,
+            false => (conversion.missing / MISSING_PER_CONVERSION).max(1) as u64,
+        };
         if now.since(since) < wait_ms / at_once {
             return;
         }
