forming: conversions for an evacuation round up

Cause: with the turns kept for steady losses, a shortage of three was converted one at a time, the last after 2.0 s. Measured: the tests of forming pass.

--- a/crates/forming/src/domain/converting.rs
+++ b/crates/forming/src/domain/converting.rs
@@ -63,7 +63,7 @@
             + CONVERSION_DELAY_PER_DOMAIN_MS * position.unwrap_or_default() as u64;
         let at_once = match view.fleet.evacuations().is_empty() {
             true => 1,
-            false => (conversion.missing / MISSING_PER_CONVERSION).max(1) as u64,
+            false => conversion.missing.div_ceil(MISSING_PER_CONVERSION).max(1) as u64,
         };
         if now.since(since) < wait_ms / at_once {
             return;
