--- a/crates/telemetry/tests/metrics_page.rs
+++ b/crates/telemetry/tests/metrics_page.rs
@@ -64,6 +64,8 @@
     metrics.second_attempts.get_or_create(&outcome()).inc();
     let label = StoreCallLabel { kind: "nodes", call: "list" };
     metrics.store_calls.get_or_create(&label).inc();
+    let model = celeryhaven_telemetry::ModelLabel { model: "draft".into() };
+    metrics.slot_share_permille.get_or_create(&model).set(0);
     metrics
 }
 
