--- a/crates/policy/src/baseline/fifo.rs
+++ b/crates/policy/src/baseline/fifo.rs
@@ -87,6 +87,7 @@
             | PolicyEvent::Organisations { .. }
             | PolicyEvent::Limited { .. }
             | PolicyEvent::BackOff { .. }
+            | PolicyEvent::Quiet { .. }
             | PolicyEvent::ChoiceKey { .. } => return,
         }
         self.dispatch_queued(out);
--- a/crates/policy/src/estimate/mean.rs
+++ b/crates/policy/src/estimate/mean.rs
@@ -41,6 +41,11 @@
         self.value
     }
 
+    /// Returns the value that is this many mean deviations above the mean.
+    pub(crate) fn above(&self, deviations: f64) -> f64 {
+        self.value + deviations * self.deviation
+    }
+
     /// A value that most samples stay below.
     pub(crate) fn high(&self) -> f64 {
         self.value + self.deviation
--- a/crates/policy/src/fair/fleet.rs
+++ b/crates/policy/src/fair/fleet.rs
@@ -15,6 +15,9 @@
 /// Least number of targets in a class from which a target may be ejected.
 const EJECTION_TARGETS_MIN: usize = 3;
 
+/// At most one in this many of the targets of a class receives no requests because it is quiet.
+const QUIET_MAX_PART: usize = 2;
+
 impl FairPolicy {
     pub(crate) fn target_up(
         &mut self,
@@ -154,6 +157,37 @@
         }
     }
 
+    /// Sends no requests to a target while its streams have paused.
+    ///
+    /// Lost members do not stop most targets at once, but slow passes, or a pause of this node, may:
+    /// then the targets stay in use, as nothing shows that others are better.
+    pub(crate) fn set_quiet(
+        &mut self,
+        now: TimeMs,
+        target: TargetKey,
+        is_quiet: bool,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(state) = self.targets.get(&target).filter(|state| state.up) else { return };
+        let class = state.class;
+        if is_quiet {
+            let targets = &self.classes[class.get() as usize].targets;
+            let is_other =
+                |other: &&TargetKey| self.targets.get(other).is_some_and(|at| at.is_quiet);
+            let quiet = targets.iter().filter(is_other).count() + 1;
+            if quiet * QUIET_MAX_PART > targets.len() {
+                return;
+            }
+        }
+        if let Some(state) = self.targets.get_mut(&target) {
+            state.is_quiet = is_quiet;
+        }
+        self.refresh_availability(now, target);
+        if !is_quiet {
+            self.dispatch_queued(now, class, out);
+        }
+    }
+
     /// Sends one request to an ejected target to check whether it has recovered.
     pub(crate) fn probe(&mut self, now: TimeMs, target: TargetKey, out: &mut Vec<Decision>) {
         let Some(state) = self.targets.get_mut(&target) else { return };
--- a/crates/policy/src/fair/policy.rs
+++ b/crates/policy/src/fair/policy.rs
@@ -234,6 +234,9 @@
                 self.limit_target(now, target, rate_per_s, out);
             }
             PolicyEvent::BackOff { target, until } => self.back_off(now, target, until),
+            PolicyEvent::Quiet { target, is_quiet } => {
+                self.set_quiet(now, target, is_quiet, out);
+            }
             PolicyEvent::CacheChanged { target, added, removed } => {
                 self.cache_changed(target, added, removed);
             }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -105,6 +105,14 @@
         /// End of the pause.
         until: TimeMs,
     },
+    /// All streams of this node at a target have paused, or one of them has gone on: while it is quiet
+    /// it receives no new requests.
+    Quiet {
+        /// The target.
+        target: TargetKey,
+        /// Whether it is quiet.
+        is_quiet: bool,
+    },
     /// The prefix cache of a target changed; events may be late or lost.
     CacheChanged {
         /// The target.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,7 @@
 //! |---|---|
 //! | [`interface`] | events that a policy receives and decisions that it returns |
 //! | [`fair`] | the production policy: fair queue, admission by deadline, sharing of targets |
-//! | [`stall`] | detection of replicas whose streams have all stalled |
+//! | [`stall`] | detection of replicas whose streams have all paused or stalled |
 //! | [`baseline`] | first-in-first-out policies for comparison |
 
 pub mod baseline;
@@ -26,5 +26,5 @@
     Decision, PolicyEvent, RequestPolicy, RetryDenial, TargetKey, TargetLoad, TargetProfile, Ticket,
 };
 pub use retry::SharedRetryBudget;
-pub use stall::StallDetector;
+pub use stall::{PassProfile, QuietReplica, StallDetector, quiet_seconds_max};
 pub use targets::TargetSubset;
--- a/crates/policy/src/targets/target_state.rs
+++ b/crates/policy/src/targets/target_state.rs
@@ -24,6 +24,8 @@
         pub(crate) distance_ms: f64,
         pub(crate) identity: u64,
         pub(crate) up: bool,
+        /// Whether all streams of this node at the target have paused.
+        pub(crate) is_quiet: bool,
         /// Requests of this node at the target.
         pub(crate) in_flight: InFlight,
         /// The tickets of these requests.
@@ -85,6 +87,7 @@
             distance_ms: f64::from(profile.distance_us) / 1_000.0,
             identity: profile.identity,
             up: true,
+            is_quiet: false,
             in_flight: InFlight::default(),
             tickets: BTreeSet::new(),
             share: 0,
@@ -214,7 +217,7 @@
         sharing: Sharing,
         average: Option<ClassAverage>,
     ) -> bool {
-        if !self.is_paced_to_accept(now) {
+        if self.is_quiet || !self.is_paced_to_accept(now) {
             return false;
         }
         let is_full = || self.load(now, average) >= f64::from(self.slots);
--- a/crates/policy/tests/second_attempts.rs
+++ b/crates/policy/tests/second_attempts.rs
@@ -168,3 +168,30 @@
         assert_eq!(node.start_second(&[]), [Decision::DenyRetry { ticket: FIRST, denial }]);
     }
 }
+
+/// New requests and second attempts must not go to a target whose streams have paused.
+#[test]
+fn quiet_target_receives_nothing() {
+    let mut node = Node::new(FairSettings::new(7), &head());
+    let other = node.other;
+    node.handle(PolicyEvent::Quiet { target: other, is_quiet: true });
+    let second = PolicyEvent::SecondAttempt { ticket: FIRST, second: SECOND, excluded: &[] };
+    let decisions = node.handle(second.clone());
+    assert!(matches!(decisions[..], [Decision::DenyRetry { .. }]), "{decisions:?}");
+    node.handle(PolicyEvent::Quiet { target: other, is_quiet: false });
+    let decisions = node.handle(second);
+    assert!(matches!(decisions[..], [Decision::Dispatch { .. }]), "{decisions:?}");
+}
+
+/// When most targets pause at once, such as when this node has paused, requests must not be refused.
+#[test]
+fn quiet_targets_most_stay_in_use() {
+    let mut node = Node::new(FairSettings::new(7), &head());
+    for target in [node.other, node.silent] {
+        node.handle(PolicyEvent::Quiet { target, is_quiet: true });
+    }
+    let third = Ticket::new(3);
+    let decisions = node.handle(PolicyEvent::Arrived { ticket: third, head: &head() });
+    let sent = Decision::Dispatch { ticket: third, target: node.silent };
+    assert_eq!(decisions, [sent]);
+}
