gateway: streams at a quiet replica begin elsewhere within the pause bound of their route

Cause: streams of a replica that has lost a member got second attempts only when it was suspected, 600 ms after the last event; a route's pause bound is 200 or 300 ms. Change: Route::pause_max_ms (platform: gap_target_ms); checks of quiet replicas at the time at which the earliest is due; second attempts for at most a tenth of the running streams; no new requests to quiet replicas; second attempts in vain lengthen the threshold. Second attempts are counted and logged by reason.

--- a/crates/fleet/src/config/route.rs
+++ b/crates/fleet/src/config/route.rs
@@ -16,6 +16,8 @@
         pub timeout_ms: u64,
         /// Time within which an answer has its full worth, in milliseconds.
         pub objective_ms: u64,
+        /// Longest pause between events with which an answer has its full worth, in milliseconds.
+        pub pause_max_ms: Option<u64>,
         /// Rank of its requests, 0 first.
         pub rank: u8,
         /// Services that share the requests.
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::traffic::pool::{Pool, RetryLimits};
-use crate::traffic::second_attempts::SecondAttempt;
+use crate::traffic::second_attempts::{SecondAttempt, SecondReason};
 use crate::traffic::{
     CallerRequest, CrashReport, Destination, DestinationName, OfferedLoad, Senders, TargetLimitMap,
     TargetNotices,
@@ -71,6 +71,10 @@
     pub(crate) may_delegate: bool,
     /// Whether a retry by a peer has been charged to the retry budget.
     pub(crate) is_retry_paid: bool,
+    /// Longest pause between events that its route allows.
+    pub(crate) pause_max_ms: Option<u64>,
+    /// Why its last second attempt was begun.
+    pub(crate) second_reason: Option<SecondReason>,
     /// When it may next ask for a second attempt.
     pub(crate) next_second_at: TimeMs,
     /// The second attempt that runs beside this one.
@@ -115,6 +119,8 @@
     pub(super) pools: Map<PoolKey, Pool>,
     senders: Senders,
     next_ticket: Ticket,
+    /// When the next stream at a quiet replica must get a second attempt.
+    pub(super) quiet_second_at: Option<TimeMs>,
     /// Requests that the policy has reported as slow since the last tick.
     slow: Vec<Ticket>,
     seed: u64,
@@ -149,6 +155,7 @@
             pools: Map::default(),
             senders: Senders { nodes: 1, rank: 0 },
             next_ticket: Ticket::default(),
+            quiet_second_at: None,
             slow: Vec::new(),
             seed,
             retry_earned_per_arrival,
@@ -175,6 +182,8 @@
             may_repeat: request.may_repeat(),
             may_delegate: false,
             is_retry_paid: false,
+            pause_max_ms: request.route.pause_max_ms,
+            second_reason: None,
             next_second_at: now,
             second: None,
             first: None,
@@ -231,6 +240,7 @@
     pub(crate) fn set_destinations(&mut self, now: TimeMs, destinations: Arc<[Destination]>) {
         if !Arc::ptr_eq(&self.destinations, &destinations) {
             self.destinations = destinations;
+            self.retain_passes();
             self.refresh_targets(now);
         }
     }
@@ -314,7 +324,7 @@
             self.execute(&key, out);
         }
         let slow = std::mem::take(&mut self.slow);
-        self.start_seconds(now, slow);
+        self.start_seconds(now, slow, SecondReason::Slow);
         stalled
     }
 
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_clock::BootClock;
@@ -16,6 +16,7 @@
 use crate::adapter::{Adapter, ReportedLoad};
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
+use crate::traffic::quiet_check::QuietCheck;
 use crate::traffic::{
     CallerRequest, DestinationName, ReadBuffers, SharedConfirmation, SharedNotices, TrafficReport,
     TrafficUpdate,
@@ -149,8 +150,10 @@
 
     /// Processes timers that are due until the process ends.
     pub(crate) async fn run_timers(self: Rc<Self>) {
+        let mut quiet_check = QuietCheck::new();
         loop {
-            smol::Timer::after(TICK_INTERVAL).await;
+            let tick_at = Instant::now() + TICK_INTERVAL;
+            self.check_quiet_until(&mut quiet_check, tick_at).await;
             self.apply_notices();
             self.follow_links();
             let unknown = self.link_check.links.unknown_services();
@@ -238,14 +241,8 @@
     pub(crate) fn started(&self, ticket: Ticket, is_stream: bool) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        if let Some(active) = state.active_requests.get_mut(&ticket)
-            && is_stream
-            && active.streaming_since.is_none()
-            && let Some(name) = &active.destination
-        {
-            active.streaming_since = Some(now);
-            state.stall_detector.stream_started(now, name);
+        if is_stream {
+            state.stream_started(now, ticket);
         }
         state.notify_pool(ticket, |pool, out| pool.started(now, ticket, out));
     }
@@ -279,7 +276,13 @@
     /// Records that a stream of the destination has produced an event.
     pub(crate) fn progressed(&self, name: &DestinationName) {
         let now = self.now();
-        self.state.borrow_mut().stall_detector.event_received(now, name);
+        self.state.borrow_mut().progressed(now, name);
+    }
+
+    /// Records that a second attempt beside one at a quiet replica was not needed.
+    pub(crate) fn record_vain(&self, ticket: Ticket) {
+        let now = self.now();
+        self.state.borrow_mut().record_vain(now, ticket);
     }
 
     /// Records the load that a target has reported.
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -133,6 +133,7 @@
             self.exchange.splitter.drop_pending();
             return AttemptOutcome::Failed(Verdict::MayHaveRun);
         }
+        self.exchange.dispatcher.progressed(&self.destination.name);
         self.exchange.cancel_second();
         self.send_head(&mut parts).await;
         self.exchange.sink.finish().await;
--- a/crates/gateway/src/traffic/isolated.rs
+++ b/crates/gateway/src/traffic/isolated.rs
@@ -68,6 +68,7 @@
     ///
     /// Ends of targets stay: each has been settled by more than this node's links.
     pub(crate) fn forget_failures(&mut self, now: TimeMs) {
+        self.clear_quiet(now);
         self.stall_detector.clear_suspicions(now);
         self.refresh_targets(now);
     }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -17,6 +17,8 @@
 mod notices;
 mod pool;
 mod quarantine_gate;
+mod quiet_check;
+mod quiet_replicas;
 mod read_buffers;
 mod running_second;
 mod second_attempts;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -3,8 +3,8 @@
 
 use celeryhaven_fleet::{EngineProfile, ModelProfile};
 use celeryhaven_policy::{
-    Decision, FairPolicy, FairSettings, PolicyEvent, RequestPolicy, Sharing, TargetKey, TargetLoad,
-    TargetProfile, TargetSubset, Ticket,
+    Decision, FairPolicy, FairSettings, PassProfile, PolicyEvent, RequestPolicy, Sharing,
+    TargetKey, TargetLoad, TargetProfile, TargetSubset, Ticket,
 };
 use celeryhaven_types::{Map, RequestClass, RequestHead, TimeMs, Verdict, VmName};
 
@@ -26,6 +26,9 @@
 /// Initial estimate of the time to the first token, in decode steps.
 const INITIAL_FIRST_TOKEN_STEPS: f64 = 4.0;
 
+/// Maximum number of prompt tokens that an engine prefills in one step.
+const PREFILL_STEP_TOKENS: f64 = 2_048.0;
+
 /// Assumed age of a load report that came with an answer, in milliseconds.
 const REPORTED_LOAD_AGE_MS: u64 = 1;
 
@@ -55,6 +58,8 @@
     senders: u32,
     /// Tokens that one event of a stream holds.
     pub(crate) tokens_per_event: u32,
+    /// Times of the passes of its replicas; `None` if they are not known.
+    pub(crate) pass_profile: Option<PassProfile>,
     /// Estimated times of a request, used for the offered load.
     request_times: RequestTimes,
     output: OutputFraction,
@@ -146,6 +151,7 @@
             backing_off: BTreeSet::new(),
             senders: 1,
             tokens_per_event,
+            pass_profile: engine.and_then(pass_profile),
             request_times,
             output: OutputFraction::default(),
             offered_slot_ms: 0.0,
@@ -371,6 +377,19 @@
         self.policy.handle(now, event, out);
     }
 
+    /// Keeps new requests off a destination while its streams have paused.
+    pub(crate) fn set_quiet(
+        &mut self,
+        now: TimeMs,
+        name: &DestinationName,
+        is_quiet: bool,
+        out: &mut Vec<Decision>,
+    ) {
+        if let Some(&target) = self.target_keys.get(name) {
+            self.policy.handle(now, PolicyEvent::Quiet { target, is_quiet }, out);
+        }
+    }
+
     /// Handles a failed attempt; a further one follows the choice key.
     pub(crate) fn attempt_failed(
         &mut self,
@@ -421,3 +440,12 @@
         self.policy.queued()
     }
 }
+
+/// Returns the times of the passes of a model's replicas; `None` if the profile does not hold them.
+fn pass_profile((engine, model): (&EngineProfile, &ModelProfile)) -> Option<PassProfile> {
+    let pass_ms = |batch| engine.token_ms(model, batch) * f64::from(engine.tokens_per_event);
+    let prefill_ms = PREFILL_STEP_TOKENS * model.time_factor / engine.prefill_tokens_per_ms;
+    let full_ms = pass_ms(f64::from(engine.slots));
+    let is_known = full_ms.is_finite() && full_ms > 0.0 && prefill_ms.is_finite();
+    is_known.then_some(PassProfile { full_ms, idle_ms: pass_ms(1.0), prefill_ms })
+}
--- a/crates/gateway/src/traffic/running_second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -2,7 +2,7 @@
 use bytes::Bytes;
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::Ticket;
-use celeryhaven_telemetry::metrics::OutcomeLabel;
+use celeryhaven_telemetry::metrics::ReasonLabel;
 use celeryhaven_types::{TimeMs, Verdict};
 use slog::info;
 use smol::Task;
@@ -11,7 +11,7 @@
 use crate::traffic::attempt::AttemptOutcome;
 use crate::traffic::dispatch_state::{Instruction, instruction_channel};
 use crate::traffic::exchange::{Exchange, Interrupt};
-use crate::traffic::second_attempts::SecondAttempt;
+use crate::traffic::second_attempts::{SecondAttempt, SecondReason};
 use crate::traffic::sink::Chunk;
 use crate::traffic::{AnswerParts, Destination, answer_sink};
 
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct RunningSecond {
     ticket: Ticket,
+    reason: SecondReason,
     head: Receiver<AnswerParts>,
     chunks: Receiver<Chunk>,
     /// The head, once it has been received.
@@ -47,12 +48,12 @@
 impl<A: Adapter> Exchange<A> {
     /// Begins a second attempt, unless the request must not be sent again.
     pub(crate) fn start_second(&self, second: SecondAttempt) {
-        let SecondAttempt { ticket, destination, instructions } = second;
+        let SecondAttempt { ticket, destination, reason, instructions } = second;
         if self.is_trial || self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
             return self.dispatcher.abandoned(ticket);
         }
-        self.log_second(destination.target.as_str());
-        self.spawn_second(ticket, instructions, async move |exchange| {
+        self.log_second(destination.target.as_str(), reason);
+        self.spawn_second((ticket, reason), instructions, async move |exchange| {
             exchange.run_attempts(&destination).await
         });
     }
@@ -62,10 +63,11 @@
         if self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
             return;
         }
-        self.log_second("peer");
+        self.log_second("peer", SecondReason::Isolated);
         // The policy does not know what peers run.
         let (_, instructions) = instruction_channel();
-        self.spawn_second(self.dispatcher.reserve_ticket(), instructions, async |exchange| {
+        let ticket = self.dispatcher.reserve_ticket();
+        self.spawn_second((ticket, SecondReason::Isolated), instructions, async |exchange| {
             let outcome = exchange.attempt_at_peers().await;
             if let Some(AttemptOutcome::PeerRefused(refusal, _)) = outcome {
                 exchange.reached += refusal.attempts;
@@ -74,19 +76,19 @@
         });
     }
 
-    fn count_second(&self, outcome: &'static str) {
-        let label = OutcomeLabel { call: "request", outcome };
+    fn count_second(&self, reason: SecondReason, outcome: &'static str) {
+        let label = ReasonLabel { reason: reason.as_str(), outcome };
         self.dispatcher.metrics.second_attempts.get_or_create(&label).inc();
     }
 
-    fn log_second(&self, target: &str) {
+    fn log_second(&self, target: &str, reason: SecondReason) {
         info!(self.dispatcher.log, "second attempt begins"; "request_id" => self.request.id(),
-            "attempt" => self.attempts + 1, "target" => target);
+            "attempt" => self.attempts + 1, "target" => target, "why" => reason.as_str());
     }
 
     fn spawn_second(
         &self,
-        ticket: Ticket,
+        (ticket, reason): (Ticket, SecondReason),
         instructions: Receiver<Instruction>,
         run: impl AsyncFnOnce(&mut Self) -> AttemptOutcome + 'static,
     ) {
@@ -103,7 +105,7 @@
             let outcome = run(&mut exchange).await;
             exchange.end_second(outcome)
         });
-        let running = RunningSecond { ticket, head, chunks, received_head: None, task };
+        let running = RunningSecond { ticket, reason, head, chunks, received_head: None, task };
         self.second.replace(Some(running));
     }
 
@@ -126,7 +128,7 @@
                 let second = self.second.take();
                 if let Some(second) = second {
                     let ended = second.task.await;
-                    self.count_second("failed");
+                    self.count_second(second.reason, "failed");
                     let verdict = ended.outcome.verdict();
                     self.dispatcher.partner_failed(ended.ticket, &self.request, verdict);
                     self.ended_seconds.borrow_mut().push(ended);
@@ -139,9 +141,12 @@
     /// Stops the second attempt, as the first has produced the next event.
     pub(crate) fn cancel_second(&self) {
         if let Some(second) = self.second.take() {
-            self.count_second("not needed");
+            self.count_second(second.reason, "not needed");
             info!(self.dispatcher.log, "second attempt not needed";
-                "request_id" => self.request.id());
+                "request_id" => self.request.id(), "why" => second.reason.as_str());
+            if second.reason == SecondReason::Quiet {
+                self.dispatcher.record_vain(self.ticket);
+            }
             drop(second);
         }
     }
@@ -203,9 +208,9 @@
 
     /// Forwards the answer of the second attempt; returns how that has ended.
     async fn continue_as(&mut self, second: RunningSecond) -> AttemptOutcome {
-        let RunningSecond { ticket, head, chunks, received_head, task } = second;
+        let RunningSecond { ticket, reason, head, chunks, received_head, task } = second;
         self.ticket = ticket;
-        self.count_second("took over");
+        self.count_second(reason, "took over");
         let head = match received_head {
             Some(parts) => Some(parts),
             None => head.recv().await.ok(),
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -5,7 +5,7 @@
 use prometheus_client::registry::Unit;
 
 use crate::metrics::buckets::latency_histogram;
-use crate::metrics::{OutcomeLabel, ProcessMetrics, StoreCallLabel};
+use crate::metrics::{OutcomeLabel, ProcessMetrics, ReasonLabel, StoreCallLabel};
 
 /// Metrics of a gateway process.
 #[derive(Clone, Debug)]
@@ -40,8 +40,10 @@
     pub isolated: Gauge,
     /// Requests that were delegated to other nodes, by outcome.
     pub delegated: Family<OutcomeLabel, Counter>,
-    /// Second attempts beside those whose targets were silent or slow, by outcome.
-    pub second_attempts: Family<OutcomeLabel, Counter>,
+    /// Second attempts beside those whose targets were silent or slow, by reason and outcome.
+    pub second_attempts: Family<ReasonLabel, Counter>,
+    /// Times that a replica was found quiet.
+    pub quiet_replicas: Counter,
     /// Requests that still run in evacuated data centres.
     pub evacuating_requests: Gauge,
     /// Calls to the platform's store, by kind of object and call.
@@ -67,7 +69,8 @@
         let targets_backing_off = Gauge::default();
         let loads_granted = Counter::default();
         let (isolated, delegated) = (Gauge::default(), Family::default());
-        let second_attempts: Family<OutcomeLabel, Counter> = Family::default();
+        let second_attempts: Family<ReasonLabel, Counter> = Family::default();
+        let quiet_replicas = Counter::default();
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -132,9 +135,14 @@
             );
             registry.register(
                 "second_attempts",
-                "Second attempts beside those whose targets were silent or slow, by outcome",
+                "Second attempts beside those whose targets were silent or slow, by reason and outcome",
                 second_attempts.clone(),
             );
+            registry.register(
+                "quiet_replicas",
+                "Times that the streams of a replica had paused for longer than a pass can take",
+                quiet_replicas.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -155,6 +163,7 @@
             isolated,
             delegated,
             second_attempts,
+            quiet_replicas,
             store_calls,
         }
     }
--- a/crates/telemetry/src/metrics/labels.rs
+++ b/crates/telemetry/src/metrics/labels.rs
@@ -34,6 +34,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of what has a reason and an outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The reason.
+    pub reason: &'static str,
+    /// The outcome.
+    pub outcome: &'static str,
+}
+
 /// Labels of calls to the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabel {
--- a/crates/telemetry/src/metrics/mod.rs
+++ b/crates/telemetry/src/metrics/mod.rs
@@ -10,6 +10,8 @@
 pub use controller::ControllerMetrics;
 pub use entry::EntryMetrics;
 pub use gateway::GatewayMetrics;
-pub use labels::{DeploymentLabel, DirectionLabel, OutcomeLabel, RequestLabels, StoreCallLabel};
+pub use labels::{
+    DeploymentLabel, DirectionLabel, OutcomeLabel, ReasonLabel, RequestLabels, StoreCallLabel,
+};
 pub use process::ProcessMetrics;
 pub use prometheus_client::metrics::gauge::Gauge;
--- a/crates/telemetry/tests/metrics_page.rs
+++ b/crates/telemetry/tests/metrics_page.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use celeryhaven_telemetry::metrics::{
-    DeploymentLabel, DirectionLabel, OutcomeLabel, RequestLabels, StoreCallLabel,
+    DeploymentLabel, DirectionLabel, OutcomeLabel, ReasonLabel, RequestLabels, StoreCallLabel,
 };
 use celeryhaven_telemetry::{ControllerMetrics, EntryMetrics, GatewayMetrics};
 
@@ -58,7 +58,8 @@
     metrics.record_request("answered", 1);
     metrics.orders.get_or_create(&outcome()).inc();
     metrics.delegated.get_or_create(&outcome()).inc();
-    metrics.second_attempts.get_or_create(&outcome()).inc();
+    let label = ReasonLabel { reason: "quiet", outcome: "not needed" };
+    metrics.second_attempts.get_or_create(&label).inc();
     let label = StoreCallLabel { kind: "nodes", call: "list" };
     metrics.store_calls.get_or_create(&label).inc();
     metrics
