--- a/crates/gateway/src/traffic/quiet_replicas.rs
+++ b/crates/gateway/src/traffic/quiet_replicas.rs
@@ -6,6 +6,9 @@
 use crate::traffic::second_attempts::SecondReason;
 use crate::traffic::{DestinationName, DispatchState};
 
+/// Time after which a second attempt that could not be begun is tried again, in milliseconds.
+const AGAIN_MS: u64 = 25;
+
 /// Streams of replicas that have paused and whose routes bound pauses.
 impl DispatchState {
     /// Records the first event of a stream.
@@ -87,12 +90,19 @@
             }
         }
         due.sort_unstable();
+        let (due_count, begun_before) = (due.len(), begun);
         for (_, ticket) in due {
             if begun >= quiet_seconds_max(running) {
-                return;
+                break;
             }
             begun += self.start_seconds(now, vec![ticket], SecondReason::Quiet);
         }
+        // Those that were not begun may be once another has ended, or a target is free.
+        if begun - begun_before < due_count {
+            let again_at = now.after(AGAIN_MS);
+            self.quiet_second_at =
+                Some(self.quiet_second_at.map_or(again_at, |at| at.min(again_at)));
+        }
     }
 
     /// Records that the first attempt of a request has given the next event while a second one ran.
--- a/crates/policy/src/stall/stall_detector.rs
+++ b/crates/policy/src/stall/stall_detector.rs
@@ -204,8 +204,12 @@
         }
     }
 
-    /// Records that a peer has found a replica quiet, whose shorter silence here then counts too.
+    /// Records that a peer has found a replica quiet at `now`, whose shorter silence here then counts
+    /// too, unless it has had an event since.
     pub fn record_told(&mut self, now: TimeMs, name: &K) {
+        if self.replicas.get(name).is_some_and(|streams| streams.last_event_at > now) {
+            return;
+        }
         if let Some(passes) = self.passes.get_mut(name) {
             passes.set_told_until(Some(now.after(TOLD_MS)));
         }
