--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -34,6 +34,7 @@
 use crate::control::feed::{Feed, Poller, SharedSource};
 use crate::control::feed_conditions::{FeedConditions, FleetScale};
 use crate::control::heartbeats::{NODES_PREFIX, own_record};
+use crate::control::quiet::QuietNotices;
 use crate::control::relay::{RelayState, answer_peer_request};
 use crate::control::suspicions::{RecentSuspicions, Suspicion};
 use crate::control::target_client::TargetClient;
@@ -102,6 +103,7 @@
     source: Rc<SharedSource>,
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
+    pub(super) quiet_notices: QuietNotices,
     pub(super) quarantine: Quarantine,
     pub(super) advisories_listed: bool,
     pub(super) evacuations_listed: bool,
@@ -153,6 +155,7 @@
             source: Rc::default(),
             relay,
             recent_suspicions: RecentSuspicions::default(),
+            quiet_notices: QuietNotices::default(),
             quarantine: Quarantine::new(),
             advisories_listed: false,
             evacuations_listed: false,
@@ -270,6 +273,10 @@
                 self.investigate(now, suspicion);
                 Changes::FORMING
             }
+            ControlEvent::QuietNoticed(notice) => {
+                self.hear_quiet(now, notice);
+                Changes::NONE
+            }
             ControlEvent::StoreCallFailed => {
                 self.record_cut_off(now);
                 Changes::nodes(true)
@@ -408,6 +415,7 @@
             TrafficReport::Suspected(replica) => {
                 self.handle_suspicion(now, Suspicion::Stalled(replica));
             }
+            TrafficReport::Quiet(replicas) => self.tell_quiet(now, replicas),
             TrafficReport::LossReported(target) => {
                 self.handle_suspicion(now, Suspicion::LossReported(target));
             }
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -14,6 +14,7 @@
 use crate::control::counted_store::StoreCallKind;
 use crate::control::directory::StoredDirectory;
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
+use crate::control::quiet::QuietNotice;
 use crate::control::suspicions::Suspicion;
 use crate::traffic::TrafficReport;
 
@@ -122,6 +123,8 @@
     Probed { node: NodeName, probe: ProbeResult },
     /// Suspicion reported by another node.
     Suspicion(Suspicion),
+    /// Another node has found replicas quiet.
+    QuietNoticed(QuietNotice),
     /// This node has lost its links to the targets of a service, or has them back.
     LinksChanged,
     /// A store call was rejected or not answered.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod node_discovery;
 mod publish;
 mod quarantine;
+mod quiet;
 mod relay;
 mod shared_records;
 mod suspicions;
--- a/crates/gateway/src/control/publish.rs
+++ b/crates/gateway/src/control/publish.rs
@@ -45,6 +45,7 @@
             evacuations: self.fleet.evacuations().clone(),
             limits: self.node_limits.clone(),
             held: self.ends.held.clone(),
+            quiet_at_peers: self.quiet_notices.heard.clone(),
             standings: self.advisories_listed.then(|| self.standings.clone()),
         };
         if !self.published.as_ref().is_some_and(|last| last.is_same_as(&update)) {
--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
+use crate::control::quiet::QuietNotice;
 use crate::control::relay::codec::{decode, encode};
 use crate::control::relay::messages::{DemandReport, RelayReply};
 use crate::control::relay::peer_address::PeerAddress;
@@ -27,6 +28,9 @@
 pub(super) const ENDS_PATH: &str = "/v1/ends";
 pub(super) const CRASHES_PATH: &str = "/v1/crashes";
 
+/// Path for replicas whose streams have paused.
+pub(super) const QUIET_PATH: &str = "/v1/quiet";
+
 /// How long a peer may take to find out about ends, beyond the slack of any answer, in milliseconds.
 const FIND_MS: u64 = 200;
 
@@ -78,6 +82,16 @@
     decode(&call_peer(connections, peer, CRASHES_PATH, body.into(), 0).await?)
 }
 
+/// Tells a peer of replicas whose streams have paused, without retries.
+pub(crate) async fn send_quiet(
+    connections: &ConnectionPool,
+    peer: &PeerAddress,
+    notice: &QuietNotice,
+) {
+    let Some(body) = encode(notice) else { return };
+    call_peer(connections, peer, QUIET_PATH, body.into(), 0).await.unwrap_or_default();
+}
+
 /// Sends a request to a node that may wait up to `wait_ms` before it answers.
 async fn call_peer(
     connections: &ConnectionPool,
--- a/crates/gateway/src/control/relay/peer_server.rs
+++ b/crates/gateway/src/control/relay/peer_server.rs
@@ -7,8 +7,9 @@
 
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
 use crate::control::event::ControlEvent;
+use crate::control::quiet::QuietNotice;
 use crate::control::relay::codec::{decode, encode};
-use crate::control::relay::peer_client::{CRASHES_PATH, ENDS_PATH, SUSPICION_PATH};
+use crate::control::relay::peer_client::{CRASHES_PATH, ENDS_PATH, QUIET_PATH, SUSPICION_PATH};
 use crate::control::relay::relay_request::RelayRequest;
 use crate::control::relay::relay_state::RelayState;
 use crate::control::suspicions::Suspicion;
@@ -33,6 +34,12 @@
         events.send(ControlEvent::Suspicion(suspicion)).await.unwrap_or_default();
         return empty_response(StatusCode::OK);
     }
+    if request.uri().path() == QUIET_PATH {
+        let notice = read_body::<QuietNotice>(request).await.filter(QuietNotice::is_valid);
+        let Some(notice) = notice else { return empty_response(StatusCode::BAD_REQUEST) };
+        events.send(ControlEvent::QuietNoticed(notice)).await.unwrap_or_default();
+        return empty_response(StatusCode::OK);
+    }
     match request.uri().path() {
         ENDS_PATH => {
             let event = ControlEvent::EndsAsked;
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryhaven_delegation::PeerSet;
-use celeryhaven_fleet::{Evacuations, RouteTable};
+use celeryhaven_fleet::{Evacuations, ReplicaKey, RouteTable};
 use celeryhaven_policy::{Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket};
 use celeryhaven_quarantine::{CauseDigest, Hold, PendingCrashes, SoundRuns, Standing, Standings};
 use celeryhaven_types::{
@@ -119,6 +119,8 @@
     pub(super) pools: Map<PoolKey, Pool>,
     senders: Senders,
     next_ticket: Ticket,
+    /// Replicas that peers have found quiet, as last set.
+    pub(super) quiet_at_peers: Arc<BTreeMap<ReplicaKey, TimeMs>>,
     /// When the next stream at a quiet replica must get a second attempt.
     pub(super) quiet_second_at: Option<TimeMs>,
     /// Requests that the policy has reported as slow since the last tick.
@@ -155,6 +157,7 @@
             pools: Map::default(),
             senders: Senders { nodes: 1, rank: 0 },
             next_ticket: Ticket::default(),
+            quiet_at_peers: Arc::default(),
             quiet_second_at: None,
             slow: Vec::new(),
             seed,
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -140,6 +140,7 @@
                 state.evacuations = update.evacuations;
                 self.is_clear.set(false);
             }
+            state.set_quiet_at_peers(&update.quiet_at_peers);
             state.peers.set_peers(update.peers);
             state.set_senders(now, update.senders);
             // A target that comes up must not receive the queue before its limit is known.
--- a/crates/gateway/src/traffic/quiet_check.rs
+++ b/crates/gateway/src/traffic/quiet_check.rs
@@ -6,7 +6,7 @@
 use smol::Timer;
 
 use crate::adapter::Adapter;
-use crate::traffic::{DestinationName, Dispatcher};
+use crate::traffic::{DestinationName, Dispatcher, TrafficReport};
 
 /// Shortest time between two checks, in milliseconds.
 const CHECK_INTERVAL_MIN_MS: u64 = 2;
@@ -63,6 +63,16 @@
             self.metrics.quiet_replicas.inc();
             self.log_quiet(now, check, replica);
         }
+        // What a peer has told is not passed on.
+        let own = found.into_iter().filter(|replica| !replica.is_told);
+        let own = own.filter_map(|replica| match replica.name {
+            DestinationName::Replica(key) => Some(key),
+            _ => None,
+        });
+        let own: Vec<_> = own.collect();
+        if !own.is_empty() {
+            self.notify_control(TrafficReport::Quiet(own));
+        }
     }
 
     fn log_quiet(
--- a/crates/gateway/src/traffic/quiet_replicas.rs
+++ b/crates/gateway/src/traffic/quiet_replicas.rs
@@ -1,5 +1,7 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
+use celeryhaven_fleet::ReplicaKey;
 use celeryhaven_policy::{QuietReplica, Ticket, quiet_seconds_max};
 use celeryhaven_types::{ServiceName, Set, TimeMs};
 
@@ -105,6 +107,20 @@
         }
     }
 
+    /// Sets the replicas that peers have found quiet; those that are new count at shorter silences.
+    pub(crate) fn set_quiet_at_peers(&mut self, replicas: &Arc<BTreeMap<ReplicaKey, TimeMs>>) {
+        if Arc::ptr_eq(&self.quiet_at_peers, replicas) {
+            return;
+        }
+        let before = std::mem::replace(&mut self.quiet_at_peers, replicas.clone());
+        for (replica, &at) in replicas.iter() {
+            if before.get(replica) != Some(&at) {
+                let name = DestinationName::Replica(replica.clone());
+                self.stall_detector.record_told(at, &name);
+            }
+        }
+    }
+
     /// Records that the first attempt of a request has given the next event while a second one ran.
     pub(crate) fn record_vain(&mut self, now: TimeMs, ticket: Ticket) {
         let active = self.active_requests.get(&ticket);
--- a/crates/gateway/src/traffic/update.rs
+++ b/crates/gateway/src/traffic/update.rs
@@ -127,6 +127,8 @@
     pub(crate) standings: Option<Arc<Standings>>,
     /// Contents that are held, as they may have ended targets.
     pub(crate) held: Arc<BTreeMap<CauseDigest, Hold>>,
+    /// Replicas that peers have found quiet, and when this node heard of it.
+    pub(crate) quiet_at_peers: Arc<BTreeMap<ReplicaKey, TimeMs>>,
 }
 
 impl TrafficUpdate {
@@ -151,6 +153,7 @@
             && standings
             && Arc::ptr_eq(&self.limits, &other.limits)
             && Arc::ptr_eq(&self.held, &other.held)
+            && Arc::ptr_eq(&self.quiet_at_peers, &other.quiet_at_peers)
     }
 }
 
@@ -185,6 +188,8 @@
     FirstRequest,
     /// All streams of a replica have stalled, or no connection to its head could be made.
     Suspected(ReplicaKey),
+    /// Replicas that this node has found quiet.
+    Quiet(Vec<ReplicaKey>),
     /// A target was reported as lost, or no connection to it could be made.
     LossReported(VmName),
     /// Load that callers have offered since the last report.
