--- a/crates/gateway/src/traffic/quiet_replicas.rs
+++ b/crates/gateway/src/traffic/quiet_replicas.rs
@@ -9,7 +9,7 @@
 use crate::traffic::{DestinationName, DispatchState};
 
 /// Time after which a second attempt that could not be begun is tried again, in milliseconds.
-const AGAIN_MS: u64 = 25;
+const AGAIN_MS: u64 = 10;
 
 /// Streams of replicas that have paused and whose routes bound pauses.
 impl DispatchState {
