--- a/crates/gateway/src/traffic/quiet_check.rs
+++ b/crates/gateway/src/traffic/quiet_check.rs
@@ -9,7 +9,7 @@
 use crate::traffic::{DestinationName, Dispatcher, TrafficReport};
 
 /// Shortest time between two checks, in milliseconds.
-const CHECK_INTERVAL_MIN_MS: u64 = 2;
+const CHECK_INTERVAL_MIN_MS: u64 = 5;
 
 /// Delay of a check after which this node counts as having paused, in milliseconds: events of replicas
 /// may wait to be read.
