review: case 1, a refusal that comes a second time makes a request run twice

The gateway reads the not-run mark of an answer before it compares the id, so that a late extra refusal of an earlier request counts as the answer to another one. A request that isn't idempotent then runs at a second server, or is refused though it runs.

--- /dev/null
+++ b/review/standins/cases/mod.rs
@@ -0,0 +1,1 @@
+pub mod late_refusal;
