review: case 3, requests that are taken more than 3 s after SIGTERM are cut

A gateway takes requests for 3 s from when it has noticed SIGTERM, which is up to 50 ms late, and exits 7.7 s after the signal. What it takes in that excess and lasts longer is cut.

--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -1,6 +1,6 @@
 //! The project's gateway, as a process of its own.
 
-use std::fs::{self, File, OpenOptions};
+use std::fs::{self, OpenOptions};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -16,7 +16,7 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub lookup: SocketAddr,
-    pub log: PathBuf,
+    folder: PathBuf,
 }
 
 /// Returns free addresses of a machine, which has an IP address of its own: outgoing connections, which
@@ -50,19 +50,31 @@
              log_level: info\n"
         );
         fs::write(&settings, text).unwrap();
-        let log = folder.join(format!("{name}.log"));
-        let output = File::create(&log).unwrap();
-        let child = Command::new("target/release/celeryhaven-platform")
-            .arg("--settings")
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stderr(output.try_clone().unwrap())
-            .stdout(output)
-            .spawn()
-            .expect("the gateway of the deploy file must be built");
-        let pids = OpenOptions::new().create(true).append(true).open(folder.join("pids"));
-        writeln!(pids.unwrap(), "{}", child.id()).unwrap();
-        Self { name: name.to_owned(), child, callers, ready, lookup, log }
+        let child = spawn(folder, name);
+        Self { name: name.to_owned(), child, callers, ready, lookup, folder: folder.to_owned() }
+    }
+
+    /// Starts the program again, at the same addresses, after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.folder, &self.name);
+    }
+
+    /// Waits until the process has ended; kills it after `time`, as the platform does.
+    pub fn wait_end(&mut self, time: Duration) {
+        let deadline = Instant::now() + time;
+        while matches!(self.child.try_wait(), Ok(None)) {
+            if Instant::now() > deadline {
+                self.child.kill().ok();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Returns the resident memory of the process, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) * 1024
     }
 
     pub fn is_ready(&self) -> bool {
@@ -74,6 +86,21 @@
     }
 }
 
+fn spawn(folder: &Path, name: &str) -> Child {
+    let open = |file: &str| OpenOptions::new().create(true).append(true).open(folder.join(file)).unwrap();
+    let output = open(&format!("{name}.log"));
+    let child = Command::new("target/release/celeryhaven-platform")
+        .arg("--settings")
+        .arg(folder.join(format!("{name}.yaml")))
+        .stdin(Stdio::null())
+        .stderr(output.try_clone().unwrap())
+        .stdout(output)
+        .spawn()
+        .expect("the gateway of the deploy file must be built");
+    writeln!(open("pids"), "{}", child.id()).unwrap();
+    child
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.child.kill().ok();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -27,6 +27,8 @@
     };
     let code = match case.as_str() {
         "late-refusal" => cases::late_refusal::run(&folder, &PathBuf::from(record), trouble),
+        "long-prompts" => cases::long_prompts::run(&folder, &PathBuf::from(record), trouble),
+        "late-accept" => cases::late_accept::run(&folder, &PathBuf::from(record), trouble),
         _ => 2,
     };
     ExitCode::from(code)
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{BufWriter, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
@@ -12,6 +13,8 @@
 pub enum Event {
     /// A client has sent a request to a gateway.
     Sent { id: String, gateway: usize, kind: &'static str },
+    /// A client has begun to send a request on a channel of its own.
+    SentTo { id: String, address: SocketAddr },
     /// A client has its final answer; `None` stands for a closed channel.
     Got { id: String, status: Option<u16>, note: String },
     /// A server has begun to work on a request.
@@ -20,6 +23,8 @@
     Refused { id: String, server: String },
     /// A server has answered.
     Answered { id: String, server: String, status: u16 },
+    /// A gateway has got SIGTERM.
+    Terminated { address: SocketAddr },
     /// Anything else.
     Note { text: String },
 }
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -1,6 +1,7 @@
 //! A server of a plain service.
 
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -41,6 +42,14 @@
     format!("{id}:").repeat(800 / (id.len() + 1))
 }
 
+/// Events of a stream.
+pub const EVENTS: u32 = 26;
+
+/// Returns an event of a stream.
+pub fn event_of(id: &str, number: u32) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
+
 pub fn seal_of(id: &str) -> String {
     format!("seal-{id}")
 }
@@ -139,7 +148,34 @@
             "{} sends its refusal of {earlier} a second time, where the answer of {id} is expected",
             self.id
         ));
-        std::io::Write::write_all(stream, &self.refusal(&earlier)).ok();
+        stream.write_all(&self.refusal(&earlier)).ok();
+    }
+
+    /// Answers with a stream of events; returns whether the channel stays open.
+    fn stream(&self, stream: &mut TcpStream, id: String) -> bool {
+        let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+        self.headers(&id).iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
+        head.push_str(&format!("X-Celeryhaven-Response-Seal: {}\r\n\r\n", seal_of(&id)));
+        let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+        for number in 1..=EVENTS {
+            thread::sleep(self.work / EVENTS);
+            let event = event_of(&id, number);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            is_open = is_open && stream.write_all(chunk.as_bytes()).is_ok();
+            if !is_open {
+                break;
+            }
+        }
+        is_open = is_open && stream.write_all(b"0\r\n\r\n").is_ok();
+        self.end_run();
+        let status = if is_open { 200 } else { 0 };
+        self.record.add(Event::Answered { id, server: self.id.clone(), status });
+        is_open
+    }
+
+    fn end_run(&self) {
+        self.load.0.lock().unwrap().0 -= 1;
+        self.load.1.notify_all();
     }
 
     /// Answers a request; returns whether the channel stays open.
@@ -155,14 +191,16 @@
         if !self.take_slot(Duration::from_millis(budget_ms.unwrap_or(1_500))) {
             self.record.add(Event::Refused { id: id.clone(), server: self.id.clone() });
             self.answers.fetch_add(1, Ordering::Relaxed);
-            let written = std::io::Write::write_all(stream, &self.refusal(&id)).is_ok();
+            let written = stream.write_all(&self.refusal(&id)).is_ok();
             self.refusals.lock().unwrap().push_back((Instant::now(), id));
             return written;
         }
         self.record.add(Event::Began { id: id.clone(), server: self.id.clone() });
+        if request.target().starts_with("/stream/") {
+            return self.stream(stream, id);
+        }
         thread::sleep(self.work);
-        self.load.0.lock().unwrap().0 -= 1;
-        self.load.1.notify_all();
+        self.end_run();
         let mut headers = self.headers(&id);
         headers.push(("X-Celeryhaven-Response-Seal", seal_of(&id)));
         self.answers.fetch_add(1, Ordering::Relaxed);
--- a/review/standins/wire.rs
+++ b/review/standins/wire.rs
@@ -43,7 +43,7 @@
 }
 
 fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
-    let mut bytes = [0; 16 * 1024];
+    let mut bytes = [0; 64 * 1024];
     match stream.read(&mut bytes) {
         Ok(0) | Err(_) => false,
         Ok(length) => {
