gateway: request bodies are bounded by the memory of the process

Cause: one body was bounded by max_body_bytes, their sum by nothing, and the process did not know its memory. Nothing in logs or metrics told of it.

Change: a crate body-budget decides without I/O which bodies are read, wait or are refused: in the order of rank and arrival, with claims that lapse for slow callers, room kept for short bodies, slow callers refused when others need their room, and deadlocks of half-read bodies resolved. Long bodies are held once, in mappings that return to the system, until no attempt can need them; the room is free when the last reference drops. Key, route and length are checked before the body is read, and a refusal is answered at once while the rest of the body is read and discarded.

--- a/crates/gateway/src/control/relay/peer_client.rs
+++ b/crates/gateway/src/control/relay/peer_client.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryhaven_http::ConnectionPool;
+use celeryhaven_http::{ConnectionPool, RequestBody};
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use smol::Timer;
 
 use crate::control::ends::{EndAnswer, EndQuestion, SeenCrashes};
@@ -86,7 +86,7 @@
     body: Bytes,
     wait_ms: u64,
 ) -> Option<Bytes> {
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(RequestBody::from(body));
     *request.uri_mut() = path.parse().ok()?;
     let token = HeaderValue::from_str(&format!("Bearer {}", peer.token)).ok()?;
     request.headers_mut().insert(AUTHORIZATION, token);
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -6,13 +6,13 @@
 use celeryhaven_ends::Finding;
 use celeryhaven_fleet::{OrderOutcome, TargetEntry, TargetOrder};
 use celeryhaven_forming::Reachability;
-use celeryhaven_http::{Connection, ConnectionError, ConnectionPool};
+use celeryhaven_http::{Connection, ConnectionError, ConnectionPool, RequestBody};
 use celeryhaven_peers::ProbeResult;
 use celeryhaven_types::{ServiceName, VmName};
 use http::header::{CONTENT_TYPE, HOST};
 use http::response::Parts;
 use http::{HeaderValue, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use smol::Timer;
 
 use crate::adapter::Adapter;
@@ -81,7 +81,7 @@
         order: &TargetOrder,
     ) -> OrderOutcome {
         let call = self.adapter.order(order);
-        let mut request = Request::new(Full::new(Bytes::from(call.body)));
+        let mut request = Request::new(RequestBody::from(Bytes::from(call.body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(call.path);
         let headers = request.headers_mut();
@@ -117,7 +117,7 @@
         let Some(Ok(connection)) = within(PROBE_CONNECT_TIMEOUT, connect).await else {
             return self.confirm_unreachable(target).await;
         };
-        let mut request = Request::new(Full::default());
+        let mut request = Request::new(RequestBody::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().report);
         let open = async { Ok((connection, true)) };
         let answer = self.exchange(target.address, open, request, PROBE_TIMEOUT).await;
@@ -181,7 +181,7 @@
 
     /// Probes the readiness endpoint of a node.
     pub(crate) async fn probe_node(&self, address: SocketAddr) -> ProbeResult {
-        let mut request = Request::new(Full::default());
+        let mut request = Request::new(RequestBody::default());
         *request.uri_mut() = http::Uri::from_static(self.adapter.paths().ready);
         let open = self.connections.take(address);
         match self.exchange(address, open, request, PROBE_TIMEOUT).await {
@@ -199,7 +199,7 @@
     async fn call_target(
         &self,
         target: &CalledTarget,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
         timeout: Duration,
     ) -> Option<Result<Parts, ConnectionError>> {
         let open = self.connections.take(target.address);
@@ -225,7 +225,7 @@
         &self,
         address: SocketAddr,
         open: impl Future<Output = Result<(Connection, bool), ConnectionError>>,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<RequestBody>,
         timeout: Duration,
     ) -> Option<Result<Parts, ConnectionError>> {
         if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -1,17 +1,21 @@
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use celeryhaven_delegation::DelegationRefusal;
+use celeryhaven_body_budget::BodyHead;
+use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal};
+use celeryhaven_fleet::{Route, RouteTable};
 use celeryhaven_quarantine::CauseDigest;
 use celeryhaven_types::{OrganisationName, Refusal, RefusalCode};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Body;
 use hyper::body::Incoming;
 use slog::info;
-use smol::Timer;
 
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, CallerHead};
+use crate::http::request_body::{discard_rest, read_body};
 use crate::http::resolve::{Rejection, Resolved, confirm, read_delegated, resolve, unavailable};
 use crate::http::{refusal_parts, strip_hop_by_hop};
 use crate::traffic::{
@@ -27,18 +31,20 @@
 /// Number of shared parts of a prompt, from its beginning, that can be suspected.
 const SHARED_PARTS_MAX: usize = 8;
 
-/// Time limit for receiving a request body, in milliseconds.
-const BODY_TIMEOUT_MS: u64 = 10_000;
-
 /// Answers a caller request.
 pub(crate) async fn answer_caller<A: Adapter>(
     dispatcher: Rc<Dispatcher<A>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let is_delegated = request.headers().contains_key(DELEGATED_HEADER);
-    let mut response = match read_request(&dispatcher, request).await {
+    let (parts, mut body) = request.into_parts();
+    let mut is_closing = false;
+    let mut response = match read_request(&dispatcher, parts, &mut body).await {
         Ok(request) => serve(dispatcher.clone(), request).await,
         Err(Rejection::Refusal(status, refusal)) => {
+            // Tells a caller that reads the answer early to send no more of the body.
+            is_closing = !body.is_end_stream();
+            discard_rest(&dispatcher, body);
             info!(dispatcher.log, "request rejected"; "status" => status.as_u16(),
                 "code" => format!("{:?}", refusal.code));
             let mut parts = refusal_parts(status, &refusal, None);
@@ -48,7 +54,7 @@
             build_response(parts, AnswerBody::full(Bytes::new()))
         }
     };
-    if dispatcher.state.borrow().leaving_since.is_some() {
+    if is_closing || dispatcher.state.borrow().leaving_since.is_some() {
         // Closing the connection makes the caller use a current address for its next request.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -124,39 +130,72 @@
     response
 }
 
-async fn read_request<A: Adapter>(
+/// Resolves the route of a request, before its body is read and with the configuration that is in
+/// force once it is.
+fn resolve_request<A: Adapter>(
     dispatcher: &Rc<Dispatcher<A>>,
-    request: Request<Incoming>,
-) -> Result<CallerRequest, Rejection> {
-    let arrived_at = dispatcher.now();
-    let (mut parts, body) = request.into_parts();
-    let delegated = read_delegated(dispatcher, &mut parts.headers)?;
-    let caller = dispatcher.adapter.caller_head(&parts.headers);
-    let body = read_body(dispatcher, body).await?;
+    parts: &Parts,
+    caller: &CallerHead,
+    delegated: Option<&DelegatedRequest>,
+) -> Result<(Arc<RouteTable>, Resolved), Rejection> {
     let (routes, leaving_ms) = {
         let state = dispatcher.state.borrow();
         let leaving_ms = state.leaving_since.map(|since| dispatcher.now().since(since));
         (state.routes.clone(), leaving_ms)
     };
     let Some(routes) = routes else { return Err(unavailable()) };
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let resolved = match delegated {
-        Some(delegated) => Resolved::from(delegated),
-        None => resolve(&routes, (host, parts.uri.path()), &caller)
+        Some(delegated) => Resolved::from(delegated.clone()),
+        None => resolve(&routes, (host(parts), parts.uri.path()), caller)
             .map_err(|rejection| confirm(dispatcher, &routes, rejection))?,
     };
     if leaving_ms.is_some_and(|ms| ms > DRAIN_ACCEPT_MS) {
         return Err(unavailable());
     }
+    Ok((routes, resolved))
+}
+
+fn host(parts: &Parts) -> &str {
+    parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
+
+async fn read_request<A: Adapter>(
+    dispatcher: &Rc<Dispatcher<A>>,
+    mut parts: Parts,
+    body: &mut Incoming,
+) -> Result<CallerRequest, Rejection> {
+    let arrived_at = dispatcher.now();
+    let delegated = read_delegated(dispatcher, &mut parts.headers)?;
+    let caller = dispatcher.adapter.caller_head(&parts.headers);
+    let (routes, resolved) = resolve_request(dispatcher, &parts, &caller, delegated.as_ref())?;
+    let budget_ms =
+        |route: &Route| caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let head = BodyHead {
+        rank: resolved.rank,
+        length_bytes: body.size_hint().exact(),
+        deadline: arrived_at.after(budget_ms(&resolved.route)),
+    };
+    let request_id = caller.request_id.as_deref().unwrap_or_default();
+    let body = read_body(dispatcher, body, &head, request_id).await?;
+    let is_changed = {
+        let state = dispatcher.state.borrow();
+        state.leaving_since.is_some()
+            || !state.routes.as_ref().is_some_and(|newest| Arc::ptr_eq(newest, &routes))
+    };
+    let resolved = match is_changed {
+        true => resolve_request(dispatcher, &parts, &caller, delegated.as_ref())?.1,
+        false => resolved,
+    };
     let Resolved { route, service, model, organisation, rank, delegated } = resolved;
     let digest = {
         let organisation = organisation.as_ref().map_or("", OrganisationName::as_str);
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-        CauseDigest::of_request([parts.method.as_str(), host, path, organisation], &body)
+        let head = [parts.method.as_str(), host(&parts), path, organisation];
+        CauseDigest::of_request_in_parts(head, body.parts().map(|part| &part[..]))
     };
     let shared_parts = caller.shared_parts.iter().take(SHARED_PARTS_MAX);
     let shared_parts = shared_parts.map(|id| CauseDigest::of_part(service.as_str(), id)).collect();
-    let budget_ms = caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let deadline = arrived_at.after(budget_ms(&route));
     let (is_governed, is_return) = {
         let mut state = dispatcher.state.borrow_mut();
         let is_governed = state.is_governed(&route, model.as_ref());
@@ -180,11 +219,11 @@
         method: parts.method,
         uri: parts.uri,
         headers,
-        body,
+        body: body.into(),
         digest,
         parts: shared_parts,
         arrived_at,
-        deadline: arrived_at.after(budget_ms),
+        deadline,
         route,
         caller,
         delegated,
@@ -192,30 +231,3 @@
         is_return,
     })
 }
-
-async fn read_body<A: Adapter>(
-    dispatcher: &Rc<Dispatcher<A>>,
-    body: Incoming,
-) -> Result<Bytes, Rejection> {
-    let limit = dispatcher.state.borrow().routes.as_ref().map(|r| r.config().limits.body_bytes_max);
-    let read = async { Some(Limited::new(body, limit.unwrap_or(usize::MAX)).collect().await) };
-    let timeout = async {
-        Timer::after(std::time::Duration::from_millis(BODY_TIMEOUT_MS)).await;
-        None
-    };
-    match smol::future::or(read, timeout).await {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::Refusal(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::not_run(RefusalCode::BodyTooLarge),
-        )),
-        Some(Err(_)) => Err(Rejection::Refusal(
-            StatusCode::BAD_REQUEST,
-            Refusal::not_run(RefusalCode::BadRequest),
-        )),
-        None => Err(Rejection::Refusal(
-            StatusCode::REQUEST_TIMEOUT,
-            Refusal::not_run(RefusalCode::SlowCaller),
-        )),
-    }
-}
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod headers;
 mod refusal;
+mod request_body;
 mod resolve;
 
 pub(crate) use callers::answer_caller;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,12 +9,14 @@
 //! |---|---|
 //! | [`adapter`] | translation between a platform and the gateway |
 //! | [`process`] | startup and shutdown |
+//! | `bodies` | request bodies: room for them, and how they are read and held |
 //! | `control` | the control thread: store feeds, coordination of domains, updates for traffic |
 //! | `traffic` | requests: admission, attempts, streams, cancellation |
 //! | `http` | the listeners |
 //! | `links` | whether this node reaches any target of a service |
 
 pub mod adapter;
+mod bodies;
 mod control;
 mod http;
 mod links;
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -14,6 +14,7 @@
 use snafu::ResultExt;
 
 use crate::adapter::Adapter;
+use crate::bodies::BodyStore;
 use crate::control::{Control, ControlEvent, ControlParts, TargetClient};
 use crate::http::{answer_caller, answer_lookup, answer_metrics, answer_ready};
 use crate::links::{LinkCheck, SharedLinks};
@@ -165,7 +166,8 @@
     let connections = ConnectionPool::new(executor.clone(), TARGET_POOL_SETTINGS);
     let link_check =
         LinkCheck::new(links, executor.clone(), connections, events.clone(), metrics, log.clone());
-    let dispatcher = Dispatcher::new(adapter, link_check, state, reports);
+    let bodies = BodyStore::new(settings.memory_bytes());
+    let dispatcher = Dispatcher::new(adapter, link_check, state, bodies, reports);
     let dispatcher = dispatcher
         .with_notices(notices)
         .with_confirmation(confirmation, settings.config_apply_ms)
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -1,11 +1,10 @@
 use std::time::Duration;
 
-use bytes::Bytes;
 use celeryhaven_delegation::{DelegationRefusal, Peer};
-use celeryhaven_http::{Connection, ConnectionError};
+use celeryhaven_http::{Connection, ConnectionError, RequestBody};
 use celeryhaven_types::{TimeMs, Verdict};
 use http::{HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::info;
 use smol::Timer;
@@ -162,7 +161,9 @@
         if self.is_at_target() && self.exchange.dispatcher.is_withheld(self.destination) {
             return Err(SendError::Ended(AttemptOutcome::Withheld));
         }
-        let request = self.build_request();
+        let Some(request) = self.build_request() else {
+            return Err(SendError::Ended(AttemptOutcome::Failed(Verdict::NotRun)));
+        };
         if self.is_at_target() {
             self.exchange.reached += 1;
             self.exchange.unanswered_at = Some((self.destination.clone(), self.sent_at));
@@ -231,7 +232,8 @@
         }
     }
 
-    fn build_request(&self) -> Request<Full<Bytes>> {
+    /// Builds the request; `None` if its body is no longer held.
+    fn build_request(&self) -> Option<Request<RequestBody>> {
         let caller_request = &self.exchange.request;
         let left_ms = self.exchange.time_left().as_millis() as u64;
         let request_head = TargetRequestHead {
@@ -252,11 +254,11 @@
             let value = message.and_then(|bytes| HeaderValue::from_bytes(&bytes).ok());
             headers.extend(value.map(|value| (DELEGATED_HEADER, value)));
         }
-        let mut request = Request::new(Full::new(caller_request.body.clone()));
+        let mut request = Request::new(caller_request.body.get()?);
         *request.method_mut() = caller_request.method.clone();
         *request.uri_mut() = caller_request.uri.clone();
         *request.headers_mut() = headers;
-        request
+        Some(request)
     }
 
     /// Whether the answer echoes the id of this request.
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -1,5 +1,7 @@
-use bytes::Bytes;
+use std::cell::RefCell;
+
 use celeryhaven_fleet::Route;
+use celeryhaven_http::RequestBody;
 use celeryhaven_quarantine::{CauseDigest, CauseKind};
 use celeryhaven_types::{
     Idempotency, ModelName, OrganisationName, Priority, RequestClass, RequestHead, RequestId,
@@ -33,7 +35,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// Identifies the request across its attempts and nodes.
     pub(crate) digest: CauseDigest,
     /// The parts of the prompt that other requests may share, in order.
@@ -48,6 +50,33 @@
     pub(crate) is_return: bool,
 }
 
+/// The body of a request, for as long as a further attempt may need it.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldBody(RefCell<Option<RequestBody>>);
+
+impl HeldBody {
+    /// Returns the body; `None` if it has been released.
+    pub(crate) fn get(&self) -> Option<RequestBody> {
+        self.0.borrow().clone()
+    }
+
+    /// Whether the body can be sent again.
+    pub(crate) fn is_held(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
+    /// Releases the body; a connection that still sends it keeps what it needs.
+    pub(crate) fn release(&self) {
+        self.0.take();
+    }
+}
+
+impl From<RequestBody> for HeldBody {
+    fn from(body: RequestBody) -> Self {
+        Self(RefCell::new(Some(body)))
+    }
+}
+
 impl CallerRequest {
     /// Returns what may end the targets that run the request: its content and the parts of its prompt.
     pub(crate) fn causes(&self) -> impl Iterator<Item = (CauseDigest, CauseKind)> {
--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -42,6 +42,7 @@
     pub(crate) fn may_delegate(&self) -> bool {
         self.request.delegated.is_none()
             && !self.is_trial
+            && self.request.body.is_held()
             && self.reached < self.request.route.attempts_max
     }
 
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -14,6 +14,7 @@
 use smol::LocalExecutor;
 
 use crate::adapter::{Adapter, ReportedLoad};
+use crate::bodies::BodyStore;
 use crate::links::LinkCheck;
 use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
 use crate::traffic::{
@@ -27,6 +28,9 @@
 /// Ticks between two reports of offered load.
 const TICKS_PER_LOAD_REPORT: u32 = 20;
 
+/// Ticks between two looks at the memory of the process.
+const TICKS_PER_MEMORY_LOOK: u32 = 10;
+
 /// State that all exchanges of the process share, owned by the traffic thread.
 pub(crate) struct Dispatcher<A> {
     pub(crate) adapter: A,
@@ -43,6 +47,8 @@
     pub(crate) log: Logger,
     /// Bytes of answers that all requests hold back.
     pub(crate) read_buffers: ReadBuffers,
+    /// Bodies of callers' requests.
+    pub(crate) bodies: BodyStore,
     reports: Sender<TrafficReport>,
     first_request_seen: Cell<bool>,
     ticks: Cell<u32>,
@@ -62,6 +68,7 @@
         adapter: A,
         link_check: LinkCheck,
         state: DispatchState,
+        bodies: BodyStore,
         reports: Sender<TrafficReport>,
     ) -> Self {
         let LinkCheck { executor, connections, metrics, log, .. } = link_check.clone();
@@ -79,6 +86,7 @@
             metrics,
             log,
             read_buffers: ReadBuffers::default(),
+            bodies,
             reports,
             first_request_seen,
             ticks,
@@ -122,6 +130,9 @@
             }
             let now = self.now();
             let mut state = self.state.borrow_mut();
+            if let Some(routes) = &update.routes {
+                self.bodies.set_body_max(routes.config().limits.body_bytes_max as u64);
+            }
             state.routes = update.routes;
             state.addresses = update.addresses;
             state.ready = update.ready;
@@ -160,12 +171,25 @@
                 self.suspect_replica(&name, "streams stand still");
             }
             self.metrics.queued.set(self.state.borrow().queued() as i64);
+            self.follow_bodies();
             self.report_evacuating();
             self.report_offered_load();
             self.report_crashes();
         }
     }
 
+    /// Decides on bodies that wait, and adapts the room for bodies.
+    fn follow_bodies(&self) {
+        if self.ticks.get().is_multiple_of(TICKS_PER_MEMORY_LOOK) {
+            self.bodies.measure();
+        }
+        self.bodies.poll();
+        let (used_bytes, limit_bytes, waiting) = self.bodies.usage();
+        self.metrics.body_bytes.set(used_bytes as i64);
+        self.metrics.body_bytes_max.set(limit_bytes as i64);
+        self.metrics.bodies_waiting.set(waiting as i64);
+    }
+
     /// Starts the checks of links that are due, and applies what they have found.
     fn follow_links(&self) {
         self.link_check.start_due();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -331,7 +331,7 @@
         let may_repeat = self.request.may_repeat() && !self.is_trial;
         let denial = if !may_repeat && self.may_have_run {
             RetryDenial::MayHaveRun
-        } else if self.attempts >= self.request.route.attempts_max {
+        } else if self.attempts >= self.request.route.attempts_max || !self.request.body.is_held() {
             RetryDenial::NoAttemptLeft
         } else {
             self.wait_for_reports(verdict).await;
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -39,6 +39,7 @@
         response: Response<Incoming>,
         head: AnswerHead,
     ) -> AttemptOutcome {
+        self.release_body();
         let (parts, body) = response.into_parts();
         let mut headers = parts.headers;
         let is_framed =
@@ -64,6 +65,20 @@
         outcome
     }
 
+    /// Releases the body of the request if no other attempt can follow this one.
+    fn release_body(&self) {
+        let Exchange { request, attempts, reached, is_trial, is_second, second, .. } =
+            &*self.exchange;
+        let attempts_max = request.route.attempts_max;
+        let is_last = !request.may_repeat()
+            || *is_trial
+            || !self.is_at_target()
+            || (*attempts >= attempts_max && *reached >= attempts_max);
+        if is_last && !is_second && second.borrow().is_none() {
+            request.body.release();
+        }
+    }
+
     /// Forwards complete events as they arrive.
     async fn forward_events(
         &mut self,
--- a/crates/gateway/src/traffic/running_second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -48,7 +48,8 @@
     /// Begins a second attempt, unless the request must not be sent again.
     pub(crate) fn start_second(&self, second: SecondAttempt) {
         let SecondAttempt { ticket, destination, instructions } = second;
-        if self.is_trial || self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
+        let is_possible = !self.is_trial && self.request.body.is_held();
+        if !is_possible || self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
             return self.dispatcher.abandoned(ticket);
         }
         self.log_second(destination.target.as_str());
@@ -59,7 +60,8 @@
 
     /// Lets a peer run the request beside the attempt that runs.
     pub(crate) fn start_second_at_peer(&self) {
-        if self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
+        let is_possible = self.request.body.is_held() && self.second.borrow().is_none();
+        if !is_possible || self.quarantine_refusal().is_some() {
             return;
         }
         self.log_second("peer");
--- a/crates/http/src/client/connection.rs
+++ b/crates/http/src/client/connection.rs
@@ -2,16 +2,14 @@
 use std::time::Duration;
 
 use async_io::Async;
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use smol::{LocalExecutor, Task, Timer};
 use snafu::ResultExt;
 
-use crate::client::ConnectionError;
 use crate::client::error::{ConnectSnafu, ExchangeFailedSnafu};
+use crate::client::{ConnectionError, RequestBody};
 use crate::socket::{SmolIo, set_tcp_options};
 
 /// Longest head of an answer, and most bytes that a connection reads ahead.
@@ -22,7 +20,7 @@
 /// Dropping it closes the connection at once, which cancels a running request at the target.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     _driver: Task<()>,
 }
 
@@ -64,7 +62,7 @@
     /// [`ConnectionError::ExchangeFailed`] if the request may have been sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, ConnectionError> {
         self.sender.try_send_request(request).await.map_err(|mut unsent| {
             match unsent.take_message() {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod server;
 pub mod socket;
 
-pub use client::{Connection, ConnectionError, ConnectionPool, PoolSettings};
+pub use client::{Connection, ConnectionError, ConnectionPool, PoolSettings, RequestBody};
 pub use events::EventSplitter;
 pub use server::{Listener, ServerLimits, StopSignal};
 pub use socket::{SmolIo, SmolTimer};
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -17,7 +17,7 @@
 use smol::{LocalExecutor, Timer};
 
 use crate::server::{ServerLimits, StopSignal};
-use crate::socket::{SmolIo, SmolTimer, set_tcp_options};
+use crate::socket::{SmolIo, SmolTimer, bound_receive_buffers, set_tcp_options};
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -44,6 +44,8 @@
     /// Returns an error if the address cannot be bound.
     pub fn bind(address: SocketAddr, limits: Rc<Cell<ServerLimits>>) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(address)?;
+        // Without the bound, requests are still served.
+        bound_receive_buffers(listener.get_ref()).unwrap_or_default();
         Ok(Self { listener, limits, open: Rc::default() })
     }
 
--- a/crates/http/src/socket/mod.rs
+++ b/crates/http/src/socket/mod.rs
@@ -4,6 +4,6 @@
 mod smol_io;
 mod smol_timer;
 
-pub use options::set_tcp_options;
+pub use options::{bound_receive_buffers, set_tcp_options};
 pub use smol_io::SmolIo;
 pub use smol_timer::SmolTimer;
--- a/crates/http/src/socket/options.rs
+++ b/crates/http/src/socket/options.rs
@@ -1,9 +1,23 @@
 use std::io;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
 
+/// Size of the receive buffer of a caller's socket, in bytes; the kernel allows twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Bounds what the kernel holds of the requests of each connection that the listener accepts.
+///
+/// Without a bound it grows to megabytes for a body that waits to be read.
+///
+/// # Errors
+///
+/// Returns an error if the kernel rejects the option.
+pub fn bound_receive_buffers(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+}
+
 /// Sets the options that close a connection whose peer is unreachable, and `TCP_NODELAY`.
 ///
 /// Without them the kernel retransmits for minutes. The user timeout covers unacknowledged bytes;
--- a/crates/quarantine/src/cause_digest.rs
+++ b/crates/quarantine/src/cause_digest.rs
@@ -34,23 +34,35 @@
     /// Computes the digest of a request from the parts of its head and its body.
     ///
     /// The parts are separated, so that moving text from one to the next changes the digest.
-    pub fn of_request<'a>(head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+    pub fn of_request<'a>(head: impl IntoIterator<Item = &'a str>, body: &'a [u8]) -> Self {
+        Self::of_request_in_parts(head, [body])
+    }
+
+    /// Computes the digest of a request whose body is held in parts, which do not change it.
+    pub fn of_request_in_parts<'a>(
+        head: impl IntoIterator<Item = &'a str>,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         Self::of("request", head, body)
     }
 
     /// Computes the digest of a part of the prompts that a service gets.
     pub fn of_part(service: &str, id: &str) -> Self {
-        Self::of("part", [service, id], &[])
+        Self::of("part", [service, id], [])
     }
 
-    fn of<'a>(kind: &str, head: impl IntoIterator<Item = &'a str>, body: &[u8]) -> Self {
+    fn of<'a>(
+        kind: &str,
+        head: impl IntoIterator<Item = &'a str>,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         let mut hasher = Sha256::new();
         hasher.update(kind);
         for part in head {
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
-        hasher.update(body);
+        body.into_iter().for_each(|part| hasher.update(part));
         let mut digest = [0; DIGEST_BYTES];
         digest.copy_from_slice(&hasher.finalize()[..DIGEST_BYTES]);
         Self(digest)
--- a/crates/settings/src/process/gateway.rs
+++ b/crates/settings/src/process/gateway.rs
@@ -46,6 +46,8 @@
         watch_wait_ms: u64 = Kind::number(100, 30_000, 2_500);
         /// Number of cores that this process may use; may be a fraction.
         cores: f64 = Kind::decimal(0.01, 1_024.0, 1.0);
+        /// Memory that this process may use.
+        memory_mb: u64 = Kind::number(64, 1_000_000, 160);
         /// Whether requests for engines that can begin in time come before late ones and returns.
         overload_control: bool = Kind::switch();
         /// Whether a node's share of pooled slots follows the demand of its callers.
@@ -61,6 +63,11 @@
         Duration::from_secs_f64(self.load_window_s).as_millis() as u64
     }
 
+    /// Returns the memory that this process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb * 1_000_000
+    }
+
     /// Returns the time from the stop signal until the process is killed.
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s)
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -58,6 +58,14 @@
     pub slot_share_permille: Family<ModelLabel, Gauge>,
     /// Age of the known demand of the fleet, in milliseconds.
     pub demand_age_ms: Gauge,
+    /// Bytes that request bodies use, with what is kept free for those that are read.
+    pub body_bytes: Gauge,
+    /// Most bytes that request bodies may use.
+    pub body_bytes_max: Gauge,
+    /// Request bodies that wait for room.
+    pub bodies_waiting: Gauge,
+    /// Request bodies that were refused for want of room, by reason.
+    pub bodies_refused: Family<OutcomeLabel, Counter>,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -89,6 +97,9 @@
         let (evacuations, evacuating_requests) = (Gauge::default(), Gauge::default());
         let slot_share_permille: Family<ModelLabel, Gauge> = Family::default();
         let demand_age_ms = Gauge::default();
+        let (body_bytes, body_bytes_max, bodies_waiting) =
+            (Gauge::default(), Gauge::default(), Gauge::default());
+        let bodies_refused: Family<OutcomeLabel, Counter> = Family::default();
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
             registry.register_with_unit(
@@ -185,6 +196,22 @@
                 "Age of the known demand of the fleet",
                 demand_age_ms.clone(),
             );
+            registry.register("body_bytes", "Bytes of request bodies", body_bytes.clone());
+            registry.register(
+                "body_bytes_max",
+                "Most bytes that request bodies may use",
+                body_bytes_max.clone(),
+            );
+            registry.register(
+                "bodies_waiting",
+                "Request bodies that wait for room",
+                bodies_waiting.clone(),
+            );
+            registry.register(
+                "bodies_refused",
+                "Request bodies that were refused for want of room, by reason",
+                bodies_refused.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -211,6 +238,10 @@
             returns,
             slot_share_permille,
             demand_age_ms,
+            body_bytes,
+            body_bytes_max,
+            bodies_waiting,
+            bodies_refused,
             store_calls,
         }
     }
