delegation: a peer without room for a long body is not avoided for others

Cause: a node without targets takes the refusal of a peer that has no room for a long body for a sign that the peer is isolated as well, and sends it nothing for 500 ms, short requests included.

--- a/crates/body-budget/src/body.rs
+++ b/crates/body-budget/src/body.rs
@@ -3,7 +3,7 @@
 use slotmap::new_key_type;
 
 /// Longest body that counts as short, in bytes.
-pub(crate) const SHORT_BYTES_MAX: u64 = 64 * 1024;
+pub const SHORT_BYTES_MAX: u64 = 64 * 1024;
 
 /// Bytes that a caller must send within [`CLAIM_MS`] to keep its claim, and within
 /// [`SLOW_CALLER_MS`] not to be refused when others need the room.
--- a/crates/body-budget/src/lib.rs
+++ b/crates/body-budget/src/lib.rs
@@ -24,7 +24,7 @@
 mod return_times;
 mod waiting;
 
-pub use body::{BodyHead, BodyKey};
+pub use body::{BodyHead, BodyKey, SHORT_BYTES_MAX};
 pub use body_budget::BodyBudget;
 pub use decision::{BodyRefusal, Decision, RefusalReason};
 pub use memory_shares::MemoryShares;
--- a/crates/gateway/src/bodies/body_reader.rs
+++ b/crates/gateway/src/bodies/body_reader.rs
@@ -2,7 +2,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
-use celeryhaven_body_budget::{BodyKey, Decision};
+use celeryhaven_body_budget::{BodyKey, Decision, SHORT_BYTES_MAX};
 use celeryhaven_http::RequestBody;
 use memmap2::MmapMut;
 
@@ -12,7 +12,7 @@
 /// Longest body that is held in memory of the allocator, in bytes.
 ///
 /// The allocator does not return all of the memory of long bodies, as other allocations lie between.
-const ALLOCATED_BYTES_MAX: usize = 64 * 1024;
+const ALLOCATED_BYTES_MAX: usize = SHORT_BYTES_MAX as usize;
 
 /// Size of a mapping that holds a part of a long body, in bytes.
 const MAPPING_BYTES: usize = 256 * 1024;
--- a/crates/gateway/src/traffic/caller_request.rs
+++ b/crates/gateway/src/traffic/caller_request.rs
@@ -1,5 +1,6 @@
 use std::cell::RefCell;
 
+use celeryhaven_body_budget::SHORT_BYTES_MAX;
 use celeryhaven_fleet::Route;
 use celeryhaven_http::RequestBody;
 use celeryhaven_quarantine::{CauseDigest, CauseKind};
@@ -60,6 +61,11 @@
         self.0.borrow().clone()
     }
 
+    /// Whether a node may refuse the body for want of room while it has room for others.
+    pub(crate) fn is_long(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|body| body.len_bytes() > SHORT_BYTES_MAX)
+    }
+
     /// Whether the body can be sent again.
     pub(crate) fn is_held(&self) -> bool {
         self.0.borrow().is_some()
--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -70,7 +70,10 @@
             self.dispatcher.count_delegation(outcome);
             match outcome {
                 AttemptOutcome::PeerRefused(refusal, _) if refusal.is_local => {
-                    self.dispatcher.avoid_peer(&peer.node, &self.request);
+                    // That a peer has no room for a long body says nothing of other requests.
+                    if !self.request.body.is_long() {
+                        self.dispatcher.avoid_peer(&peer.node, &self.request);
+                    }
                 }
                 // The peer was not reached.
                 AttemptOutcome::Failed(Verdict::NotRun) => {
