traffic: what callers leave unread of their answers is bounded together

Cause: the same as of request bodies, a bound on each and none on all: eight chunks of an answer are kept for each caller, and each pins the buffer that it was read into.

Change: chunks that callers have not taken are counted over all answers. A metric tells the count.

--- a/crates/gateway/src/bodies/body_store.rs
+++ b/crates/gateway/src/bodies/body_store.rs
@@ -42,6 +42,11 @@
         (reader, decision)
     }
 
+    /// Returns the shares of the memory.
+    pub(crate) fn shares(&self) -> MemoryShares {
+        self.lock().shares
+    }
+
     /// Sets the longest body that callers may send.
     pub(crate) fn set_body_max(&self, body_bytes_max: u64) {
         self.lock().budget.set_body_max(body_bytes_max);
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -69,7 +69,7 @@
     if let Admission::Refused(refusal) = admission {
         return refuse_unsent(&dispatcher, &request, &refusal);
     }
-    let (sink, parts, chunks) = answer_sink();
+    let (sink, parts, chunks) = answer_sink(&dispatcher.unread_answers);
     let exchange = Exchange::new(dispatcher.clone(), request, sink);
     let exchange = if admission == Admission::Trial { exchange.with_trial() } else { exchange };
     let task = dispatcher.executor.spawn(exchange.run());
--- a/crates/gateway/src/traffic/body.rs
+++ b/crates/gateway/src/traffic/body.rs
@@ -1,13 +1,12 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use async_channel::Receiver;
 use bytes::Bytes;
-use futures_lite::Stream;
 use http_body::{Body, Frame, SizeHint};
 use smol::Task;
 use snafu::Snafu;
 
+use crate::traffic::AnswerChunks;
 use crate::traffic::sink::Chunk;
 
 /// The answer ended before it was complete; its connection is closed without an end mark.
@@ -23,7 +22,7 @@
     /// A body that arrives in chunks.
     Chunked {
         /// The source of the chunks.
-        chunks: Pin<Box<Receiver<Chunk>>>,
+        chunks: AnswerChunks,
         /// Whether the last chunk has been received.
         ended: bool,
         /// The task that runs the exchange.
@@ -38,8 +37,8 @@
     }
 
     /// Creates a body from the chunks that an exchange sends.
-    pub(crate) fn chunked(chunks: Receiver<Chunk>, exchange: Task<()>) -> Self {
-        Self::Chunked { chunks: Box::pin(chunks), ended: false, exchange: Some(exchange) }
+    pub(crate) fn chunked(chunks: AnswerChunks, exchange: Task<()>) -> Self {
+        Self::Chunked { chunks, ended: false, exchange: Some(exchange) }
     }
 }
 
@@ -57,8 +56,8 @@
             ),
             Self::Chunked { ended: true, .. } => Poll::Ready(None),
             Self::Chunked { chunks, ended, exchange } => {
-                match ready!(chunks.as_mut().poll_next(cx)) {
-                    Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                match ready!(chunks.poll_next(cx)) {
+                    Some(Chunk::Data(chunk)) => Poll::Ready(Some(Ok(Frame::data(chunk.take())))),
                     Some(Chunk::End) => {
                         *ended = true;
                         // The exchange has only to record its completion, which cancelling it would
--- a/crates/gateway/src/traffic/dispatcher.rs
+++ b/crates/gateway/src/traffic/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::traffic::dispatch_state::{DispatchState, Instruction, instruction_channel};
 use crate::traffic::{
     CallerRequest, DestinationName, ReadBuffers, SharedConfirmation, SharedNotices, TrafficReport,
-    TrafficUpdate,
+    TrafficUpdate, UnreadAnswers,
 };
 
 /// Interval between two checks of queues and stalled replicas.
@@ -47,6 +47,8 @@
     pub(crate) log: Logger,
     /// Bytes of answers that all requests hold back.
     pub(crate) read_buffers: ReadBuffers,
+    /// Bytes of answers that callers have not taken.
+    pub(crate) unread_answers: UnreadAnswers,
     /// Bodies of callers' requests.
     pub(crate) bodies: BodyStore,
     reports: Sender<TrafficReport>,
@@ -86,6 +88,7 @@
             metrics,
             log,
             read_buffers: ReadBuffers::default(),
+            unread_answers: UnreadAnswers::new(bodies.shares().unread_answer_bytes()),
             bodies,
             reports,
             first_request_seen,
@@ -188,6 +191,7 @@
         self.metrics.body_bytes.set(used_bytes as i64);
         self.metrics.body_bytes_max.set(limit_bytes as i64);
         self.metrics.bodies_waiting.set(waiting as i64);
+        self.metrics.unread_answer_bytes.set(self.unread_answers.bytes() as i64);
     }
 
     /// Starts the checks of links that are due, and applies what they have found.
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -22,6 +22,7 @@
 mod running_second;
 mod second_attempts;
 mod sink;
+mod unread_answers;
 mod update;
 
 pub(crate) use body::AnswerBody;
@@ -35,7 +36,8 @@
 pub(crate) use notices::{SharedNotices, TargetNotices};
 pub(crate) use quarantine_gate::Admission;
 pub(crate) use read_buffers::ReadBuffers;
-pub(crate) use sink::{AnswerParts, AnswerSink, answer_sink};
+pub(crate) use sink::{AnswerChunks, AnswerParts, AnswerSink, answer_sink};
+pub(crate) use unread_answers::UnreadAnswers;
 pub(crate) use update::{
     CrashReport, Destination, DestinationName, EndQuery, KnownDemand, NamedLimit, OfferedLoad,
     Senders, TrafficReport, TrafficUpdate,
--- a/crates/gateway/src/traffic/running_second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -13,7 +13,7 @@
 use crate::traffic::exchange::{Exchange, Interrupt};
 use crate::traffic::second_attempts::SecondAttempt;
 use crate::traffic::sink::Chunk;
-use crate::traffic::{AnswerParts, Destination, answer_sink};
+use crate::traffic::{AnswerChunks, AnswerParts, Destination, answer_sink};
 
 /// A second attempt that runs beside the first.
 ///
@@ -23,7 +23,7 @@
 pub(crate) struct RunningSecond {
     ticket: Ticket,
     head: Receiver<AnswerParts>,
-    chunks: Receiver<Chunk>,
+    chunks: AnswerChunks,
     /// The head, once it has been received.
     received_head: Option<AnswerParts>,
     task: Task<EndedSecond>,
@@ -92,7 +92,7 @@
         instructions: Receiver<Instruction>,
         run: impl AsyncFnOnce(&mut Self) -> AttemptOutcome + 'static,
     ) {
-        let (sink, head, chunks) = answer_sink();
+        let (sink, head, chunks) = answer_sink(&self.dispatcher.unread_answers);
         let mut splitter = self.splitter.clone();
         splitter.drop_pending();
         let sink = sink.with_resumed(self.sink.is_begun());
@@ -205,7 +205,7 @@
 
     /// Forwards the answer of the second attempt; returns how that has ended.
     async fn continue_as(&mut self, second: RunningSecond) -> AttemptOutcome {
-        let RunningSecond { ticket, head, chunks, received_head, task } = second;
+        let RunningSecond { ticket, head, mut chunks, received_head, task } = second;
         self.ticket = ticket;
         self.count_second("took over");
         let head = match received_head {
@@ -219,11 +219,11 @@
             if !self.sink.head_sent() {
                 self.sink.send_head(parts).await;
             }
-            while let Ok(chunk) = chunks.recv().await {
+            while let Some(chunk) = chunks.next().await {
                 match chunk {
-                    Chunk::Data(bytes) => {
+                    Chunk::Data(chunk) => {
                         self.delivery.record_chunk(self.dispatcher.now());
-                        self.sink.send_chunk(bytes).await;
+                        self.sink.send_chunk(chunk.take()).await;
                     }
                     Chunk::End => self.sink.finish().await,
                 }
--- a/crates/gateway/src/traffic/sink.rs
+++ b/crates/gateway/src/traffic/sink.rs
@@ -1,7 +1,15 @@
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
 use async_channel::{Receiver, Sender, bounded};
 use bytes::Bytes;
+use futures_lite::Stream;
 use http::{HeaderMap, StatusCode};
 
+use crate::traffic::UnreadAnswers;
+use crate::traffic::unread_answers::UnreadChunk;
+
 /// Chunks buffered for a caller that reads slowly; a full buffer stops reading from the target.
 const BUFFERED_CHUNKS_MAX: usize = 8;
 
@@ -15,10 +23,10 @@
 }
 
 /// A step of an answer body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) enum Chunk {
     /// More data.
-    Data(Bytes),
+    Data(UnreadChunk),
     /// The end of a complete body.
     End,
 }
@@ -28,22 +36,51 @@
 pub(crate) struct AnswerSink {
     parts: Sender<AnswerParts>,
     chunks: Sender<Chunk>,
+    /// Yields after a chunk has been taken.
+    taken: Receiver<()>,
+    unread: UnreadAnswers,
     head_sent: bool,
     /// Whether an earlier attempt has sent the head to the caller.
     is_resumed: bool,
 }
 
+/// The receiving side of the body of an answer.
+#[derive(Debug)]
+pub(crate) struct AnswerChunks {
+    chunks: Pin<Box<Receiver<Chunk>>>,
+    taken: Sender<()>,
+}
+
 /// Creates a sink and the receivers of its head and chunks.
-pub(crate) fn answer_sink() -> (AnswerSink, Receiver<AnswerParts>, Receiver<Chunk>) {
+pub(crate) fn answer_sink(
+    unread: &UnreadAnswers,
+) -> (AnswerSink, Receiver<AnswerParts>, AnswerChunks) {
     let (parts, parts_receiver) = bounded(1);
     let (chunks, chunks_receiver) = bounded(BUFFERED_CHUNKS_MAX);
+    let (taken_sender, taken) = bounded(1);
+    let unread = unread.clone();
     (
-        AnswerSink { parts, chunks, head_sent: false, is_resumed: false },
+        AnswerSink { parts, chunks, taken, unread, head_sent: false, is_resumed: false },
         parts_receiver,
-        chunks_receiver,
+        AnswerChunks { chunks: Box::pin(chunks_receiver), taken: taken_sender },
     )
 }
 
+impl AnswerChunks {
+    /// Polls for the next chunk; it is `None` if the sink was dropped.
+    pub(crate) fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
+        let chunk = ready!(self.chunks.as_mut().poll_next(cx));
+        // A full channel has the same meaning.
+        self.taken.try_send(()).unwrap_or_default();
+        Poll::Ready(chunk)
+    }
+
+    /// Returns the next chunk; `None` if the sink was dropped.
+    pub(crate) async fn next(&mut self) -> Option<Chunk> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+}
+
 impl AnswerSink {
     /// Makes this the sink of an attempt beside another that may have sent the head to the caller.
     pub(crate) fn with_resumed(self, is_resumed: bool) -> Self {
@@ -67,8 +104,16 @@
     }
 
     /// Sends a chunk of the body.
+    ///
+    /// While all callers together leave too much unread, each has one chunk at a time.
     pub(crate) async fn send_chunk(&self, bytes: Bytes) {
-        self.chunks.send(Chunk::Data(bytes)).await.unwrap_or_default();
+        while self.unread.is_full() && !self.chunks.is_empty() {
+            if self.taken.recv().await.is_err() {
+                break;
+            }
+        }
+        let chunk = Chunk::Data(self.unread.count(bytes));
+        self.chunks.send(chunk).await.unwrap_or_default();
     }
 
     /// Marks the body as complete; dropping the sink without this truncates the answer.
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -66,6 +66,8 @@
     pub bodies_waiting: Gauge,
     /// Request bodies that were refused for want of room, by reason.
     pub bodies_refused: Family<OutcomeLabel, Counter>,
+    /// Bytes of answers that callers have not taken.
+    pub unread_answer_bytes: Gauge,
     /// Calls to the platform's store, by kind of object and call.
     pub store_calls: Family<StoreCallLabel, Counter>,
 }
@@ -99,6 +101,7 @@
         let demand_age_ms = Gauge::default();
         let (body_bytes, body_bytes_max, bodies_waiting) =
             (Gauge::default(), Gauge::default(), Gauge::default());
+        let unread_answer_bytes = Gauge::default();
         let bodies_refused: Family<OutcomeLabel, Counter> = Family::default();
         let process = ProcessMetrics::new(|registry| {
             registry.register("requests", "Requests that ended, by outcome", requests.clone());
@@ -212,6 +215,11 @@
                 "Request bodies that were refused for want of room, by reason",
                 bodies_refused.clone(),
             );
+            registry.register(
+                "unread_answer_bytes",
+                "Bytes of answers that callers have not taken",
+                unread_answer_bytes.clone(),
+            );
             registry.register("store_calls", "Calls to the platform's store", store_calls.clone());
         });
         Self {
@@ -242,6 +250,7 @@
             body_bytes_max,
             bodies_waiting,
             bodies_refused,
+            unread_answer_bytes,
             store_calls,
         }
     }
