gateway: a stopping node begins only what can end before it does

Cause: new requests were taken for 3 s whatever they were. The time counted from when the process had noticed the signal, up to 50 ms late, and was compared after the body had come.

Change: a crate graceful-stop decides without I/O. A request begins if its deadline lies before the exit, or, up to 2.9 s after the signal, if the longest of the latest answers of its route and length would end. It is asked when the head has come, when the body has, when a target has been chosen and before further attempts; refusals are true (not run) and let a delegating peer try the next one. The time of the signal is the last look that did not see it, so a suspended process does not begin what it can't end. New connections are accepted until the exit, instead of being reset in the queue of a closed listener. A log line names each request that is not begun.

--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -6,7 +6,7 @@
 use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal};
 use celeryhaven_fleet::{Route, RouteTable};
 use celeryhaven_quarantine::CauseDigest;
-use celeryhaven_types::{OrganisationName, Refusal, RefusalCode};
+use celeryhaven_types::{OrganisationName, Refusal, RefusalCode, TimeMs};
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -23,11 +23,6 @@
     add_delegation_refusal, answer_sink,
 };
 
-/// Time after the stop signal during which new requests are accepted, in milliseconds.
-///
-/// A stream that starts later may not finish before the process exits.
-const DRAIN_ACCEPT_MS: u64 = 3_000;
-
 /// Number of shared parts of a prompt, from its beginning, that can be suspected.
 const SHARED_PARTS_MAX: usize = 8;
 
@@ -54,7 +49,7 @@
             build_response(parts, AnswerBody::full(Bytes::new()))
         }
     };
-    if is_closing || dispatcher.state.borrow().leaving_since.is_some() {
+    if is_closing || dispatcher.is_stopping() {
         // Closing the connection makes the caller use a current address for its next request.
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -130,26 +125,29 @@
     response
 }
 
+/// Returns when the caller of a request gives up.
+fn deadline(route: &Route, caller: &CallerHead, arrived_at: TimeMs) -> TimeMs {
+    arrived_at.after(caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms))
+}
+
 /// Resolves the route of a request, before its body is read and with the configuration that is in
 /// force once it is.
 fn resolve_request<A: Adapter>(
     dispatcher: &Rc<Dispatcher<A>>,
     parts: &Parts,
-    caller: &CallerHead,
+    (caller, arrived_at): (&CallerHead, TimeMs),
     delegated: Option<&DelegatedRequest>,
 ) -> Result<(Arc<RouteTable>, Resolved), Rejection> {
-    let (routes, leaving_ms) = {
-        let state = dispatcher.state.borrow();
-        let leaving_ms = state.leaving_since.map(|since| dispatcher.now().since(since));
-        (state.routes.clone(), leaving_ms)
-    };
+    let routes = dispatcher.state.borrow().routes.clone();
     let Some(routes) = routes else { return Err(unavailable()) };
     let resolved = match delegated {
         Some(delegated) => Resolved::from(delegated.clone()),
         None => resolve(&routes, (host(parts), parts.uri.path()), caller)
             .map_err(|rejection| confirm(dispatcher, &routes, rejection))?,
     };
-    if leaving_ms.is_some_and(|ms| ms > DRAIN_ACCEPT_MS) {
+    let times = (dispatcher.now(), deadline(&resolved.route, caller, arrived_at));
+    let request_id = caller.request_id.as_deref().unwrap_or_default();
+    if !dispatcher.may_begin((&resolved.route, caller.output_tokens_max), times, request_id) {
         return Err(unavailable());
     }
     Ok((routes, resolved))
@@ -167,23 +165,22 @@
     let arrived_at = dispatcher.now();
     let delegated = read_delegated(dispatcher, &mut parts.headers)?;
     let caller = dispatcher.adapter.caller_head(&parts.headers);
-    let (routes, resolved) = resolve_request(dispatcher, &parts, &caller, delegated.as_ref())?;
-    let budget_ms =
-        |route: &Route| caller.budget_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let (routes, resolved) =
+        resolve_request(dispatcher, &parts, (&caller, arrived_at), delegated.as_ref())?;
     let head = BodyHead {
         rank: resolved.rank,
         length_bytes: body.size_hint().exact(),
-        deadline: arrived_at.after(budget_ms(&resolved.route)),
+        deadline: deadline(&resolved.route, &caller, arrived_at),
     };
     let request_id = caller.request_id.as_deref().unwrap_or_default();
     let body = read_body(dispatcher, body, &head, request_id).await?;
     let is_changed = {
         let state = dispatcher.state.borrow();
-        state.leaving_since.is_some()
+        state.stopping.is_some()
             || !state.routes.as_ref().is_some_and(|newest| Arc::ptr_eq(newest, &routes))
     };
     let resolved = match is_changed {
-        true => resolve_request(dispatcher, &parts, &caller, delegated.as_ref())?.1,
+        true => resolve_request(dispatcher, &parts, (&caller, arrived_at), delegated.as_ref())?.1,
         false => resolved,
     };
     let Resolved { route, service, model, organisation, rank, delegated } = resolved;
@@ -195,7 +192,7 @@
     };
     let shared_parts = caller.shared_parts.iter().take(SHARED_PARTS_MAX);
     let shared_parts = shared_parts.map(|id| CauseDigest::of_part(service.as_str(), id)).collect();
-    let deadline = arrived_at.after(budget_ms(&route));
+    let deadline = deadline(&route, &caller, arrived_at);
     let (is_governed, is_return) = {
         let mut state = dispatcher.state.borrow_mut();
         let is_governed = state.is_governed(&route, model.as_ref());
--- a/crates/gateway/src/http/endpoints.rs
+++ b/crates/gateway/src/http/endpoints.rs
@@ -24,7 +24,7 @@
     let path_matches = request.uri().path() == dispatcher.adapter.paths().ready;
     let is_isolated = dispatcher.is_isolated_from_engines();
     let state = dispatcher.state.borrow();
-    let status = match (path_matches, state.ready && state.leaving_since.is_none()) {
+    let status = match (path_matches, state.ready && state.stopping.is_none()) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -13,3 +13,4 @@
 };
 pub(crate) use headers::strip_hop_by_hop;
 pub(crate) use refusal::refusal_parts;
+pub(crate) use resolve::NOT_READY_RETRY_AFTER_MS;
--- a/crates/gateway/src/http/resolve.rs
+++ b/crates/gateway/src/http/resolve.rs
@@ -13,7 +13,7 @@
 /// Retry delay suggested while this node does not accept requests, in milliseconds.
 ///
 /// Other nodes accept requests meanwhile.
-const NOT_READY_RETRY_AFTER_MS: u64 = 300;
+pub(crate) const NOT_READY_RETRY_AFTER_MS: u64 = 300;
 
 /// Time that is left for the answer itself when the age of a configuration is judged, in
 /// milliseconds.
--- a/crates/gateway/src/process/gateway_process.rs
+++ b/crates/gateway/src/process/gateway_process.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender, unbounded};
-use celeryhaven_http::{ConnectionPool, Listener, PoolSettings, ServerLimits, StopSignal};
+use celeryhaven_graceful_stop::GracefulStop;
+use celeryhaven_http::{
+    ConnectionCounts, ConnectionPool, Listener, PoolSettings, ServerLimits, StopSignal,
+};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
 use celeryhaven_telemetry::GatewayMetrics;
@@ -47,6 +50,9 @@
 /// Time before the forced end of the process at which it exits even with open connections.
 const EXIT_BEFORE_KILL_MS: u64 = 300;
 
+/// Time without any connection of a caller after which a stopping process exits early.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+
 /// Part of the fleet's retry budget that nodes use, because they cannot see each other's retries.
 const RETRY_SHARE: f64 = 0.7;
 
@@ -175,48 +181,65 @@
     let dispatcher = Rc::new(dispatcher);
     let stop = StopSignal::default();
     let limits = Rc::new(Cell::new(INITIAL_LIMITS));
-    let open = listen(&settings, &dispatcher, &stop, &limits)?;
+    let connections = listen(&settings, &dispatcher, &stop, &limits)?;
     executor.spawn(dispatcher.clone().apply_updates(updates)).detach();
     executor.spawn(dispatcher.clone().run_timers()).detach();
     executor.spawn(forward_reports(report_receiver, events.clone())).detach();
     executor.spawn(update_limits(dispatcher.clone(), limits)).detach();
-    signals.wait_for_stop(|| reload(settings_file, &settings, &log)).await;
-    info!(log, "leaving"; "open_connections" => open.get());
-    dispatcher.state.borrow_mut().leaving_since = Some(dispatcher.now());
+    let asked_at = signals.wait_for_stop(|| reload(settings_file, &settings, &log)).await;
+    let noticed_ms = dispatcher.now().since(asked_at);
+    info!(log, "leaving"; "open_connections" => connections.open(), "noticed_after_ms_max" => noticed_ms);
+    let stop_ms = settings.stop_timeout().as_millis() as u64;
+    let exits_at = asked_at.after(stop_ms.saturating_sub(EXIT_BEFORE_KILL_MS));
+    dispatcher.stop(GracefulStop::new(asked_at, exits_at));
     events.send(ControlEvent::Leave).await.unwrap_or_default();
-    shut_down(&settings, &stop, &open).await;
+    shut_down(&settings, &stop, &connections, noticed_ms).await;
+    info!(log, "exiting"; "open_connections" => connections.open());
     Ok(())
 }
 
 /// Keeps serving while callers use cached address answers, then closes all connections.
-async fn shut_down(settings: &GatewaySettings, stop: &StopSignal, open: &Cell<usize>) {
-    Timer::after(
-        settings.stop_timeout().saturating_sub(Duration::from_millis(CLOSE_BEFORE_KILL_MS)),
-    )
-    .await;
+///
+/// The signal may have been sent up to `noticed_ms` ago. Idle connections are closed as if it had, and
+/// running answers go on as if it had not: nothing is cut before it must be.
+async fn shut_down(
+    settings: &GatewaySettings,
+    stop: &StopSignal,
+    connections: &ConnectionCounts,
+    noticed_ms: u64,
+) {
+    let serve_time =
+        settings.stop_timeout().saturating_sub(Duration::from_millis(CLOSE_BEFORE_KILL_MS));
+    let noticed_time = Duration::from_millis(noticed_ms).min(serve_time);
+    Timer::after(serve_time - noticed_time).await;
     stop.stop();
-    let deadline =
-        Instant::now() + Duration::from_millis(CLOSE_BEFORE_KILL_MS - EXIT_BEFORE_KILL_MS);
-    while open.get() > 0 && Instant::now() < deadline {
+    let deadline = Instant::now()
+        + noticed_time
+        + Duration::from_millis(CLOSE_BEFORE_KILL_MS - EXIT_BEFORE_KILL_MS);
+    let (mut used_at, mut accepted) = (Instant::now(), connections.accepted());
+    while used_at.elapsed() < QUIET_TIME && Instant::now() < deadline {
+        if connections.open() > 0 || connections.accepted() > accepted {
+            (used_at, accepted) = (Instant::now(), connections.accepted());
+        }
         Timer::after(Duration::from_millis(20)).await;
     }
 }
 
-/// Opens the four listeners; returns the number of open caller connections.
+/// Opens the four listeners; returns the counts of caller connections.
 fn listen<A: Adapter>(
     settings: &GatewaySettings,
     dispatcher: &Rc<Dispatcher<A>>,
     stop: &StopSignal,
     limits: &Rc<Cell<ServerLimits>>,
-) -> Result<Rc<Cell<usize>>, ProcessError> {
+) -> Result<Rc<ConnectionCounts>, ProcessError> {
     let executor = dispatcher.executor.clone();
     let bind = |address: SocketAddr| {
         Listener::bind(address, limits.clone()).context(ListenSnafu { address })
     };
-    let callers = bind(settings.caller_listen)?;
+    let callers = bind(settings.caller_listen)?.with_late_connections();
     let (ready, lookup) = (bind(settings.ready_listen)?, bind(settings.lookup_listen)?);
     let metrics = bind(settings.metrics_listen)?;
-    let open = callers.open_connections();
+    let connections = callers.connection_counts();
     let own = dispatcher.clone();
     let serve = callers
         .serve(executor.clone(), stop.clone(), move |request| answer_caller(own.clone(), request));
@@ -234,7 +257,7 @@
     let serve = metrics
         .serve(executor.clone(), stop.clone(), move |request| answer_metrics(own.clone(), request));
     executor.spawn(serve).detach();
-    Ok(open)
+    Ok(connections)
 }
 
 async fn forward_reports(reports: Receiver<TrafficReport>, events: Sender<ControlEvent>) {
--- a/crates/gateway/src/process/signals.rs
+++ b/crates/gateway/src/process/signals.rs
@@ -2,6 +2,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use celeryhaven_clock::BootClock;
+use celeryhaven_graceful_stop::StopWatch;
+use celeryhaven_types::TimeMs;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::flag::register;
 use smol::Timer;
@@ -30,9 +33,16 @@
         Ok(signals)
     }
 
-    /// Waits for a stop signal; calls `reload` for each reload signal.
-    pub(crate) async fn wait_for_stop(&self, reload: impl Fn()) {
-        while !self.stop.load(Ordering::Relaxed) {
+    /// Waits for a stop signal, and returns when it was sent at the earliest; calls `reload` for each
+    /// reload signal.
+    pub(crate) async fn wait_for_stop(&self, reload: impl Fn()) -> TimeMs {
+        let mut watch = StopWatch::new(BootClock.now());
+        loop {
+            // The time comes first: a signal that is sent between the two is not older than it.
+            let now = BootClock.now();
+            if let Some(asked_at) = watch.look(now, self.stop.load(Ordering::Relaxed)) {
+                return asked_at;
+            }
             if self.reload.swap(false, Ordering::Relaxed) {
                 reload();
             }
--- a/crates/gateway/src/traffic/dispatch_state.rs
+++ b/crates/gateway/src/traffic/dispatch_state.rs
@@ -6,6 +6,7 @@
 use celeryhaven_delegation::PeerSet;
 use celeryhaven_demand::FleetDemand;
 use celeryhaven_fleet::{Evacuations, Route, RouteTable};
+use celeryhaven_graceful_stop::{AnswerTimes, GracefulStop};
 use celeryhaven_policy::{
     Decision, RetryDenial, SharedRetryBudget, StallDetector, Ticket, UsualLimit, return_after_ms,
 };
@@ -97,7 +98,10 @@
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) ready: bool,
     pub(crate) cut_off_until: Option<TimeMs>,
-    pub(crate) leaving_since: Option<TimeMs>,
+    /// The stop that the node was told, if any.
+    pub(crate) stopping: Option<GracefulStop>,
+    /// How long complete answers have taken lately.
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) stall_detector: StallDetector<DestinationName>,
     pub(crate) active_requests: Map<Ticket, ActiveRequest>,
     pub(crate) evacuations: Evacuations,
@@ -145,7 +149,8 @@
             addresses: Vec::new(),
             ready: false,
             cut_off_until: None,
-            leaving_since: None,
+            stopping: None,
+            answer_times: AnswerTimes::default(),
             stall_detector: StallDetector::new(),
             active_requests: Map::default(),
             evacuations: Evacuations::default(),
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -171,7 +171,8 @@
                     return self.refuse(refusal).await;
                 }
                 Instruction::Send(destination) => {
-                    if let Some(refusal) = self.quarantine_refusal() {
+                    let refusal = self.quarantine_refusal().or_else(|| self.stop_refusal());
+                    if let Some(refusal) = refusal {
                         self.dispatcher.abandoned(self.ticket);
                         return self.refuse(refusal).await;
                     }
@@ -385,6 +386,9 @@
     pub(crate) fn answered(&mut self) {
         self.dispatcher.completed(self.ticket, self.splitter.event_count(), &self.request);
         self.record_answer();
+        if let Some(sent_at) = self.delivery.sent_at {
+            self.dispatcher.record_answer_time(&self.request, sent_at);
+        }
         self.complete("answered", self.splitter.event_count());
     }
 
@@ -439,10 +443,11 @@
         let request_id = self.request.caller.request_id.as_deref();
         let mut parts = refusal_parts(status, &refusal, request_id);
         if self.request.delegated.is_some() {
-            // Another peer may reach a target if this node could not send the request to any.
+            // Another peer may run the request if this node could not send it to any target.
             let is_isolated = self.dispatcher.link_check.links.is_isolated(&self.request.service);
             let verdict = if self.may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
-            let is_local = verdict == Verdict::NotRun && is_isolated;
+            let is_stopping = self.dispatcher.is_stopping();
+            let is_local = verdict == Verdict::NotRun && (is_isolated || is_stopping);
             let refusal = DelegationRefusal { verdict, attempts: self.reached, is_local };
             add_delegation_refusal(&mut parts, &refusal);
         }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -22,6 +22,7 @@
 mod running_second;
 mod second_attempts;
 mod sink;
+mod stopping;
 mod unread_answers;
 mod update;
 
--- a/crates/gateway/src/traffic/running_second.rs
+++ b/crates/gateway/src/traffic/running_second.rs
@@ -48,8 +48,8 @@
     /// Begins a second attempt, unless the request must not be sent again.
     pub(crate) fn start_second(&self, second: SecondAttempt) {
         let SecondAttempt { ticket, destination, instructions } = second;
-        let is_possible = !self.is_trial && self.request.body.is_held();
-        if !is_possible || self.second.borrow().is_some() || self.quarantine_refusal().is_some() {
+        let is_possible = !self.is_trial && self.may_start_second();
+        if !is_possible {
             return self.dispatcher.abandoned(ticket);
         }
         self.log_second(destination.target.as_str());
@@ -58,10 +58,16 @@
         });
     }
 
+    fn may_start_second(&self) -> bool {
+        self.request.body.is_held()
+            && self.second.borrow().is_none()
+            && self.quarantine_refusal().is_none()
+            && self.stop_refusal().is_none()
+    }
+
     /// Lets a peer run the request beside the attempt that runs.
     pub(crate) fn start_second_at_peer(&self) {
-        let is_possible = self.request.body.is_held() && self.second.borrow().is_none();
-        if !is_possible || self.quarantine_refusal().is_some() {
+        if !self.may_start_second() {
             return;
         }
         self.log_second("peer");
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,5 +17,5 @@
 
 pub use client::{Connection, ConnectionError, ConnectionPool, PoolSettings, RequestBody};
 pub use events::EventSplitter;
-pub use server::{Listener, ServerLimits, StopSignal};
+pub use server::{ConnectionCounts, Listener, ServerLimits, StopSignal};
 pub use socket::{SmolIo, SmolTimer};
--- a/crates/http/src/server/listener.rs
+++ b/crates/http/src/server/listener.rs
@@ -16,7 +16,7 @@
 use hyper::service::service_fn;
 use smol::{LocalExecutor, Timer};
 
-use crate::server::{ServerLimits, StopSignal};
+use crate::server::{ConnectionCounts, ServerLimits, StopSignal};
 use crate::socket::{SmolIo, SmolTimer, bound_receive_buffers, set_tcp_options};
 
 /// Delay after a failed accept, for example when no file descriptor is free.
@@ -33,7 +33,8 @@
 pub struct Listener {
     listener: Async<TcpListener>,
     limits: Rc<Cell<ServerLimits>>,
-    open: Rc<Cell<usize>>,
+    counts: Rc<ConnectionCounts>,
+    accepts_late: bool,
 }
 
 impl Listener {
@@ -46,7 +47,7 @@
         let listener = Async::<TcpListener>::bind(address)?;
         // Without the bound, requests are still served.
         bound_receive_buffers(listener.get_ref()).unwrap_or_default();
-        Ok(Self { listener, limits, open: Rc::default() })
+        Ok(Self { listener, limits, counts: Rc::default(), accepts_late: false })
     }
 
     /// Creates a listener from a socket that is already listening.
@@ -55,7 +56,16 @@
     ///
     /// Returns an error if the socket cannot be made non-blocking.
     pub fn from_socket(socket: TcpListener, limits: Rc<Cell<ServerLimits>>) -> io::Result<Self> {
-        Ok(Self { listener: Async::new(socket)?, limits, open: Rc::default() })
+        let listener = Async::new(socket)?;
+        Ok(Self { listener, limits, counts: Rc::default(), accepts_late: false })
+    }
+
+    /// Accepts connections after the stop signal as well, and leaves open those that have had no request
+    /// yet; the handler must close each with its answer.
+    ///
+    /// Otherwise they are reset, and their callers learn nothing.
+    pub fn with_late_connections(self) -> Self {
+        Self { accepts_late: true, ..self }
     }
 
     /// Returns the local address.
@@ -67,12 +77,12 @@
         self.listener.get_ref().local_addr()
     }
 
-    /// Returns the shared count of open connections.
-    pub fn open_connections(&self) -> Rc<Cell<usize>> {
-        self.open.clone()
+    /// Returns the shared counts of connections.
+    pub fn connection_counts(&self) -> Rc<ConnectionCounts> {
+        self.counts.clone()
     }
 
-    /// Accepts connections until the stop signal.
+    /// Accepts connections until the stop signal, or for ever with late connections.
     ///
     /// Connections that are open at the signal close once their exchange is complete.
     pub async fn serve<H, F, B>(
@@ -85,18 +95,23 @@
         F: Future<Output = Response<B>> + 'static,
         B: Body<Data = Bytes, Error: std::error::Error + Send + Sync> + 'static,
     {
+        let mut is_late = false;
         loop {
             let accepted = smol::future::or(async { Some(self.listener.accept().await) }, async {
-                stop.stopped().await;
+                match is_late {
+                    true => std::future::pending().await,
+                    false => stop.stopped().await,
+                }
                 None
             });
             match accepted.await {
-                None => return,
+                None if !self.accepts_late => return,
+                None => is_late = true,
                 Some(Ok((stream, _))) => {
                     let limits = self.limits.get();
-                    let guard = OpenGuard::new(self.open.clone());
-                    let connection =
-                        serve_connection(stream, limits, stop.clone(), handler.clone());
+                    let guard = ConnectionCounts::accept(&self.counts);
+                    let stop = (stop.clone(), self.accepts_late);
+                    let connection = serve_connection(stream, limits, stop, handler.clone());
                     let serve = async move {
                         connection.await;
                         drop(guard);
@@ -111,26 +126,13 @@
     }
 }
 
-/// Counts a connection as open until it is dropped.
-struct OpenGuard(Rc<Cell<usize>>);
-
-impl OpenGuard {
-    fn new(count: Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
+/// Serves a connection until it is closed, or until the stop signal and its exchange is complete.
+///
+/// With `spares_new`, the signal does not close a connection that has had no request yet.
 async fn serve_connection<H, F, B>(
     stream: Async<TcpStream>,
     limits: ServerLimits,
-    stop: StopSignal,
+    (stop, spares_new): (StopSignal, bool),
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -140,7 +142,10 @@
     // Without the socket options the connection still works, but an unreachable caller keeps it
     // open for longer.
     set_tcp_options(stream.get_ref(), CALLER_TCP_USER_TIMEOUT).unwrap_or_default();
+    let has_request = Rc::new(Cell::new(false));
+    let has_request_now = has_request.clone();
     let service = service_fn(move |request| {
+        has_request_now.set(true);
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -156,7 +161,9 @@
         None
     });
     if completed.await.is_none() {
-        connection.as_mut().graceful_shutdown();
+        if has_request.get() || !spares_new {
+            connection.as_mut().graceful_shutdown();
+        }
         // An error affects only this connection.
         connection.await.unwrap_or_default();
     }
