traffic: an answer of another request says nothing of this one

Cause: the promise "not run", the load, the limit and the notices were taken from any head that came, before its id was compared; orders took any answer for their own.

Change: the adapter decodes whose answer it is (absent, an id, invalid), and nothing of a head is used before that is compared: on attempts, second attempts, resumed streams, at peers and at the node that lets them run a request, and in calls of control, which bear no id. The channel is closed and the request may have run.

--- a/crates/gateway/src/adapter/messages.rs
+++ b/crates/gateway/src/adapter/messages.rs
@@ -3,6 +3,8 @@
 use celeryhaven_derives::state;
 use celeryhaven_types::{ModelName, OrganisationName, VmName};
 
+use crate::adapter::AnswerIdentity;
+
 state! {
     /// Paths of the platform on nodes and targets.
     #[derive(Copy, Eq)]
@@ -68,8 +70,8 @@
     /// Fields of a target's answer head besides the status.
     #[derive(Default)]
     pub struct AnswerHead {
-        /// The echoed request id.
-        pub request_id: Option<String>,
+        /// Which request it says that it belongs to; the rest says nothing of any other request.
+        pub identity: AnswerIdentity,
         /// Whether the target reports that it has not run the request.
         pub not_run: bool,
         /// Load of the target.
--- a/crates/gateway/src/control/target_client.rs
+++ b/crates/gateway/src/control/target_client.rs
@@ -247,6 +247,11 @@
             };
             let (connection, response) = answer.await?;
             let (parts, body) = response.into_parts();
+            // Calls of control bear no id, so that an answer with one belongs to another request.
+            let identity = self.adapter.answer_head(parts.status, &parts.headers).identity;
+            if !identity.is_of(None) {
+                return Err(ConnectionError::OtherAnswer { answered_id: identity.to_string() });
+            }
             self.finish(address, connection, &parts, body).await;
             Ok(parts)
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod traffic;
 
 pub use adapter::{
-    Adapter, AddressAnswer, AnswerHead, CallerHead, LimitHeader, ParseError, Paths, ReportedLoad,
-    TargetCall, TargetRequestHead,
+    Adapter, AddressAnswer, AnswerHead, AnswerIdentity, CallerHead, LimitHeader, ParseError, Paths,
+    ReportedLoad, TargetCall, TargetRequestHead,
 };
 pub use process::{ProcessError, run, run_program};
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -77,6 +77,9 @@
             return self.forward_peer(connection, response, head).await;
         }
         dispatcher.received(self.exchange.ticket, &self.destination.service);
+        if !self.is_own_answer(&head) {
+            return self.reject_answer(&response, &head);
+        }
         if let Some(load) = head.load {
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
         }
@@ -86,19 +89,6 @@
         if head.not_run {
             return self.refused(&response, &head);
         }
-        self.forward_own(connection, response, head).await
-    }
-
-    async fn forward_own(
-        &mut self,
-        connection: Connection,
-        response: Response<Incoming>,
-        head: AnswerHead,
-    ) -> AttemptOutcome {
-        if !self.is_own_answer(&head) {
-            self.log_end("answer of another request", response.status().as_u16());
-            return AttemptOutcome::Failed(Verdict::MayHaveRun);
-        }
         self.forward(connection, response, head).await
     }
 
@@ -110,7 +100,10 @@
         head: AnswerHead,
     ) -> AttemptOutcome {
         let Some(refusal) = delegation_refusal(response.headers()) else {
-            return self.forward_own(connection, response, head).await;
+            if !self.is_own_answer(&head) {
+                return self.reject_answer(&response, &head);
+            }
+            return self.forward(connection, response, head).await;
         };
         let retry_after_ms = head.back_off_ms;
         self.log_end("refused by peer", response.status().as_u16());
@@ -261,14 +254,24 @@
         Some(request)
     }
 
-    /// Whether the answer echoes the id of this request.
-    ///
-    /// A faulty target may answer an earlier request late, in place of this one.
     fn is_own_answer(&self, head: &AnswerHead) -> bool {
-        match &self.exchange.request.caller.request_id {
-            Some(id) => head.request_id.as_ref() == Some(id),
-            None => true,
-        }
+        head.identity.is_of(self.exchange.request.caller.request_id.as_deref())
+    }
+
+    /// Ends the attempt with an answer that belongs to another request.
+    ///
+    /// Nothing in its head says anything of this one, not even that it has not run; the connection is
+    /// closed, as the answer to this one may still come on it.
+    fn reject_answer(&self, response: &Response<Incoming>, head: &AnswerHead) -> AttemptOutcome {
+        info!(self.exchange.dispatcher.log, "attempt ended";
+            "request_id" => self.exchange.request.id(),
+            "target" => self.destination.target.as_str(),
+            "attempt" => self.exchange.attempts,
+            "status" => response.status().as_u16(),
+            "why" => "answer of another request",
+            "answered_id" => head.identity.to_string(),
+        );
+        AttemptOutcome::Failed(Verdict::MayHaveRun)
     }
 
     /// Handles an answer that says that the target has not run the request.
--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -16,7 +16,8 @@
     HeaderName::from_static("celeryhaven-delegated-request");
 
 /// Header of an answer to a delegated request that is not the answer of a target.
-const REFUSAL_HEADER: HeaderName = HeaderName::from_static("celeryhaven-delegation-refusal");
+pub(super) const REFUSAL_HEADER: HeaderName =
+    HeaderName::from_static("celeryhaven-delegation-refusal");
 
 /// Maximum number of peers that one request is delegated to.
 const PEERS_MAX: usize = 3;
--- a/crates/http/src/client/error.rs
+++ b/crates/http/src/client/error.rs
@@ -20,6 +20,12 @@
     /// The connection was closed before anything was sent.
     #[snafu(display("connection already closed; open a new one"))]
     Closed,
+    /// The answer belongs to another request; the request may have been carried out.
+    #[snafu(display("answer of another request ({answered_id}); the connection is closed"))]
+    OtherAnswer {
+        /// What the answer bears in place of an id.
+        answered_id: String,
+    },
     /// The exchange failed after the request may have been sent.
     #[snafu(display("exchange failed after the request may have been sent: {source}"))]
     ExchangeFailed {
@@ -33,7 +39,7 @@
     pub const fn verdict(&self) -> Verdict {
         match self {
             Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::Closed => Verdict::NotRun,
-            Self::ExchangeFailed { .. } => Verdict::MayHaveRun,
+            Self::OtherAnswer { .. } | Self::ExchangeFailed { .. } => Verdict::MayHaveRun,
         }
     }
 }
