delegation: a node learns what a target has told its peer of itself

What is seen: a node without links to targets lets a peer run a request whose answer says that the target leaves. It passes the answer on, records nothing, and sends to that target when its links are back.

Cause: notices are read from answers of targets; an answer that a peer passes on names neither the target nor the start of its process.

Change: the peer adds a header with the target and what it has said of itself (leaving, pause, rate) to answers and refusals of delegated requests; the node records it as its own and removes it.

Pauses and rates on this way have no test.

--- a/crates/delegation/src/lib.rs
+++ b/crates/delegation/src/lib.rs
@@ -19,6 +19,6 @@
 mod peer;
 mod peer_set;
 
-pub use message::{DelegatedRequest, DelegationRefusal};
+pub use message::{DelegatedRequest, DelegationRefusal, TargetNotice};
 pub use peer::Peer;
 pub use peer_set::PeerSet;
--- a/crates/delegation/src/message.rs
+++ b/crates/delegation/src/message.rs
@@ -1,6 +1,6 @@
 use celeryhaven_derives::data;
 use celeryhaven_fleet::Route;
-use celeryhaven_types::{ModelName, OrganisationName, ServiceName, Verdict};
+use celeryhaven_types::{ModelName, OrganisationName, ServiceName, Verdict, VmName};
 
 data! {
     /// What a peer must know of a request besides its own head and body.
@@ -35,6 +35,35 @@
     }
 }
 
+data! {
+    /// What a target has said of itself to the peer that has run a request for another node.
+    #[serde(deny_unknown_fields)]
+    pub struct TargetNotice {
+        /// The target.
+        pub target: VmName,
+        /// Start time of its process, in Unix milliseconds.
+        pub started_at_ms: Option<u64>,
+        /// Whether it is about to shut down.
+        pub is_leaving: bool,
+        /// For how long it asks to be sent no requests, in milliseconds.
+        pub back_off_ms: Option<u64>,
+        /// Requests a second that it takes from all nodes together.
+        pub rate_per_s: Option<f64>,
+    }
+}
+
+impl TargetNotice {
+    /// Encodes the message for a header; returns `None` if that is not possible.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        serde_json::to_vec(self).ok()
+    }
+
+    /// Decodes the message; returns `None` if it is invalid.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        serde_json::from_slice(bytes).ok()
+    }
+}
+
 impl DelegatedRequest {
     /// Encodes the message for a header; returns `None` if that is not possible.
     pub fn encode(&self) -> Option<Vec<u8>> {
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -10,7 +10,7 @@
 use smol::Timer;
 
 use crate::adapter::{Adapter, AnswerHead, TargetRequestHead};
-use crate::traffic::delegation::delegation_refusal;
+use crate::traffic::delegation::{delegation_refusal, target_notice};
 use crate::traffic::exchange::{Exchange, Interrupt};
 use crate::traffic::{DELEGATED_HEADER, Destination, TrafficReport};
 
@@ -84,8 +84,10 @@
             dispatcher.load_reported(self.exchange.ticket, &self.destination.name, load);
         }
         let is_served = response.status().is_success();
-        dispatcher.limit_named(self.destination, head.limit, self.sent_at, is_served);
+        let target = (&self.destination.target, self.destination.started_at_ms);
+        dispatcher.limit_named(target, head.limit, self.sent_at, is_served);
         dispatcher.record_notices(self.destination, &head);
+        self.exchange.note_for_delegator(self.destination, &head);
         if head.not_run {
             return self.refused(&response, &head);
         }
@@ -99,6 +101,9 @@
         response: Response<Incoming>,
         head: AnswerHead,
     ) -> AttemptOutcome {
+        if let Some(notice) = target_notice(response.headers()) {
+            self.exchange.dispatcher.record_peer_notice(&notice);
+        }
         let Some(refusal) = delegation_refusal(response.headers()) else {
             if !self.is_own_answer(&head) {
                 return self.reject_answer(&response, &head);
--- a/crates/gateway/src/traffic/delegation.rs
+++ b/crates/gateway/src/traffic/delegation.rs
@@ -1,11 +1,11 @@
 use std::rc::Rc;
 
-use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal, Peer};
+use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal, Peer, TargetNotice};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
 use celeryhaven_types::{DataCentreName, NodeName, Refusal, RefusalCode, Verdict, VmName};
 use http::{HeaderMap, HeaderName, HeaderValue};
 
-use crate::adapter::Adapter;
+use crate::adapter::{Adapter, AnswerHead, LimitHeader};
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
 use crate::traffic::{
     AnswerParts, CallerRequest, Destination, DestinationName, Dispatcher, Exchange,
@@ -19,6 +19,9 @@
 pub(super) const REFUSAL_HEADER: HeaderName =
     HeaderName::from_static("celeryhaven-delegation-refusal");
 
+/// Header of an answer to a delegated request that tells what its target has said of itself.
+pub(super) const NOTICE_HEADER: HeaderName = HeaderName::from_static("celeryhaven-target-notice");
+
 /// Maximum number of peers that one request is delegated to.
 const PEERS_MAX: usize = 3;
 
@@ -104,6 +107,31 @@
         }
     }
 
+    /// Keeps what a target has said of itself for the node that has delegated the request.
+    pub(super) fn note_for_delegator(&mut self, destination: &Destination, head: &AnswerHead) {
+        let rate_per_s = match head.limit {
+            LimitHeader::RatePerS(rate_per_s) => Some(rate_per_s),
+            LimitHeader::Absent | LimitHeader::Invalid => None,
+        };
+        let says_something = head.is_leaving || head.back_off_ms.is_some() || rate_per_s.is_some();
+        if self.request.delegated.is_some() && says_something {
+            self.notice = Some(TargetNotice {
+                target: destination.target.clone(),
+                started_at_ms: destination.started_at_ms,
+                is_leaving: head.is_leaving,
+                back_off_ms: head.back_off_ms,
+                rate_per_s,
+            });
+        }
+    }
+
+    /// Adds that to an answer.
+    pub(super) fn add_notice(&self, headers: &mut HeaderMap) {
+        let value = self.notice.as_ref().and_then(TargetNotice::encode);
+        let value = value.and_then(|bytes| HeaderValue::from_bytes(&bytes).ok());
+        headers.extend(value.map(|value| (NOTICE_HEADER, value)));
+    }
+
     /// Returns the message for a peer.
     pub(crate) fn delegated_request(&self, peer: &Peer) -> DelegatedRequest {
         let request = &self.request;
@@ -173,6 +201,11 @@
     }
 }
 
+/// Returns what a target has said of itself to the peer that has run a request.
+pub(super) fn target_notice(headers: &HeaderMap) -> Option<TargetNotice> {
+    TargetNotice::decode(headers.get(NOTICE_HEADER)?.as_bytes())
+}
+
 /// Returns the reason for which a peer gives no answer of a target.
 pub(crate) fn delegation_refusal(headers: &HeaderMap) -> Option<DelegationRefusal> {
     DelegationRefusal::decode(headers.get(REFUSAL_HEADER)?.as_bytes())
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
-use celeryhaven_delegation::DelegationRefusal;
+use celeryhaven_delegation::{DelegationRefusal, TargetNotice};
 use celeryhaven_http::EventSplitter;
 use celeryhaven_policy::{RetryDenial, Ticket};
 use celeryhaven_types::{Refusal, RefusalCode, TimeMs, Verdict, VmName};
@@ -76,6 +76,8 @@
     pub(super) second: RefCell<Option<RunningSecond>>,
     /// Second attempts that have failed since the first was begun.
     pub(super) ended_seconds: RefCell<Vec<EndedSecond>>,
+    /// What the last target that answered has said of itself, for the node that has delegated the request.
+    pub(super) notice: Option<TargetNotice>,
     /// Whether this is the second attempt of another exchange.
     pub(super) is_second: bool,
     pub(super) completed: bool,
@@ -134,6 +136,7 @@
             unanswered_at: None,
             second: RefCell::default(),
             ended_seconds: RefCell::default(),
+            notice: None,
             is_second: false,
             completed: false,
         }
@@ -450,6 +453,7 @@
             let is_local = verdict == Verdict::NotRun && (is_isolated || is_stopping);
             let refusal = DelegationRefusal { verdict, attempts: self.reached, is_local };
             add_delegation_refusal(&mut parts, &refusal);
+            self.add_notice(&mut parts.headers);
         }
         self.sink.send_head(parts).await;
         self.complete(if self.may_have_run { "may have run" } else { "not run" }, 0);
--- a/crates/gateway/src/traffic/forward.rs
+++ b/crates/gateway/src/traffic/forward.rs
@@ -10,7 +10,7 @@
 use crate::adapter::{Adapter, AnswerHead};
 use crate::http::strip_hop_by_hop;
 use crate::traffic::attempt::{Attempt, AttemptOutcome};
-use crate::traffic::delegation::REFUSAL_HEADER;
+use crate::traffic::delegation::{NOTICE_HEADER, REFUSAL_HEADER};
 use crate::traffic::quarantine_gate::SOUND_STREAMING_MS;
 use crate::traffic::{AnswerParts, Exchange};
 
@@ -52,8 +52,10 @@
             self.log_end("answer ends with its connection", parts.status.as_u16());
         }
         strip_hop_by_hop(&mut headers);
-        // Only a node says why it has refused to run a request for another.
+        // Only a node says these, of a request that it has run for another.
         headers.remove(REFUSAL_HEADER);
+        headers.remove(NOTICE_HEADER);
+        self.exchange.add_notice(&mut headers);
         let parts = AnswerParts { status: parts.status, headers, body: None };
         let outcome = match is_stream {
             true => self.forward_events(parts, body, is_framed).await,
--- a/crates/gateway/src/traffic/limits.rs
+++ b/crates/gateway/src/traffic/limits.rs
@@ -4,7 +4,7 @@
 use celeryhaven_types::{TimeMs, VmName};
 
 use crate::adapter::{Adapter, LimitHeader};
-use crate::traffic::{Destination, Dispatcher, NamedLimit, TrafficReport};
+use crate::traffic::{Dispatcher, NamedLimit, TrafficReport};
 
 /// Limits of targets, by target.
 pub(crate) type TargetLimitMap = BTreeMap<VmName, TargetLimit>;
@@ -16,12 +16,12 @@
     /// limit has ended: an earlier one may have been under way, and a refusal need not name it.
     pub(crate) fn limit_named(
         &self,
-        destination: &Destination,
+        (target, started_at_ms): (&VmName, Option<u64>),
         header: LimitHeader,
         sent_at: TimeMs,
         is_served: bool,
     ) {
-        let known = self.state.borrow().limits.get(&destination.target).copied();
+        let known = self.state.borrow().limits.get(target).copied();
         let known = known.and_then(|known| Some((known.named_rate_per_s?, known.known_since)));
         let rate_per_s = match header {
             LimitHeader::Invalid => return,
@@ -39,8 +39,8 @@
             }
         };
         self.notify_control(TrafficReport::LimitNamed(NamedLimit {
-            target: destination.target.clone(),
-            started_at_ms: destination.started_at_ms,
+            target: target.clone(),
+            started_at_ms,
             rate_per_s,
         }));
     }
--- a/crates/gateway/src/traffic/notices.rs
+++ b/crates/gateway/src/traffic/notices.rs
@@ -1,12 +1,13 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use celeryhaven_delegation::TargetNotice;
 use celeryhaven_fleet::AnswerRun;
 use celeryhaven_target_limits::{BackOffs, Departures};
 use celeryhaven_types::{TimeMs, VmName};
 use slog::info;
 
-use crate::adapter::{Adapter, AnswerHead};
+use crate::adapter::{Adapter, AnswerHead, LimitHeader};
 use crate::traffic::{Destination, Dispatcher};
 
 /// What targets have told this node about themselves.
@@ -43,21 +44,33 @@
         head: &AnswerHead,
     ) -> bool {
         self.observe_unlisted(now, (target, started_at_ms), head);
+        let is_new = self.learn(now, (target, started_at_ms), (head.back_off_ms, head.is_leaving));
         let mut notices = self.lock();
-        if let Some(pause_ms) = head.back_off_ms {
-            let back_offs = &mut Arc::make_mut(&mut notices).back_offs;
-            back_offs.observe(now, target, started_at_ms, pause_ms);
-        }
         let until = notices.back_offs.until(target, started_at_ms);
         let has_returned = until.is_some_and(|until| until <= now);
         if has_returned {
             Arc::make_mut(&mut notices).back_offs.record_answer(now, target);
         }
-        let leaves = head.is_leaving && !notices.departures.contains(target, started_at_ms);
+        is_new || has_returned
+    }
+
+    /// Records what a target has said to this node or to a peer; returns whether it was new.
+    pub(crate) fn learn(
+        &self,
+        now: TimeMs,
+        (target, started_at_ms): (&VmName, Option<u64>),
+        (back_off_ms, is_leaving): (Option<u64>, bool),
+    ) -> bool {
+        let mut notices = self.lock();
+        if let Some(pause_ms) = back_off_ms {
+            let back_offs = &mut Arc::make_mut(&mut notices).back_offs;
+            back_offs.observe(now, target, started_at_ms, pause_ms);
+        }
+        let leaves = is_leaving && !notices.departures.contains(target, started_at_ms);
         if leaves {
             Arc::make_mut(&mut notices).departures.observe(now, target, started_at_ms);
         }
-        head.back_off_ms.is_some() || has_returned || leaves
+        back_off_ms.is_some() || leaves
     }
 
     /// Sets the unlisted targets, with their start times; only their answers are recorded.
@@ -104,15 +117,36 @@
     /// Records and applies what an answer says about its target.
     pub(crate) fn record_notices(&self, destination: &Destination, head: &AnswerHead) {
         let target = (&destination.target, destination.started_at_ms);
-        if !self.notices.observe(self.now(), target, head) {
-            return;
+        if self.notices.observe(self.now(), target, head) {
+            self.apply_new_notices(&destination.target, (head.back_off_ms, head.is_leaving), "own");
+        }
+    }
+
+    /// Records and applies what a target has said to the peer that has run a request for this node.
+    pub(crate) fn record_peer_notice(&self, notice: &TargetNotice) {
+        let TargetNotice { target, started_at_ms, is_leaving, back_off_ms, rate_per_s } = notice;
+        if let Some(rate_per_s) = rate_per_s {
+            let limit = LimitHeader::RatePerS(*rate_per_s);
+            self.limit_named((target, *started_at_ms), limit, self.now(), false);
         }
-        if let Some(pause_ms) = head.back_off_ms {
-            info!(self.log, "target asks for a pause"; "target" => destination.target.as_str(),
-                "pause_ms" => pause_ms);
+        let said = (*back_off_ms, *is_leaving);
+        if self.notices.learn(self.now(), (target, *started_at_ms), said) {
+            self.apply_new_notices(target, said, "peer");
+        }
+    }
+
+    fn apply_new_notices(
+        &self,
+        target: &VmName,
+        (back_off_ms, is_leaving): (Option<u64>, bool),
+        source: &'static str,
+    ) {
+        if let Some(pause_ms) = back_off_ms {
+            info!(self.log, "target asks for a pause"; "target" => target.as_str(),
+                "pause_ms" => pause_ms, "source" => source);
         }
-        if head.is_leaving {
-            info!(self.log, "target leaves"; "target" => destination.target.as_str());
+        if is_leaving {
+            info!(self.log, "target leaves"; "target" => target.as_str(), "source" => source);
         }
         self.apply_notices();
     }
