forming: results of calls name the planner that has begun them

What could happen, by reading: a node that loses a domain and gets it back while a call of its first planner is under way passes the result on by domain and order number, and the second planner numbers its orders from 0 again. No order of events was found that brings this about within the 0.6 s of a call.

Change: each planner of a process has a number of its own, which was part of the names of replicas already. Orders are identified by it and their number, and reads and writes of the domain's record and their results carry it. A planner ignores results of another; the version of the record is taken over only for the planner that has asked.

--- a/crates/forming/src/domain/domain_planner.rs
+++ b/crates/forming/src/domain/domain_planner.rs
@@ -10,7 +10,9 @@
 use crate::domain::probe_limit::ProbeLimit;
 use crate::domain::shared_return::SharedReturn;
 use crate::domain::unlisted::UnlistedPlan;
-use crate::interface::{FormingAction, FormingEvent, FormingSettings, FormingView, OrderId};
+use crate::interface::{
+    FormingAction, FormingEvent, FormingSettings, FormingView, OrderId, PlannerId,
+};
 use crate::record::{DomainRecord, PlannedReplica};
 
 /// State of the domain's record as seen by this planner.
@@ -45,7 +47,7 @@
     pub(crate) domain: DomainName,
     pub(crate) node: NodeName,
     /// Makes the replica names of this planner distinct from those of the node's earlier planners.
-    pub(crate) instance: u64,
+    pub(crate) id: PlannerId,
     pub(crate) settings: FormingSettings,
     pub(crate) record: RecordState,
     /// Earliest time of the next read after a failed one.
@@ -89,7 +91,7 @@
     pub(crate) conversion_since: Option<(ModelName, TimeMs)>,
     /// The model of the latest conversion and the replicas that it dissolves.
     pub(crate) converting: Option<(ModelName, Vec<ReplicaKey>)>,
-    pub(crate) next_order_id: OrderId,
+    pub(crate) orders_given: u64,
     pub(crate) next_replica_number: u64,
 }
 
@@ -99,7 +101,7 @@
         Self {
             domain,
             node,
-            instance: 0,
+            id: PlannerId::default(),
             settings,
             record: RecordState::Unknown,
             record_retry_at: now,
@@ -126,7 +128,7 @@
             resolved: BTreeSet::new(),
             conversion_since: None,
             converting: None,
-            next_order_id: OrderId::default(),
+            orders_given: 0,
             next_replica_number: 0,
         }
     }
@@ -135,11 +137,16 @@
     ///
     /// Without it, a node that coordinates a domain again would reuse names, and could take an old
     /// plan in the record or a listed replica for a new one.
-    pub fn with_instance(mut self, instance: u64) -> Self {
-        self.instance = instance;
+    pub const fn with_id(mut self, id: PlannerId) -> Self {
+        self.id = id;
         self
     }
 
+    /// Returns that number.
+    pub const fn id(&self) -> PlannerId {
+        self.id
+    }
+
     /// Sets the newest start among the processes that the node listed in the domain before it became
     /// coordinator, in Unix milliseconds.
     ///
@@ -172,7 +179,7 @@
         self.plan_pauses.expire(now);
         if self.record == RecordState::Unknown && self.record_retry_at <= now {
             self.record = RecordState::Reading;
-            out.push(FormingAction::ReadRecord);
+            out.push(FormingAction::ReadRecord { planner: self.id });
         }
         self.drop_unlisted_state(view);
         self.expire_dissolved(now, view);
@@ -215,8 +222,13 @@
         out: &mut Vec<FormingAction>,
     ) {
         match event {
-            FormingEvent::RecordRead { record } => self.record_read(now, view, record, out),
-            FormingEvent::RecordWritten { generation } => {
+            // The call of an earlier planner of this node was under way when this one took over.
+            FormingEvent::RecordRead { planner, .. }
+            | FormingEvent::RecordWritten { planner, .. }
+            | FormingEvent::RecordFailed { planner }
+                if planner != self.id => {}
+            FormingEvent::RecordRead { record, .. } => self.record_read(now, view, record, out),
+            FormingEvent::RecordWritten { generation, .. } => {
                 if let RecordState::Writing(record) = &self.record {
                     let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
                     let new: Vec<PlannedReplica> = new.cloned().collect();
@@ -231,7 +243,7 @@
                     self.planned_generation = generation;
                 }
             }
-            FormingEvent::RecordFailed => {
+            FormingEvent::RecordFailed { .. } => {
                 self.load_grants.end_reservation();
                 self.record_failed(now);
             }
--- a/crates/forming/src/domain/orders.rs
+++ b/crates/forming/src/domain/orders.rs
@@ -5,7 +5,7 @@
 use crate::domain::DomainPlanner;
 use crate::domain::formation::PendingOrder;
 use crate::domain::load_grants::GrantedLoad;
-use crate::interface::FormingAction;
+use crate::interface::{FormingAction, OrderId};
 
 impl DomainPlanner {
     /// Sends an order and records it as pending.
@@ -38,8 +38,8 @@
         load: Option<GrantedLoad>,
         out: &mut Vec<FormingAction>,
     ) {
-        let id = self.next_order_id;
-        self.next_order_id = id.next();
+        let id = OrderId { planner: self.id, number: self.orders_given };
+        self.orders_given += 1;
         // A silent target would carry it out on waking, when its reason may be gone.
         let ends_streams = matches!(order, TargetOrder::Leave { .. } | TargetOrder::Close { .. });
         let is_held = ends_streams && self.silent.contains_key(&target);
@@ -92,7 +92,7 @@
     pub(crate) fn apply_order_outcome(
         &mut self,
         now: TimeMs,
-        id: crate::OrderId,
+        id: OrderId,
         outcome: OrderOutcome,
         out: &mut Vec<FormingAction>,
     ) {
--- a/crates/forming/src/domain/planning.rs
+++ b/crates/forming/src/domain/planning.rs
@@ -68,7 +68,7 @@
         let serves_callers = self.serves_callers(view) == Some(true);
         let record = DomainRecord { decider, serves_callers, replicas };
         self.record = RecordState::Writing(record.clone());
-        out.push(FormingAction::WriteRecord { record });
+        out.push(FormingAction::WriteRecord { planner: self.id, record });
     }
 
     /// Returns how many replicas of each model this domain should have.
@@ -194,7 +194,8 @@
 
     fn new_plan(&mut self, model: ModelName, members: Vec<VmName>) -> PlannedReplica {
         self.next_replica_number += 1;
-        let Self { domain, node, instance, next_replica_number, .. } = self;
+        let Self { domain, node, id, next_replica_number, .. } = self;
+        let instance = id.get();
         let replica =
             ReplicaName::new(format!("{domain}-{node}-{instance:x}-{next_replica_number}"));
         PlannedReplica { replica, generation: None, model, members }
--- a/crates/forming/src/interface/action.rs
+++ b/crates/forming/src/interface/action.rs
@@ -6,11 +6,23 @@
 use crate::record::DomainRecord;
 
 number! {
-    /// Identifies an order within one planner, to match its outcome.
-    OrderId(u64)
+    /// Identifies a planner among all that its process ever has.
+    PlannerId(u64)
 }
 
 state! {
+    /// Identifies an order among all of its process, to match its outcome.
+    ///
+    /// A planner that takes a domain over from another of the same process gets the results of calls
+    /// that the other one has begun.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct OrderId {
+        /// The planner that gave the order.
+        pub planner: PlannerId,
+        /// Number of orders that it had given before.
+        pub number: u64,
+    }
+
     /// Why a formation failed.
     #[derive(Copy, Eq)]
     pub enum FormationFailure {
@@ -29,9 +41,14 @@
     /// An action that a planner requests from its caller.
     pub enum FormingAction {
         /// Read the domain's record.
-        ReadRecord,
+        ReadRecord {
+            /// The planner that needs it.
+            planner: PlannerId,
+        },
         /// Write the domain's record if it has not changed since it was read.
         WriteRecord {
+            /// The planner whose plans it holds.
+            planner: PlannerId,
             /// The new content.
             record: DomainRecord,
         },
--- a/crates/forming/src/interface/event.rs
+++ b/crates/forming/src/interface/event.rs
@@ -3,7 +3,7 @@
 use celeryhaven_load_quota::GrantedLoads;
 use celeryhaven_types::{Generation, VmName};
 
-use crate::interface::OrderId;
+use crate::interface::{OrderId, PlannerId};
 use crate::record::DomainRecord;
 
 state! {
@@ -11,17 +11,24 @@
     pub enum FormingEvent {
         /// The domain's record was read. The record is empty if it does not exist.
         RecordRead {
+            /// The planner that has asked for it.
+            planner: PlannerId,
             /// The content of the record.
             record: DomainRecord,
         },
         /// The record was written. Its version is the generation of the new plans.
         RecordWritten {
+            /// The planner that has written it.
+            planner: PlannerId,
             /// The version written.
             generation: Generation,
         },
         /// A read failed, or a write failed or has an unknown result. The record must be read
         /// again.
-        RecordFailed,
+        RecordFailed {
+            /// The planner that has asked for it.
+            planner: PlannerId,
+        },
         /// Loads were granted that the planner needs.
         LoadsGranted {
             /// The loads.
--- a/crates/forming/src/interface/mod.rs
+++ b/crates/forming/src/interface/mod.rs
@@ -5,7 +5,7 @@
 mod settings;
 mod view;
 
-pub use action::{FormationFailure, FormingAction, OrderId};
+pub use action::{FormationFailure, FormingAction, OrderId, PlannerId};
 pub use event::{FormingEvent, Reachability};
 pub use settings::FormingSettings;
 pub use view::{FormingView, ListedDomain};
--- a/crates/forming/src/lib.rs
+++ b/crates/forming/src/lib.rs
@@ -20,7 +20,7 @@
 pub use domain::DomainPlanner;
 pub use interface::{
     FormationFailure, FormingAction, FormingEvent, FormingSettings, FormingView, ListedDomain,
-    OrderId, Reachability,
+    OrderId, PlannerId, Reachability,
 };
 pub use mix::{Balance, DomainPosition, ModelCount, wanted_replicas};
 pub use record::{DomainRecord, PlannedReplica};
--- a/crates/forming/tests/common/mod.rs
+++ b/crates/forming/tests/common/mod.rs
@@ -12,7 +12,7 @@
 };
 use celeryhaven_forming::{
     DomainPlanner, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
-    ListedDomain, Reachability,
+    ListedDomain, PlannerId, Reachability,
 };
 use celeryhaven_load_quota::{GrantId, GrantedLoads, LoadOutcome};
 use celeryhaven_types::{
@@ -86,7 +86,7 @@
     pub resets_orders: BTreeSet<VmName>,
     /// Whether writes of the record stay without an outcome until they are released.
     pub holds_writes: bool,
-    held_writes: Vec<(usize, DomainRecord)>,
+    held_writes: Vec<(usize, PlannerId, DomainRecord)>,
     /// Number of reads of the record.
     pub reads: usize,
     listed: FleetView,
@@ -510,11 +510,34 @@
         self.execute(index, out);
     }
 
+    /// Passes an event to a planner, or lets it make a step; returns its actions, which are not carried out.
+    pub fn actions_after(
+        &mut self,
+        index: usize,
+        event: Option<FormingEvent>,
+    ) -> Vec<FormingAction> {
+        let mut out = Vec::new();
+        self.with_view(index, |planner, now, view| match event {
+            Some(event) => planner.handle(now, view, event, &mut out),
+            None => planner.step(now, view, &mut out),
+        });
+        out
+    }
+
+    /// Replaces a planner by a new one of the same node.
+    pub fn replace_planner(&mut self, index: usize, node: &str, id: PlannerId) {
+        let (domain, node) = (self.domains[index].clone(), NodeName::new(node));
+        let planner = DomainPlanner::new(self.now, domain, node, FormingSettings::default());
+        self.coordinators[index] = planner.with_id(id);
+    }
+
     pub fn execute(&mut self, index: usize, actions: Vec<FormingAction>) {
         for action in actions {
             match action {
-                FormingAction::ReadRecord => self.read_record(index),
-                FormingAction::WriteRecord { record } => self.write_record(index, record),
+                FormingAction::ReadRecord { planner } => self.read_record(index, planner),
+                FormingAction::WriteRecord { planner, record } => {
+                    self.write_record(index, planner, record);
+                }
                 FormingAction::Order { id, target, order, .. } => {
                     let outcome = self.order(&target, &order);
                     self.handle(index, FormingEvent::OrderCompleted { id, outcome });
@@ -551,10 +574,10 @@
         }
     }
 
-    fn read_record(&mut self, index: usize) {
+    fn read_record(&mut self, index: usize, planner: PlannerId) {
         self.reads += 1;
         if !self.store_answers {
-            return self.handle(index, FormingEvent::RecordFailed);
+            return self.handle(index, FormingEvent::RecordFailed { planner });
         }
         let (version, record) = match self.record_of(index) {
             Some((revision, record)) => {
@@ -563,7 +586,7 @@
             None => (None, DomainRecord::default()),
         };
         self.record_versions[index] = version;
-        self.handle(index, FormingEvent::RecordRead { record });
+        self.handle(index, FormingEvent::RecordRead { planner, record });
     }
 
     /// Carries out the writes that were held; returns their number.
@@ -571,17 +594,18 @@
         self.holds_writes = false;
         let held = std::mem::take(&mut self.held_writes);
         let count = held.len();
-        held.into_iter().for_each(|(index, record)| self.write_record(index, record));
+        held.into_iter()
+            .for_each(|(index, planner, record)| self.write_record(index, planner, record));
         count
     }
 
-    fn write_record(&mut self, index: usize, record: DomainRecord) {
+    fn write_record(&mut self, index: usize, planner: PlannerId, record: DomainRecord) {
         if self.holds_writes {
-            return self.held_writes.push((index, record));
+            return self.held_writes.push((index, planner, record));
         }
         let current = self.record_of(index).as_ref().map(|(revision, _)| *revision);
         if !self.store_answers || current != self.record_versions[index] {
-            return self.handle(index, FormingEvent::RecordFailed);
+            return self.handle(index, FormingEvent::RecordFailed { planner });
         }
         self.revision += 1;
         let new = record.replicas.iter().filter(|plan| plan.generation.is_none());
@@ -592,7 +616,7 @@
         *self.record_of(index) = Some((revision, record));
         self.record_versions[index] = Some(self.revision);
         let generation = Generation::new(self.revision);
-        self.handle(index, FormingEvent::RecordWritten { generation });
+        self.handle(index, FormingEvent::RecordWritten { planner, generation });
     }
 
     /// Records what a probe shows of an unlisted target, as a node does.
--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -1,7 +1,9 @@
 use async_channel::Sender;
 use celeryhaven_clock::BootClock;
 use celeryhaven_fleet::{OrderOutcome, TargetOrder};
-use celeryhaven_forming::{DomainRecord, FormingAction, FormingEvent, OrderId, Reachability};
+use celeryhaven_forming::{
+    DomainRecord, FormingAction, FormingEvent, OrderId, PlannerId, Reachability,
+};
 use celeryhaven_telemetry::metrics::OutcomeLabel;
 use celeryhaven_types::store::{ObjectVersion, StoreReply};
 use celeryhaven_types::{DomainName, ModelName, ReplicaName, TimeMs, VmName};
@@ -21,8 +23,10 @@
         for action in actions {
             let domain = domain.clone();
             match action {
-                FormingAction::ReadRecord => self.read_record(domain),
-                FormingAction::WriteRecord { record } => self.write_record(domain, &record),
+                FormingAction::ReadRecord { planner } => self.read_record(domain, planner),
+                FormingAction::WriteRecord { planner, record } => {
+                    self.write_record(domain, planner, &record);
+                }
                 FormingAction::Order { id, target, order, send_by } => {
                     self.send_order(domain, (id, target), order, send_by);
                 }
@@ -50,23 +54,25 @@
         }
     }
 
-    fn read_record(&self, domain: DomainName) {
+    fn read_record(&self, domain: DomainName, planner: PlannerId) {
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let read = async move {
             let reply = store.call(StoreCallKind::Placement, &read_record_request(&domain)).await;
-            send_record_event(&events, domain, &reply, read_outcome(&reply)).await;
+            let outcome = read_outcome(planner, &reply);
+            send_record_event(&events, (domain, planner), &reply, outcome).await;
         };
         self.executor.spawn(read).detach();
     }
 
-    fn write_record(&self, domain: DomainName, record: &DomainRecord) {
+    fn write_record(&self, domain: DomainName, planner: PlannerId, record: &DomainRecord) {
         let (store, events) = (self.store.clone(), self.parts.events.0.clone());
         let version =
             self.coordinators.domains.get(&domain).and_then(|coordinator| coordinator.version);
         let Some(request) = write_record_request(&domain, version, record) else { return };
         let write = async move {
             let reply = store.call(StoreCallKind::Placement, &request).await;
-            send_record_event(&events, domain, &reply, write_outcome(&reply)).await;
+            let outcome = write_outcome(planner, &reply);
+            send_record_event(&events, (domain, planner), &reply, outcome).await;
         };
         self.executor.spawn(write).detach();
     }
@@ -126,14 +132,14 @@
 
 async fn send_record_event(
     events: &Sender<ControlEvent>,
-    domain: DomainName,
+    (domain, planner): (DomainName, PlannerId),
     reply: &StoreReply,
     (event, version): (FormingEvent, Option<ObjectVersion>),
 ) {
     if !reply.is_processed() {
         events.send(ControlEvent::StoreCallFailed).await.unwrap_or_default();
     }
-    let version = ControlEvent::RecordVersion(domain.clone(), version);
+    let version = ControlEvent::RecordVersion(domain.clone(), planner, version);
     events.send(version).await.unwrap_or_default();
     events.send(ControlEvent::Forming(domain, event)).await.unwrap_or_default();
 }
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -290,8 +290,10 @@
                 self.handle_forming_event(now, &domain, event);
                 Changes::FORMING
             }
-            ControlEvent::RecordVersion(domain, version) => {
-                if let Some(coordinator) = self.coordinators.domains.get_mut(&domain) {
+            ControlEvent::RecordVersion(domain, planner, version) => {
+                if let Some(coordinator) = self.coordinators.domains.get_mut(&domain)
+                    && coordinator.planner.id() == planner
+                {
                     coordinator.version = version;
                 }
                 Changes::NONE
--- a/crates/gateway/src/control/coordinators.rs
+++ b/crates/gateway/src/control/coordinators.rs
@@ -3,6 +3,7 @@
 use celeryhaven_fleet::FleetView;
 use celeryhaven_forming::{
     DomainPlanner, DomainRecord, FormingAction, FormingEvent, FormingSettings, FormingView,
+    PlannerId,
 };
 use celeryhaven_types::store::{ObjectKey, ObjectVersion, StoreReply, StoreRequest};
 use celeryhaven_types::{DomainName, Generation, NodeName, TimeMs, VmName};
@@ -83,7 +84,7 @@
             self.domains.entry(domain.clone()).or_insert_with(|| {
                 changed = true;
                 let planner = DomainPlanner::new(now, domain.clone(), node.clone(), settings);
-                let mut planner = planner.with_instance(self.next_instance);
+                let mut planner = planner.with_id(PlannerId::new(self.next_instance));
                 if let Some(&start) = earlier_starts.get(domain) {
                     planner = planner.with_earlier_start(start);
                 }
@@ -149,28 +150,36 @@
 }
 
 /// Returns the planner event for a reply to a read, and the version of the record.
-pub(crate) fn read_outcome(reply: &StoreReply) -> (FormingEvent, Option<ObjectVersion>) {
+pub(crate) fn read_outcome(
+    planner: PlannerId,
+    reply: &StoreReply,
+) -> (FormingEvent, Option<ObjectVersion>) {
     match reply {
         StoreReply::Found(object) => {
             // An unreadable record is replaced by an empty one; the reports of the members restore
             // the state.
             let record: DomainRecord = serde_json::from_str(&object.value).unwrap_or_default();
             let record = record.with_version(Generation::new(object.version.get()));
-            (FormingEvent::RecordRead { record }, Some(object.version))
+            (FormingEvent::RecordRead { planner, record }, Some(object.version))
         }
-        StoreReply::Missing => (FormingEvent::RecordRead { record: DomainRecord::default() }, None),
-        _ => (FormingEvent::RecordFailed, None),
+        StoreReply::Missing => {
+            (FormingEvent::RecordRead { planner, record: DomainRecord::default() }, None)
+        }
+        _ => (FormingEvent::RecordFailed { planner }, None),
     }
 }
 
 /// Returns the planner event for a reply to a write, and the version of the record.
-pub(crate) fn write_outcome(reply: &StoreReply) -> (FormingEvent, Option<ObjectVersion>) {
+pub(crate) fn write_outcome(
+    planner: PlannerId,
+    reply: &StoreReply,
+) -> (FormingEvent, Option<ObjectVersion>) {
     match reply {
         StoreReply::Written { version } => {
             let generation = Generation::new(version.get());
-            (FormingEvent::RecordWritten { generation }, Some(*version))
+            (FormingEvent::RecordWritten { planner, generation }, Some(*version))
         }
-        _ => (FormingEvent::RecordFailed, None),
+        _ => (FormingEvent::RecordFailed { planner }, None),
     }
 }
 
--- a/crates/gateway/src/control/event.rs
+++ b/crates/gateway/src/control/event.rs
@@ -1,7 +1,7 @@
 use async_channel::Sender;
 use celeryhaven_ends::{Finding, TargetProcess};
 use celeryhaven_fleet::StoreContact;
-use celeryhaven_forming::{FormingEvent, Reachability};
+use celeryhaven_forming::{FormingEvent, PlannerId, Reachability};
 use celeryhaven_load_quota::{QuotaCall, QuotaReply};
 use celeryhaven_peers::{NodeRecord, ProbeResult, RelayDirectory};
 use celeryhaven_quarantine::{CrashRecord, QuarantineWrite};
@@ -128,8 +128,8 @@
     StoreCallFailed,
     /// Event for the planner of a domain.
     Forming(DomainName, FormingEvent),
-    /// Version of a domain record after a read or write.
-    RecordVersion(DomainName, Option<ObjectVersion>),
+    /// Version of a domain record after a read or write of a planner.
+    RecordVersion(DomainName, PlannerId, Option<ObjectVersion>),
     /// Another node asks about ends of targets.
     EndsAsked(EndQuestion, Sender<EndAnswer>),
     /// What a peer has found of ends of targets; `None` if it has not answered.
