gateway: a refusal keeps the channel after a short body; memory per channel

Cause: every refusal before the body is read closed its channel, also of short bodies, which are read in the time of the answer; a caller with a revoked key would have opened a channel for each request.

Change: only a refusal of a long body, or one of unknown length, asks for the channel to be closed.

--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use celeryhaven_body_budget::BodyHead;
+use celeryhaven_body_budget::{BodyHead, SHORT_BYTES_MAX};
 use celeryhaven_delegation::{DelegatedRequest, DelegationRefusal};
 use celeryhaven_fleet::{Route, RouteTable};
 use celeryhaven_quarantine::CauseDigest;
@@ -37,8 +37,8 @@
     let mut response = match read_request(&dispatcher, parts, &mut body).await {
         Ok(request) => serve(dispatcher.clone(), request).await,
         Err(Rejection::Refusal(status, refusal)) => {
-            // Tells a caller that reads the answer early to send no more of the body.
-            is_closing = !body.is_end_stream();
+            // Tells a caller that reads the answer early to send no more of a long body.
+            is_closing = body.size_hint().upper().is_none_or(|bytes| bytes > SHORT_BYTES_MAX);
             discard_rest(&dispatcher, body);
             info!(dispatcher.log, "request rejected"; "status" => status.as_u16(),
                 "code" => format!("{:?}", refusal.code));
