coordination: a node that stood still gives its domains up and begins anew (LOST)

Cause: a planner keeps what it has found of targets without an age. While it stood still, a target that it had found unreachable restarted, and the next candidate formed a replica of it. On waking, the planner saw that replica with a member that it took for lost, and dissolved it.

Why this works: when the control thread has stood still for the interval of probes, so that others may have replaced the node, its planners are dropped, with their marks and the results of calls that were under way. New ones begin once a target list has been read that was asked for after the node woke. An order that was planned before and has not left is not sent.

--- a/crates/gateway/src/control/actions.rs
+++ b/crates/gateway/src/control/actions.rs
@@ -10,6 +10,7 @@
 use slog::info;
 
 use crate::adapter::Adapter;
+use crate::control::coordination::NODE_PROBE_INTERVAL_MS;
 use crate::control::coordinators::{
     read_outcome, read_record_request, write_outcome, write_record_request,
 };
@@ -85,11 +86,13 @@
         send_by: Option<TimeMs>,
     ) {
         let called = self.fleet.target_or_removed(&target).map(CalledTarget::new);
+        let replaced_at = BootClock.now().after(NODE_PROBE_INTERVAL_MS);
+        let send_by = send_by.map_or(replaced_at, |send_by| send_by.min(replaced_at));
         let (client, events) = (self.parts.target_client.clone(), self.parts.events.0.clone());
         let (orders, log) = (self.parts.metrics.orders.clone(), self.parts.log.clone());
         let send = async move {
             // This node may have been suspended since the order was planned.
-            let is_late = send_by.is_some_and(|send_by| BootClock.now() >= send_by);
+            let is_late = BootClock.now() >= send_by;
             let outcome = match &called {
                 _ if is_late => OrderOutcome::Refused,
                 Some(called) => client.send_order(called, &order).await,
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -10,7 +10,7 @@
 use celeryhaven_fleet::{FleetView, RouteTable};
 use celeryhaven_http::{Listener, ServerLimits, StopSignal};
 use celeryhaven_load_quota::LoadQuota;
-use celeryhaven_peers::Peers;
+use celeryhaven_peers::{Peers, Standstill};
 use celeryhaven_quarantine::{Quarantine, Standings};
 use celeryhaven_settings::GatewaySettings;
 use celeryhaven_store::StoreClient;
@@ -26,6 +26,7 @@
 use crate::adapter::Adapter;
 use crate::control::advisories::ADVISORIES_PREFIX;
 use crate::control::changes::Changes;
+use crate::control::coordination::NODE_PROBE_INTERVAL_MS;
 use crate::control::coordinators::Coordinators;
 use crate::control::counted_store::CountedStore;
 use crate::control::demand_shares::DemandShares;
@@ -98,10 +99,11 @@
     /// End of the period in which this node counts as cut off from the store.
     pub(super) cut_off_until: Option<TimeMs>,
     pub(super) nodes_listed: bool,
+    pub(super) standstill: Standstill,
     pub(super) directory: DirectoryState,
     pub(super) feed_conditions: Rc<FeedConditions>,
     /// The source that all feeds follow.
-    source: Rc<SharedSource>,
+    pub(super) source: Rc<SharedSource>,
     pub(super) relay: RelayState,
     pub(super) recent_suspicions: RecentSuspicions,
     pub(super) quarantine: Quarantine,
@@ -152,6 +154,7 @@
             store_unavailable: false,
             cut_off_until: None,
             nodes_listed: false,
+            standstill: Standstill::new(BootClock.now(), NODE_PROBE_INTERVAL_MS),
             directory: DirectoryState::default(),
             feed_conditions: Rc::default(),
             source: Rc::default(),
@@ -251,6 +254,9 @@
     /// Applies an event; returns what it has changed.
     fn handle(&mut self, event: ControlEvent) -> Changes {
         let now = BootClock.now();
+        if let Some(still_ms) = self.standstill.record_activity(now) {
+            self.resume(still_ms);
+        }
         match event {
             ControlEvent::Feed(kind, update) => self.apply_feed_update(now, kind, update),
             ControlEvent::Nodes(records) => {
--- a/crates/gateway/src/control/coordination.rs
+++ b/crates/gateway/src/control/coordination.rs
@@ -18,7 +18,7 @@
 ///
 /// A coordinator that does not answer two consecutive probes is replaced by the next candidate.
 /// That is after one and a half seconds.
-const NODE_PROBE_INTERVAL_MS: u64 = 700;
+pub(super) const NODE_PROBE_INTERVAL_MS: u64 = 700;
 
 /// How long a node counts as cut off after a failed store call, in milliseconds.
 ///
@@ -78,6 +78,19 @@
         }
     }
 
+    /// Gives up all domains after the process has stood still, until the target list has been read anew.
+    ///
+    /// Another node may have changed the domains meanwhile. What the planners knew of targets, and the
+    /// results of calls that were under way, must not decide about its replicas.
+    pub(super) fn resume(&mut self, still_ms: u64) {
+        info!(self.parts.log, "process stood still"; "still_ms" => still_ms,
+            "domains" => self.coordinators.domains.len());
+        let given_up = std::mem::take(&mut self.coordinators.domains);
+        given_up.keys().for_each(|domain| self.load_quota.hand_over(domain));
+        self.source.wake();
+        self.update_coordinated_domains();
+    }
+
     /// Runs all planners and executes their actions.
     pub(super) fn execute_planned_actions(&mut self) {
         let Some(routes) = self.routes.clone() else { return };
@@ -160,7 +173,7 @@
 
     /// Whether other nodes should coordinate domains in place of this one.
     pub(super) fn cannot_coordinate(&self, now: TimeMs) -> bool {
-        self.is_cut_off(now) || self.is_isolated()
+        self.is_cut_off(now) || self.is_isolated() || !self.standstill.is_over()
     }
 
     /// Whether this node has lost its links to all targets that form replicas.
--- a/crates/gateway/src/control/feed/shared_source.rs
+++ b/crates/gateway/src/control/feed/shared_source.rs
@@ -12,12 +12,12 @@
 #[derive(Debug, Default)]
 struct State {
     source: Option<Source>,
-    /// Closed when another source is chosen, or the source answers again.
+    /// Closed when another source is chosen, or the feeds are to poll at once.
     changed: Option<(Sender<()>, Receiver<()>)>,
 }
 
 impl SharedSource {
-    /// Returns the source, and a channel that closes when another one is chosen or it answers again.
+    /// Returns the source, and a channel that closes when another one is chosen or it is to be polled at once.
     pub(super) fn current(&self) -> (Option<Source>, Receiver<()>) {
         let mut state = self.state.borrow_mut();
         let (_, changed) = state.changed.get_or_insert_with(|| bounded(1));
@@ -25,8 +25,8 @@
         (state.source.clone(), changed)
     }
 
-    /// Lets all feeds poll the source at once, because it answers again.
-    pub(super) fn wake(&self) {
+    /// Lets all feeds poll the source at once.
+    pub(crate) fn wake(&self) {
         self.state.borrow_mut().changed = None;
     }
 
--- a/crates/gateway/src/control/feed_updates.rs
+++ b/crates/gateway/src/control/feed_updates.rs
@@ -17,7 +17,8 @@
 pub(super) const OUTAGE_GRACE_MS: u64 = 2_300;
 
 impl<A: Adapter> Control<A> {
-    /// Applies a feed update, and records up to when the configuration is known to be the newest one.
+    /// Applies a feed update, and records up to when the configuration and the target list are known to be
+    /// the newest ones.
     pub(super) fn apply_feed_update(
         &mut self,
         now: TimeMs,
@@ -31,6 +32,11 @@
         {
             self.parts.confirmation.record(routes.config().number, at);
         }
+        if let (FeedKind::Targets, Some(at)) = (kind, confirmed_at) {
+            let was_over = self.standstill.is_over();
+            self.standstill.record_list(at);
+            return changes | Changes::nodes(self.standstill.is_over() != was_over);
+        }
         changes
     }
 
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! | module | contents |
 //! |---|---|
-//! | [`node`] | node records and probe results |
+//! | [`node`] | node records, probe results, and whether this node has stood still |
 //! | [`ranking`] | node order that is the same on every node |
 //! | [`fleet`] | all other nodes: coordinators, relays, and nodes advertised to callers |
 
@@ -11,5 +11,5 @@
 pub mod ranking;
 
 pub use fleet::{Peers, RelayDirectory, Upstream, heartbeat_interval_ms};
-pub use node::{NodeRecord, ProbeResult};
+pub use node::{NodeRecord, ProbeResult, Standstill};
 pub use ranking::Ranking;
