nodes: a node that knows no other reads their records when the store answers (CONFIG)

Cause: the records of other nodes were read after pauses of 1 and 3 s, whatever the store did meanwhile. A store that answered a starting node for less than a second gave it the configuration and the targets, and no other node to ask when it fell silent again.

Why this works: as long as a node knows no other, it reads the records as soon as the store answers one of its feeds. A silent store gets no further calls.

--- a/crates/gateway/src/control/feed/feed.rs
+++ b/crates/gateway/src/control/feed/feed.rs
@@ -225,6 +225,9 @@
                 return None;
             }
         };
+        if is_store {
+            self.poller.conditions.store_answered.set(true);
+        }
         let store = self.record_success(contact);
         let has_changes = !objects.is_empty();
         let origin = FeedOrigin {
--- a/crates/gateway/src/control/feed_conditions.rs
+++ b/crates/gateway/src/control/feed_conditions.rs
@@ -26,6 +26,8 @@
     pub(crate) addresses: RefCell<BTreeMap<NodeName, PeerAddress>>,
     /// Whether the records of the other nodes have been read.
     pub(crate) nodes_known: Cell<bool>,
+    /// Whether the store has answered a feed since this was last asked.
+    pub(crate) store_answered: Cell<bool>,
     /// How a starting node gets its first lists.
     pub(crate) fleet_scale: Cell<FleetScale>,
     /// Whether a node of a large fleet may read complete lists from the store.
--- a/crates/gateway/src/control/heartbeats.rs
+++ b/crates/gateway/src/control/heartbeats.rs
@@ -20,6 +20,9 @@
 /// Probes detect failed nodes sooner than these reads.
 const READ_INTERVAL: Duration = Duration::from_millis(3_000);
 
+/// How often a node that has not read any records checks whether the store has answered.
+const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Delays before the first reads after startup, which do not accept stale results.
 ///
 /// Without them, nodes that start together would each coordinate every domain until the first
@@ -80,11 +83,11 @@
             let mut scale = task.find_scale().await;
             if scale == FleetScale::Small {
                 conditions.fleet_scale.set(scale);
-                Timer::after(second_pause).await;
+                task.pause_before_read(second_pause, &conditions).await;
                 scale = task.read_first_page(Freshness::Latest).await;
             }
             while scale != FleetScale::Large {
-                Timer::after(READ_INTERVAL).await;
+                task.pause_before_read(READ_INTERVAL, &conditions).await;
                 task.write_if_due(&conditions).await;
                 scale = task.read_first_page(Freshness::Stale).await;
             }
@@ -115,6 +118,21 @@
 }
 
 impl<W: StoreCodec> HeartbeatTask<W> {
+    /// Waits before the next read of the records of all nodes.
+    ///
+    /// A node that knows no other one follows the store alone. It reads as soon as the store answers a feed,
+    /// which it may do for a moment only.
+    async fn pause_before_read(&self, pause: Duration, conditions: &FeedConditions) {
+        let began = Instant::now();
+        while !conditions.nodes_known.get() && began.elapsed() < pause {
+            Timer::after(ANSWER_POLL_INTERVAL).await;
+            if !conditions.nodes_known.get() && conditions.store_answered.take() {
+                self.read_first_page(Freshness::Latest).await;
+            }
+        }
+        Timer::after(pause.saturating_sub(began.elapsed())).await;
+    }
+
     /// Whether the next heartbeat is due in a fleet of `nodes` nodes.
     fn is_due(&self, nodes: u64) -> bool {
         let pause = match self.is_written {
