--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -185,7 +185,11 @@
             if is_quarantined(self.standings.get(digest)) && !is_quarantined(standings.get(digest))
             {
                 let record = self.quarantine.record(*digest);
-                let why = if record.is_some() { "completed" } else { "removed" };
+                let why = match record {
+                    Some(record) if record.is_implicated() => "explained",
+                    Some(_) => "completed",
+                    None => "removed",
+                };
                 info!(self.parts.log, "quarantine lifted"; "digest" => digest.to_string(),
                     "why" => why);
             }
--- a/crates/quarantine/src/crash_record.rs
+++ b/crates/quarantine/src/crash_record.rs
@@ -12,6 +12,12 @@
 /// The same for a cause that targets have run lately without ending.
 const SOUND_CRASHES_MAX: usize = 5;
 
+/// Crashes that count although another cause explains them.
+///
+/// Causes that end targets at the same time end some of them together. What merely runs beside a guilty
+/// cause shares most of its crashes with it.
+const SHARED_CRASHES_MAX: usize = 1;
+
 /// Crashes from which on a quarantined cause is not tried again.
 const CRASH_BUDGET: usize = 5;
 
@@ -146,16 +152,22 @@
     /// Returns how strongly the crashes speak against the cause, other than those that are explained by
     /// another one; `None` if they do not suffice.
     ///
+    /// One explained crash counts towards the number that suffices, or a second cause that ends a
+    /// target together with the first would be released by the evidence against that one.
+    ///
     /// Of two causes that the same requests hold, the one with more crashes is the likelier, and of
     /// equal ones the one that fewer requests hold.
     pub(crate) fn weight(&self, explained: &Explained<'_>) -> Option<CauseWeight> {
-        let is_open = |crash: &&Crash| !crash.refuted && !explained.contains(&crash.process());
-        let open = self.crashes.iter().filter(is_open);
-        let is_excused = |crash: &&Crash| crash.excused || crash.outlived;
-        let (excused, unexcused): (Vec<_>, Vec<_>) = open.partition(is_excused);
-        let total = excused.len() + unexcused.len();
-        let is_enough = unexcused.len() >= CRASHES_MAX || total >= SOUND_CRASHES_MAX;
-        let weight = CauseWeight { unexcused: unexcused.len(), total, kind: self.kind };
+        let (shared, open): (Vec<_>, Vec<_>) = self
+            .crashes
+            .iter()
+            .filter(|crash| !crash.refuted)
+            .partition(|crash| explained.contains(&crash.process()));
+        let is_unexcused = |crash: &&&Crash| !crash.excused && !crash.outlived;
+        let (unexcused, total) = (open.iter().filter(is_unexcused).count(), open.len());
+        let shared = shared.iter().filter(is_unexcused).count().min(SHARED_CRASHES_MAX);
+        let is_enough = unexcused + shared >= CRASHES_MAX || total >= SOUND_CRASHES_MAX;
+        let weight = CauseWeight { unexcused, total, kind: self.kind };
         is_enough.then_some(weight)
     }
 }
--- a/crates/quarantine/tests/parts.rs
+++ b/crates/quarantine/tests/parts.rs
@@ -125,15 +125,42 @@
 fn standings_of_two_causes() {
     let mut node = Quarantine::new();
     report(&mut node, part("bad"), SECOND_PART, &["vm-1", "vm-2", "vm-3"], false);
-    report(&mut node, content(1), CauseKind::Content, &["vm-3", "vm-4", "vm-5", "vm-6"], false);
+    report(&mut node, content(1), CauseKind::Content, &["vm-2", "vm-3", "vm-5", "vm-6"], false);
     let mut expected = [part("bad"), content(1)];
     expected.sort();
-    // The shared target speaks for the content, which leaves two for the part.
+    // The shared targets speak for the content, which leaves one for the part.
     assert_eq!(quarantined(&node), [content(1)]);
     report(&mut node, part("bad"), SECOND_PART, &["vm-7"], false);
     assert_eq!(quarantined(&node), expected);
 }
 
+/// A cause that was quarantined must not be let in again because another one explains one of its crashes.
+#[test]
+fn standings_of_two_causes_with_one_common_crash() {
+    let mut node = Quarantine::new();
+    report(&mut node, content(1), CauseKind::Content, &["vm-1", "vm-2", "vm-3"], false);
+    report(&mut node, part("bad"), SECOND_PART, &["vm-3", "vm-4"], false);
+    assert_eq!(quarantined(&node), [content(1)]);
+    let mut expected = [part("bad"), content(1)];
+    expected.sort();
+    for target in ["vm-5", "vm-6", "vm-7"] {
+        report(&mut node, part("bad"), SECOND_PART, &[target], false);
+        assert_eq!(quarantined(&node), expected);
+    }
+}
+
+/// A cause that ran beside a guilty one on two of three targets, or that others have run, stays free.
+#[test]
+fn standings_of_bystanders() {
+    let mut node = Quarantine::new();
+    let targets = ["vm-1", "vm-2", "vm-3", "vm-4"];
+    report(&mut node, part("bad"), SECOND_PART, &targets, false);
+    report(&mut node, content(1), CauseKind::Content, &["vm-1", "vm-2", "vm-5"], false);
+    report(&mut node, content(2), CauseKind::Content, &["vm-1", "vm-5", "vm-6"], true);
+    report(&mut node, content(3), CauseKind::Content, &["vm-1", "vm-6"], false);
+    assert_eq!(quarantined(&node), [part("bad")]);
+}
+
 /// A part whose runs complete is let in again, and what it had explained counts against nobody that
 /// completed as well.
 #[test]
