body-budget: organisations share the room for long bodies

Cause: bodies got room in the order of rank and arrival, so an organisation with many callers of long bodies kept others waiting behind all of its own, and its share was its rate of arrival.

Change: among bodies of one rank, the one goes first whose organisation holds the least besides it. A body that waits and that later arrivals make too late is refused when they arrive; urgent arrivals had the same effect before, and what they overtook was refused at its deadline.

Measured, by value: poll_organisation_with_less_first, poll_urgent_of_full_organisation_first, poll_overtaken_refused_at_once; the 17 older tests of the crate pass unchanged but for the new field. On real processes long_bodies, slow_readers, planned_stops and foreign_answers pass (22 tests); none of them has two organisations that compete.

--- a/crates/body-budget/src/body.rs
+++ b/crates/body-budget/src/body.rs
@@ -23,12 +23,18 @@
     pub struct BodyKey;
 }
 
+/// Identifies an organisation in a [`BodyBudget`](crate::BodyBudget).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrganisationKey(pub(crate) u32);
+
 state! {
     /// What is known of a body before it is read.
     #[derive(Copy, Eq)]
     pub struct BodyHead {
         /// Rank of its request; 0 is the most urgent.
         pub rank: u8,
+        /// Organisation of its caller.
+        pub organisation: OrganisationKey,
         /// Announced length; `None` if it is sent in chunks.
         pub length_bytes: Option<u64>,
         /// When its caller gives up.
@@ -63,6 +69,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Body {
     pub(crate) rank: u8,
+    pub(crate) organisation: OrganisationKey,
     pub(crate) deadline: TimeMs,
     pub(crate) arrived_at: TimeMs,
     /// Number of bodies that had arrived before.
@@ -86,6 +93,7 @@
         let is_short = head.length_bytes.is_none() || need_bytes <= SHORT_BYTES_MAX;
         Self {
             rank: head.rank,
+            organisation: head.organisation,
             deadline: head.deadline,
             arrived_at: now,
             sequence,
@@ -99,11 +107,6 @@
         }
     }
 
-    /// Returns its place in the order in which bodies get room.
-    pub(crate) fn order(&self) -> (u8, TimeMs, u64) {
-        (self.rank, self.arrived_at, self.sequence)
-    }
-
     /// Returns the bytes that it uses without any claim.
     pub(crate) fn used_bytes(&self) -> u64 {
         match (self.phase, self.length) {
--- a/crates/body-budget/src/body_budget.rs
+++ b/crates/body-budget/src/body_budget.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
-use celeryhaven_types::TimeMs;
+use celeryhaven_types::{Map, OrganisationName, TimeMs};
 use slotmap::SlotMap;
 
-use crate::body::{Body, BodyHead, BodyKey, Length, Phase, SHORT_BYTES_MAX};
+use crate::body::{Body, BodyHead, BodyKey, Length, OrganisationKey, Phase, SHORT_BYTES_MAX};
 use crate::decision::{BodyRefusal, Decision, RefusalReason};
 use crate::hold_time::HoldTime;
 use crate::return_times::ReturnTimes;
@@ -14,14 +14,16 @@
 /// The request bodies of a node, and who gets room for the next one.
 ///
 /// Load that it answers: many callers send bodies at once that together exceed the memory of the
-/// node, some of them slowly, while others send short ones.
+/// node, some of them slowly, or most of them for one organisation, while others send short ones.
 ///
 /// ```
 /// use celeryhaven_body_budget::{BodyBudget, BodyHead, Decision};
 /// use celeryhaven_types::TimeMs;
 /// let now = TimeMs::new(0);
 /// let mut budget = BodyBudget::new(8_000_000);
-/// let head = BodyHead { rank: 1, length_bytes: Some(4_000_000), deadline: now.after(8_000) };
+/// let organisation = budget.organisation(None);
+/// let (length_bytes, deadline) = (Some(4_000_000), now.after(8_000));
+/// let head = BodyHead { rank: 1, organisation, length_bytes, deadline };
 /// let (first, decision) = budget.arrive(now, &head);
 /// assert_eq!(decision, Decision::Read);
 /// let (second, decision) = budget.arrive(now, &head);
@@ -41,11 +43,16 @@
     pub(crate) used_bytes: u64,
     /// Bytes of all bodies that have been received and not released.
     held_bytes: u64,
+    organisations: Map<OrganisationName, OrganisationKey>,
+    /// The part of the held bytes of each organisation; the first is that of callers without one.
+    held_by: Vec<u64>,
     pub(crate) hold_time: HoldTime,
     pub(crate) return_times: ReturnTimes,
     /// Longest body that callers may send.
     body_bytes_max: u64,
     arrived: u64,
+    /// Whether a body has begun to wait before another one since the last poll.
+    is_overtaken: bool,
 }
 
 impl BodyBudget {
@@ -57,10 +64,13 @@
             watched: BTreeSet::new(),
             used_bytes: 0,
             held_bytes: 0,
+            organisations: Map::default(),
+            held_by: vec![0],
             hold_time: HoldTime::default(),
             return_times: ReturnTimes::default(),
             body_bytes_max: limit_bytes - limit_bytes / SHORT_DIVISOR,
             arrived: 0,
+            is_overtaken: false,
         }
     }
 
@@ -89,6 +99,18 @@
         self.held_bytes
     }
 
+    /// Returns the key of an organisation; callers without one share a key.
+    pub fn organisation(&mut self, name: Option<&OrganisationName>) -> OrganisationKey {
+        let Some(name) = name else { return OrganisationKey::default() };
+        if let Some(key) = self.organisations.get(name) {
+            return *key;
+        }
+        let key = OrganisationKey(self.held_by.len() as u32);
+        self.held_by.push(0);
+        self.organisations.insert(name.clone(), key);
+        key
+    }
+
     /// Returns the number of bodies that wait for room.
     pub fn waiting(&self) -> usize {
         self.watched().filter(|(_, body)| body.phase == Phase::Waiting).count()
@@ -151,6 +173,7 @@
         if let Some(body) = self.bodies.remove(key) {
             self.used_bytes -= body.used_bytes();
             self.held_bytes -= body.held_bytes;
+            self.held_by[body.organisation.0 as usize] -= body.held_bytes;
             self.watched.remove(&key);
         }
     }
@@ -159,6 +182,7 @@
     pub fn poll(&mut self, now: TimeMs) -> Vec<(BodyKey, Decision)> {
         let mut decisions = Vec::new();
         self.refuse_late(now, &mut decisions);
+        self.refuse_overtaken(now, &mut decisions);
         for length in [Length::Short, Length::Long] {
             while let Some(key) = self.first_waiting(length) {
                 if self.fits(now, key) {
@@ -183,6 +207,13 @@
         self.watched.iter().filter_map(|key| Some((*key, self.bodies.get(*key)?)))
     }
 
+    /// Returns the place of a body in the order in which bodies get room: by rank, by what others of its
+    /// organisation hold, and by arrival.
+    pub(crate) fn order(&self, body: &Body) -> (u8, u64, TimeMs, u64) {
+        let others_bytes = self.held_by[body.organisation.0 as usize] - body.held_bytes;
+        (body.rank, others_bytes, body.arrived_at, body.sequence)
+    }
+
     /// Returns the bytes that are kept free for the rest of bodies that are read.
     pub(crate) fn claimed_bytes(&self, now: TimeMs) -> u64 {
         self.watched().map(|(_, body)| body.claimed_bytes(now)).sum()
@@ -214,7 +245,10 @@
             return Decision::Read;
         }
         match self.refusal_of_wait(now, key) {
-            None => Decision::Wait,
+            None => {
+                self.is_overtaken |= self.last_waiting(length) != Some(key);
+                Decision::Wait
+            }
             Some(refusal) => {
                 self.update(key, |body| body.phase = Phase::Refused);
                 Decision::Refuse(refusal)
@@ -230,9 +264,32 @@
     }
 
     fn first_waiting(&self, length: Length) -> Option<BodyKey> {
-        let waiting = self.watched().filter(|(_, body)| body.phase == Phase::Waiting);
-        let waiting = waiting.filter(|(_, body)| body.length == length);
-        Some(waiting.min_by_key(|(_, body)| body.order())?.0)
+        let waiting = self.waiting_of(length);
+        Some(waiting.min_by_key(|(_, body)| self.order(body))?.0)
+    }
+
+    fn last_waiting(&self, length: Length) -> Option<BodyKey> {
+        let waiting = self.waiting_of(length);
+        Some(waiting.max_by_key(|(_, body)| self.order(body))?.0)
+    }
+
+    fn waiting_of(&self, length: Length) -> impl Iterator<Item = (BodyKey, &Body)> {
+        self.watched()
+            .filter(move |(_, body)| body.phase == Phase::Waiting && body.length == length)
+    }
+
+    /// Refuses the last of the waiting bodies if later arrivals that precede them make them late.
+    fn refuse_overtaken(&mut self, now: TimeMs, decisions: &mut Vec<(BodyKey, Decision)>) {
+        if !std::mem::take(&mut self.is_overtaken) {
+            return;
+        }
+        for length in [Length::Short, Length::Long] {
+            while let Some(key) = self.last_waiting(length) {
+                let Some(refusal) = self.refusal_of_wait(now, key) else { break };
+                self.update(key, |body| body.phase = Phase::Refused);
+                decisions.push((key, Decision::Refuse(refusal)));
+            }
+        }
     }
 
     /// Refuses the waiting bodies that can no longer be answered in time.
@@ -265,6 +322,8 @@
         let changed = change(body);
         self.used_bytes = self.used_bytes - used_before + body.used_bytes();
         self.held_bytes = self.held_bytes - held_before + body.held_bytes;
+        let held_by = &mut self.held_by[body.organisation.0 as usize];
+        *held_by = *held_by - held_before + body.held_bytes;
         match body.length == Length::Long || body.phase == Phase::Waiting {
             true => self.watched.insert(key),
             false => self.watched.remove(&key),
--- a/crates/body-budget/src/waiting.rs
+++ b/crates/body-budget/src/waiting.rs
@@ -18,7 +18,7 @@
         let ahead = self.watched().map(|(_, body)| body).filter(|other| {
             other.phase == Phase::Waiting
                 && other.length == body.length
-                && other.order() < body.order()
+                && self.order(other) < self.order(&body)
         });
         let ahead_bytes: u64 = ahead.map(Body::missing_bytes).sum();
         let own_ms = self.hold_time.expected_ms(body.deadline.since(now));
@@ -105,7 +105,7 @@
             .map(|(key, other)| (key, *other))
             .collect();
         // The least urgent and the latest first.
-        slow.sort_unstable_by_key(|(_, other)| std::cmp::Reverse(other.order()));
+        slow.sort_unstable_by_key(|(_, other)| std::cmp::Reverse(self.order(other)));
         let mut chosen = Vec::new();
         for (key, other) in slow {
             if missing == 0 {
@@ -124,8 +124,8 @@
         if long().any(|(_, body)| body.phase != Phase::Waiting) {
             return None;
         }
-        let first = long().min_by_key(|(_, body)| body.order())?.0;
+        let first = long().min_by_key(|(_, body)| self.order(body))?.0;
         let holds = long().filter(|(key, body)| *key != first && body.held_bytes > 0);
-        Some(holds.max_by_key(|(_, body)| body.order()).map_or(first, |(key, _)| key))
+        Some(holds.max_by_key(|(_, body)| self.order(body)).map_or(first, |(key, _)| key))
     }
 }
--- a/crates/body-budget/tests/body_budget.rs
+++ b/crates/body-budget/tests/body_budget.rs
@@ -3,9 +3,10 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use celeryhaven_body_budget::{
-    BodyBudget, BodyHead, BodyKey, BodyRefusal, Decision, MemoryShares, RefusalReason,
+    BodyBudget, BodyHead, BodyKey, BodyRefusal, Decision, MemoryShares, OrganisationKey,
+    RefusalReason,
 };
-use celeryhaven_types::TimeMs;
+use celeryhaven_types::{OrganisationName, TimeMs};
 
 const LIMIT_BYTES: u64 = 100_000_000;
 const LONG_BYTES: u64 = 4_000_000;
@@ -21,7 +22,8 @@
 }
 
 fn head(now: TimeMs, rank: u8, length_bytes: impl Into<Option<u64>>) -> BodyHead {
-    BodyHead { rank, length_bytes: length_bytes.into(), deadline: now.after(BUDGET_MS) }
+    let (organisation, length_bytes) = (OrganisationKey::default(), length_bytes.into());
+    BodyHead { rank, organisation, length_bytes, deadline: now.after(BUDGET_MS) }
 }
 
 fn budget() -> BodyBudget {
@@ -369,3 +371,64 @@
     assert!(shares.body_bytes(20_000_000) > 100_000_000);
     assert!(shares.body_bytes(u64::MAX / 2) > LONG_BYTES);
 }
+
+/// One organisation that fills the room must not keep the bodies of others behind all of its own.
+#[test]
+fn poll_organisation_with_less_first() {
+    let mut budget = budget();
+    teach_hold_time(&mut budget, 1_000);
+    let held = fill(&mut budget, at(2_000));
+    let waits = |budget: &mut BodyBudget, head: &BodyHead| {
+        let (key, decision) = budget.arrive(at(2_100), head);
+        assert_eq!(decision, Decision::Wait);
+        key
+    };
+    let own = head(at(2_100), 1, LONG_BYTES);
+    let filling: Vec<BodyKey> = (0..4).map(|_| waits(&mut budget, &own)).collect();
+    let organisation = budget.organisation(Some(&OrganisationName::new("other")));
+    let other = waits(&mut budget, &BodyHead { organisation, ..own });
+    budget.release(at(3_000), held[0], LONG_BYTES);
+    assert_eq!(budget.poll(at(3_000)), [(other, Decision::Read)]);
+    budget.release(at(3_000), held[1], LONG_BYTES);
+    assert_eq!(budget.poll(at(3_000)), [(filling[0], Decision::Read)]);
+}
+
+/// Rank goes before the shares of organisations.
+#[test]
+fn poll_urgent_of_full_organisation_first() {
+    let mut budget = budget();
+    teach_hold_time(&mut budget, 1_000);
+    let held = fill(&mut budget, at(2_000));
+    let organisation = budget.organisation(Some(&OrganisationName::new("other")));
+    let other = BodyHead { organisation, ..head(at(2_100), 1, LONG_BYTES) };
+    budget.arrive(at(2_100), &other);
+    let (urgent, _) = budget.arrive(at(2_100), &head(at(2_100), 0, LONG_BYTES));
+    budget.release(at(3_000), held[0], LONG_BYTES);
+    assert_eq!(budget.poll(at(3_000)), [(urgent, Decision::Read)]);
+}
+
+/// A body that later arrivals make late is refused at once, and not at its deadline.
+#[test]
+fn poll_overtaken_refused_at_once() {
+    let mut budget = budget();
+    teach_hold_time(&mut budget, 3_500);
+    fill(&mut budget, at(4_000));
+    let mut waiting = Vec::new();
+    loop {
+        let (key, decision) = budget.arrive(at(4_100), &head(at(4_100), 1, LONG_BYTES));
+        if decision != Decision::Wait {
+            refusal(decision);
+            budget.remove(key);
+            break;
+        }
+        waiting.push(key);
+    }
+    assert_eq!(budget.poll(at(4_100)), []);
+    let organisation = budget.organisation(Some(&OrganisationName::new("other")));
+    let other = BodyHead { organisation, ..head(at(4_100), 1, LONG_BYTES) };
+    assert_eq!(budget.arrive(at(4_100), &other).1, Decision::Wait);
+    let decisions = budget.poll(at(4_100));
+    let [(refused, decision)] = decisions.as_slice() else { panic!("{decisions:?}") };
+    assert_eq!(refused, waiting.last().unwrap());
+    assert_eq!(refusal(*decision).reason, RefusalReason::NoRoom);
+}
--- a/crates/gateway/src/bodies/body_store.rs
+++ b/crates/gateway/src/bodies/body_store.rs
@@ -1,9 +1,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender, bounded};
-use celeryhaven_body_budget::{BodyBudget, BodyHead, BodyKey, Decision, MemoryShares};
+use celeryhaven_body_budget::{
+    BodyBudget, BodyHead, BodyKey, Decision, MemoryShares, OrganisationKey,
+};
 use celeryhaven_clock::BootClock;
-use celeryhaven_types::Map;
+use celeryhaven_types::{Map, OrganisationName};
 
 use crate::bodies::BodyReader;
 use crate::bodies::resident::resident_bytes;
@@ -34,11 +36,18 @@
         Self { state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Returns the key of an organisation.
+    pub(crate) fn organisation(&self, name: Option<&OrganisationName>) -> OrganisationKey {
+        self.lock().budget.organisation(name)
+    }
+
     /// Adds a body that is about to be read.
     pub(crate) fn arrive(&self, head: &BodyHead) -> (BodyReader, Decision) {
         let (key, decision) = self.lock().budget.arrive(BootClock.now(), head);
         let reader = BodyReader::new(self.clone(), key, head.length_bytes);
         let reader = if decision == Decision::Wait { reader.with_decisions() } else { reader };
+        // Bodies that wait behind this one may be too late now.
+        self.poll();
         (reader, decision)
     }
 
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -169,6 +169,7 @@
         resolve_request(dispatcher, &parts, (&caller, arrived_at), delegated.as_ref())?;
     let head = BodyHead {
         rank: resolved.rank,
+        organisation: dispatcher.bodies.organisation(resolved.organisation.as_ref()),
         length_bytes: body.size_hint().exact(),
         deadline: deadline(&resolved.route, &caller, arrived_at),
     };
