body-budget: a body that has waited begins no request that can only be cut (LOST)

Cause: a body waits until the time left is the mean time for which bodies are held. The time to read it was not in this, nor that answers take longer than the mean, and nothing looked again once it was read. On a busy machine 4 MB took 0.5 s; requests were sent with 2.9 s left for streams of 3 s.

Change: what a body still needs is the longest of the latest times to read one and of the latest answers of its route and length. When it is complete and has waited, its request is refused as not run if the answer would not fit. A body that has not waited begins as before: its caller chose the time.

--- a/crates/body-budget/src/body.rs
+++ b/crates/body-budget/src/body.rs
@@ -39,6 +39,8 @@
         pub length_bytes: Option<u64>,
         /// When its caller gives up.
         pub deadline: TimeMs,
+        /// How long answers to such requests take, in milliseconds; `None` if that is not known.
+        pub answer_ms: Option<u64>,
     }
 
     /// Whether a body counts as short.
@@ -71,10 +73,14 @@
     pub(crate) rank: u8,
     pub(crate) organisation: OrganisationKey,
     pub(crate) deadline: TimeMs,
+    pub(crate) answer_ms: Option<u64>,
     pub(crate) arrived_at: TimeMs,
     /// Number of bodies that had arrived before.
     pub(crate) sequence: u64,
     pub(crate) phase: Phase,
+    pub(crate) has_waited: bool,
+    /// When it was last let be read.
+    pub(crate) started_at: TimeMs,
     pub(crate) length: Length,
     /// Most bytes that it may have.
     pub(crate) need_bytes: u64,
@@ -95,9 +101,12 @@
             rank: head.rank,
             organisation: head.organisation,
             deadline: head.deadline,
+            answer_ms: head.answer_ms,
             arrived_at: now,
             sequence,
             phase: Phase::Waiting,
+            has_waited: false,
+            started_at: now,
             length: if is_short { Length::Short } else { Length::Long },
             need_bytes,
             held_bytes: 0,
@@ -140,6 +149,7 @@
     /// Lets it be read, with a claim to its rest.
     pub(crate) fn start(&mut self, now: TimeMs) {
         self.phase = Phase::Reading;
+        self.started_at = now;
         self.has_claim = true;
         (self.marked_bytes, self.progress_at) = (self.held_bytes, now);
     }
--- a/crates/body-budget/src/body_budget.rs
+++ b/crates/body-budget/src/body_budget.rs
@@ -6,6 +6,7 @@
 use crate::body::{Body, BodyHead, BodyKey, Length, OrganisationKey, Phase, SHORT_BYTES_MAX};
 use crate::decision::{BodyRefusal, Decision, RefusalReason};
 use crate::hold_time::HoldTime;
+use crate::read_times::ReadTimes;
 use crate::return_times::ReturnTimes;
 
 /// Part of the room that only short bodies may use, as a divisor.
@@ -23,13 +24,13 @@
 /// let mut budget = BodyBudget::new(8_000_000);
 /// let organisation = budget.organisation(None);
 /// let (length_bytes, deadline) = (Some(4_000_000), now.after(8_000));
-/// let head = BodyHead { rank: 1, organisation, length_bytes, deadline };
+/// let head = BodyHead { rank: 1, organisation, length_bytes, deadline, answer_ms: None };
 /// let (first, decision) = budget.arrive(now, &head);
 /// assert_eq!(decision, Decision::Read);
 /// let (second, decision) = budget.arrive(now, &head);
 /// assert_eq!(decision, Decision::Wait);
 /// budget.receive(now, first, 4_000_000);
-/// budget.complete(now, first);
+/// assert_eq!(budget.complete(now, first), Decision::Read);
 /// budget.release(now.after(900), first, 4_000_000);
 /// assert_eq!(budget.poll(now.after(900)), [(second, Decision::Read)]);
 /// ```
@@ -47,6 +48,7 @@
     /// The part of the held bytes of each organisation; the first is that of callers without one.
     held_by: Vec<u64>,
     pub(crate) hold_time: HoldTime,
+    pub(crate) read_times: ReadTimes,
     pub(crate) return_times: ReturnTimes,
     /// Longest body that callers may send.
     body_bytes_max: u64,
@@ -67,6 +69,7 @@
             organisations: Map::default(),
             held_by: vec![0],
             hold_time: HoldTime::default(),
+            read_times: ReadTimes::default(),
             return_times: ReturnTimes::default(),
             body_bytes_max: limit_bytes - limit_bytes / SHORT_DIVISOR,
             arrived: 0,
@@ -146,12 +149,24 @@
         }
     }
 
-    /// Records that a body has been read to its end.
-    pub fn complete(&mut self, now: TimeMs, key: BodyKey) {
+    /// Records that a body has been read to its end; refuses it if it has waited for so long that its
+    /// request could no longer be answered in time.
+    pub fn complete(&mut self, now: TimeMs, key: BodyKey) -> Decision {
+        let Some(body) = self.bodies.get(key).copied() else { return Decision::Read };
+        if body.length == Length::Long && body.is_claimed(now) {
+            self.read_times.record(now.since(body.started_at));
+        }
+        let answer_ms = body.answer_ms.unwrap_or(0);
+        if body.has_waited && answer_ms > body.deadline.since(now) {
+            let refusal = self.refuse(now, &body, RefusalReason::WaitedTooLong);
+            self.update(key, |body| body.phase = Phase::Refused);
+            return Decision::Refuse(refusal);
+        }
         self.update(key, |body| {
             body.phase = Phase::Held { since: now };
             body.need_bytes = body.held_bytes;
         });
+        Decision::Read
     }
 
     /// Records that bytes of a body are no longer held.
@@ -246,6 +261,7 @@
         }
         match self.refusal_of_wait(now, key) {
             None => {
+                self.update(key, |body| body.has_waited = true);
                 self.is_overtaken |= self.last_waiting(length) != Some(key);
                 Decision::Wait
             }
--- a/crates/body-budget/src/lib.rs
+++ b/crates/body-budget/src/lib.rs
@@ -23,6 +23,7 @@
 mod decision;
 mod hold_time;
 mod memory_shares;
+mod read_times;
 mod return_times;
 mod waiting;
 
--- a/crates/body-budget/src/waiting.rs
+++ b/crates/body-budget/src/waiting.rs
@@ -21,7 +21,7 @@
                 && self.order(other) < self.order(&body)
         });
         let ahead_bytes: u64 = ahead.map(Body::missing_bytes).sum();
-        let own_ms = self.hold_time.expected_ms(body.deadline.since(now));
+        let own_ms = self.own_ms(&body, body.deadline.since(now));
         let wait_ms = self.wait_ms(now, &body, ahead_bytes);
         if wait_ms.is_some_and(|ms| ms + own_ms <= body.deadline.since(now)) {
             return None;
@@ -32,7 +32,15 @@
     /// Returns when a waiting body can no longer be answered in time.
     pub(crate) fn gives_up_at(&self, body: &Body) -> TimeMs {
         let allowed_ms = body.deadline.since(body.arrived_at);
-        body.deadline.before(self.hold_time.expected_ms(allowed_ms))
+        body.deadline.before(self.own_ms(body, allowed_ms))
+    }
+
+    /// Returns the expected time from when a body may be read until its request is answered, in
+    /// milliseconds.
+    fn own_ms(&self, body: &Body, allowed_ms: u64) -> u64 {
+        let read_ms = if body.length == Length::Long { self.read_times.longest_ms() } else { 0 };
+        let answer_ms = body.answer_ms.unwrap_or_else(|| self.hold_time.expected_ms(allowed_ms));
+        read_ms + answer_ms
     }
 
     /// Makes the refusal of a body, whose caller comes back after those that were refused before.
--- a/crates/body-budget/tests/body_budget.rs
+++ b/crates/body-budget/tests/body_budget.rs
@@ -23,7 +23,8 @@
 
 fn head(now: TimeMs, rank: u8, length_bytes: impl Into<Option<u64>>) -> BodyHead {
     let (organisation, length_bytes) = (OrganisationKey::default(), length_bytes.into());
-    BodyHead { rank, organisation, length_bytes, deadline: now.after(BUDGET_MS) }
+    let deadline = now.after(BUDGET_MS);
+    BodyHead { rank, organisation, length_bytes, deadline, answer_ms: None }
 }
 
 fn budget() -> BodyBudget {
@@ -432,3 +433,55 @@
     assert_eq!(refused, waiting.last().unwrap());
     assert_eq!(refusal(*decision).reason, RefusalReason::NoRoom);
 }
+
+/// A body that has waited must not begin a request that the time left for its answer cuts.
+#[test]
+fn complete_waited_too_long() {
+    let mut budget = budget();
+    let held = fill(&mut budget, at(0));
+    let waiting = BodyHead { answer_ms: Some(3_000), ..head(at(0), 1, LONG_BYTES) };
+    let (first, decision) = budget.arrive(at(0), &waiting);
+    assert_eq!(decision, Decision::Wait);
+    let (second, decision) = budget.arrive(at(0), &waiting);
+    assert_eq!(decision, Decision::Wait);
+    budget.release(at(4_500), held[0], LONG_BYTES);
+    budget.release(at(4_500), held[1], LONG_BYTES);
+    assert_eq!(budget.poll(at(4_500)), [(first, Decision::Read), (second, Decision::Read)]);
+    // The first is read within 0.4 s, which leaves 3.1 s, and the second within 0.6 s.
+    for (ms, key) in [(4_900, first), (5_100, second)] {
+        budget.receive(at(ms), key, LONG_BYTES);
+        let decision = budget.complete(at(ms), key);
+        match key == first {
+            true => assert_eq!(decision, Decision::Read),
+            false => assert_eq!(refusal(decision).reason, RefusalReason::WaitedTooLong),
+        }
+    }
+    // One that has not waited has the time that its caller allows.
+    let own = BodyHead { deadline: at(7_000), ..waiting };
+    budget.remove(second);
+    let (key, decision) = budget.arrive(at(5_200), &own);
+    assert_eq!(decision, Decision::Read);
+    budget.receive(at(5_200), key, LONG_BYTES);
+    assert_eq!(budget.complete(at(5_200), key), Decision::Read);
+}
+
+/// The time that bodies take to be read is part of what a body that waits still needs.
+#[test]
+fn poll_waited_too_long_to_be_read() {
+    let mut budget = budget();
+    let key = admit(&mut budget, at(0), 1, LONG_BYTES).unwrap();
+    for part in 0..5 {
+        budget.receive(at(part * 200), key, LONG_BYTES / 5);
+    }
+    budget.complete(at(800), key);
+    budget.release(at(900), key, LONG_BYTES);
+    fill(&mut budget, at(1_000));
+    let waiting = BodyHead { answer_ms: Some(3_000), ..head(at(1_000), 1, LONG_BYTES) };
+    let (key, decision) = budget.arrive(at(1_000), &waiting);
+    assert_eq!(decision, Decision::Wait);
+    // Of 8 s, 3 s are needed for the answer and 0.8 s to read it.
+    assert_eq!(budget.poll(at(5_199)), []);
+    let decisions = budget.poll(at(5_200));
+    let [(refused, decision)] = decisions.as_slice() else { panic!("{decisions:?}") };
+    assert_eq!((*refused, refusal(*decision).reason), (key, RefusalReason::WaitedTooLong));
+}
--- a/crates/gateway/src/bodies/body_reader.rs
+++ b/crates/gateway/src/bodies/body_reader.rs
@@ -2,7 +2,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
-use celeryhaven_body_budget::{BodyKey, Decision, SHORT_BYTES_MAX};
+use celeryhaven_body_budget::{BodyKey, BodyRefusal, Decision, SHORT_BYTES_MAX};
 use celeryhaven_http::RequestBody;
 use memmap2::MmapMut;
 
@@ -99,17 +99,24 @@
     }
 
     /// Returns the complete body.
-    pub(crate) fn finish(mut self) -> RequestBody {
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has waited for so long that its request could no longer be answered in time.
+    pub(crate) fn finish(mut self) -> Result<RequestBody, BodyRefusal> {
         self.share_allocated();
         if let Some((mapping, filled)) = self.mapping.take() {
             self.parts.push(Segment::share(mapping, filled, (&self.store, self.key)));
         }
         // An empty one is removed as it is dropped: no release of a part would.
         self.is_complete = !self.parts.is_empty();
-        if self.is_complete {
-            self.store.complete(self.key);
+        if self.is_complete
+            && let Decision::Refuse(refusal) = self.store.complete(self.key)
+        {
+            self.is_complete = false;
+            return Err(refusal);
         }
-        std::mem::take(&mut self.parts).into_iter().collect()
+        Ok(std::mem::take(&mut self.parts).into_iter().collect())
     }
 
     fn share_allocated(&mut self) {
--- a/crates/gateway/src/bodies/body_store.rs
+++ b/crates/gateway/src/bodies/body_store.rs
@@ -94,12 +94,13 @@
         self.lock().budget.receive(BootClock.now(), key, bytes)
     }
 
-    /// Records that a body has been read to its end.
-    pub(super) fn complete(&self, key: BodyKey) {
+    /// Records that a body has been read to its end; returns whether its request may begin.
+    pub(super) fn complete(&self, key: BodyKey) -> Decision {
         let mut state = self.lock();
         state.decisions.remove(&key);
-        state.budget.complete(BootClock.now(), key);
+        let decision = state.budget.complete(BootClock.now(), key);
         state.poll();
+        decision
     }
 
     /// Records that bytes of a body are no longer held.
--- a/crates/gateway/src/http/callers.rs
+++ b/crates/gateway/src/http/callers.rs
@@ -172,6 +172,7 @@
         organisation: dispatcher.bodies.organisation(resolved.organisation.as_ref()),
         length_bytes: body.size_hint().exact(),
         deadline: deadline(&resolved.route, &caller, arrived_at),
+        answer_ms: dispatcher.answer_ms(&resolved.route, caller.output_tokens_max),
     };
     let request_id = caller.request_id.as_deref().unwrap_or_default();
     let body = read_body(dispatcher, body, &head, request_id).await?;
--- a/crates/gateway/src/http/request_body.rs
+++ b/crates/gateway/src/http/request_body.rs
@@ -62,7 +62,10 @@
                 decision = refused;
                 continue;
             }
-            Step::Complete => return Ok(reader.finish()),
+            Step::Complete => match reader.finish() {
+                Ok(body) => return Ok(body),
+                Err(refusal) => break refuse(dispatcher, (head, received, request_id), &refusal),
+            },
             Step::Broken => break rejected(StatusCode::BAD_REQUEST, RefusalCode::BadRequest),
             Step::TimedOut => break rejected(StatusCode::REQUEST_TIMEOUT, RefusalCode::SlowCaller),
         };
--- a/crates/gateway/src/traffic/stopping.rs
+++ b/crates/gateway/src/traffic/stopping.rs
@@ -40,6 +40,11 @@
         may_begin
     }
 
+    /// Returns how long answers of a route and length take, in milliseconds, if any are known.
+    pub(crate) fn answer_ms(&self, route: &Route, length: u32) -> Option<u64> {
+        self.state.borrow().answer_times.expected_ms(&route.name, length)
+    }
+
     /// Records how long a complete answer has taken since its request was sent.
     pub(crate) fn record_answer_time(&self, request: &CallerRequest, sent_at: TimeMs) {
         let (length, took_ms) = (request.caller.output_tokens_max, self.now().since(sent_at));
