--- a/review/standins-2/case7.rs
+++ b/review/standins-2/case7.rs
@@ -111,7 +111,9 @@
                 Ok((head.status(), received))
             };
             let (status, received) = exchange().unwrap_or((0, 0));
-            own.add(format!("answered large-{number}: {status}, {received} of {ANSWER_BYTES} bytes"));
+            own.add(format!(
+                "answered large-{number}: {status}, {received} of {ANSWER_BYTES} bytes"
+            ));
             *cut.lock().expect("the count") += usize::from(received < ANSWER_BYTES);
         }));
     }
--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -304,8 +304,7 @@
         let revision = objects.revision;
         let key = (kind.to_owned(), name.to_owned());
         let created = objects.by_name.get(&key).map_or(revision, |object| object.created);
-        let object =
-            content.map(|(spec, status)| Object { revision, created, spec, status });
+        let object = content.map(|(spec, status)| Object { revision, created, spec, status });
         match &object {
             Some(object) => objects.by_name.insert(key.clone(), object.clone()),
             None => objects.by_name.remove(&key),
@@ -338,9 +337,10 @@
                     let until = Instant::now()
                         + Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
                     loop {
-                        let events = objects.changes.iter().filter(|(at, of, _, _)| {
-                            *at > from && *of == kind
-                        });
+                        let events = objects
+                            .changes
+                            .iter()
+                            .filter(|(at, of, _, _)| *at > from && *of == kind);
                         let events: Vec<String> = events
                             .map(|(at, _, name, object)| {
                                 let gone = Object {
